--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,5 +1,7 @@
 // Entry point of lycheecoursed.
 #include "daemon/Daemon.h"
+#include "gateway/Gateway.h"
+#include "platform/Platform.h"
 #include "transport/Log.h"
 
 #include <absl/flags/flag.h>
@@ -10,6 +12,9 @@
 #include <cstdlib>
 
 ABSL_FLAG(std::string, settings, "", "File with the settings, in INI.");
+ABSL_FLAG(std::string, interface, "own",
+    "Which callers, targets and platform to speak with: own (the interface of docs/design.md) or platform (that of "
+    "docs/platform.md).");
 ABSL_FLAG(bool, check, false, "Check the settings and exit.");
 ABSL_FLAG(bool, describe_settings, false, "Print all settings as Markdown and exit.");
 ABSL_FLAG(std::string, ports_file, "", "File to write the bound ports to.");
@@ -31,26 +36,72 @@
     }
 }
 
-int runDaemon(std::shared_ptr<const lychee::Settings> settings)
+// The environment variable that holds the path of the settings on the users' platform.
+constexpr const char* settingsVariable = "LYCHEECOURSE_CONFIG";
+
+std::string settingsPath()
 {
-    absl::StatusOr<std::unique_ptr<lychee::Daemon>> daemon = lychee::Daemon::start(std::move(settings));
-    if (!daemon.ok()) {
-        fmt::print(stderr, "lycheecoursed: {}\n", lychee::messageOf(daemon.status()));
-        std::fflush(stderr);
-        std::_Exit(exitFailed);
+    std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        if (const char* value = std::getenv(settingsVariable))
+            path = value;
     }
+    return path;
+}
+
+// Ends the process at once: fibers that wait for messages do not end by themselves, and nothing of the process has to
+// be kept.
+[[noreturn]] void end(int code)
+{
+    lychee::flushLog();
+    std::fflush(stderr);
+    std::_Exit(code);
+}
+
+[[noreturn]] void failToStart(const absl::Status& status)
+{
+    fmt::print(stderr, "lycheecoursed: {}\n", lychee::messageOf(status));
+    end(exitFailed);
+}
+
+void runDaemon(std::shared_ptr<const lychee::Settings> settings)
+{
+    absl::StatusOr<std::unique_ptr<lychee::Daemon>> daemon = lychee::Daemon::start(std::move(settings));
+    if (!daemon.ok())
+        failToStart(daemon.status());
     const std::string portsFile = absl::GetFlag(FLAGS_ports_file);
     if (!portsFile.empty()) {
         const absl::Status status = (*daemon)->writePorts(portsFile);
-        if (!status.ok()) {
-            fmt::print(stderr, "lycheecoursed: {}\n", lychee::messageOf(status));
-            return exitFailed;
-        }
+        if (!status.ok())
+            failToStart(status);
     }
-    const int code = (*daemon)->waitForStop();
-    std::fflush(stderr);
-    // Fibers that wait for messages do not end by themselves, and nothing of the process has to be kept.
-    std::_Exit(code);
+    end((*daemon)->waitForStop());
+}
+
+void runGateway(std::shared_ptr<const lychee::gateway::GatewaySettings> settings, const std::string& file)
+{
+    auto gateway = lychee::gateway::Gateway<lychee::platform::Platform>::start(std::move(settings), file);
+    if (!gateway.ok())
+        failToStart(gateway.status());
+    end((*gateway)->waitForStop());
+}
+
+// Loads the settings, prints every error, and either only checks them or runs with them.
+template <typename Tree, typename Run> int loadAndRun(Run run)
+{
+    const std::string path = settingsPath();
+    auto loaded = Tree::load(path);
+    if (!loaded.ok()) {
+        for (const std::string& error : loaded.errors)
+            fmt::print(stderr, "{}\n", error);
+        return exitInvalidInput;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        fmt::print("{}: ok\n", path);
+        return 0;
+    }
+    run(std::move(loaded.settings), path);
+    return exitFailed;
 }
 
 } // namespace
@@ -67,19 +118,18 @@
         return exitInvalidInput;
     }
     lychee::setLogLevel(level);
-    if (absl::GetFlag(FLAGS_describe_settings)) {
-        fmt::print("{}", lychee::Settings::describe());
-        return 0;
-    }
-    lychee::SettingsResult loaded = lychee::Settings::load(absl::GetFlag(FLAGS_settings));
-    if (!loaded.ok()) {
-        for (const std::string& error : loaded.errors)
-            fmt::print(stderr, "{}\n", error);
+    const std::string interface = absl::GetFlag(FLAGS_interface);
+    if (interface != "own" && interface != "platform") {
+        fmt::print(stderr, "lycheecoursed: --interface must be own or platform\n");
         return exitInvalidInput;
     }
-    if (absl::GetFlag(FLAGS_check)) {
-        fmt::print("{}: ok\n", absl::GetFlag(FLAGS_settings));
+    const bool onPlatform = interface == "platform";
+    if (absl::GetFlag(FLAGS_describe_settings)) {
+        fmt::print("{}", onPlatform ? lychee::gateway::GatewaySettings::describe() : lychee::Settings::describe());
         return 0;
     }
-    return runDaemon(std::move(loaded.settings));
+    if (onPlatform)
+        return loadAndRun<lychee::gateway::GatewaySettings>(runGateway);
+    return loadAndRun<lychee::Settings>(
+        [](std::shared_ptr<const lychee::Settings> settings, const std::string&) { runDaemon(std::move(settings)); });
 }
--- a/src/daemon/SettingForms.cpp
+++ b/src/daemon/SettingForms.cpp
@@ -19,6 +19,25 @@
 
 } // namespace
 
+std::optional<double> RealForm::parse(std::string_view text, const std::filesystem::path&) const
+{
+    double number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    // The comparison also refuses a value that is not a number.
+    if (error != std::errc() || end != text.data() + text.size() || !(number >= lowest && number <= highest))
+        return std::nullopt;
+    return number;
+}
+
+std::string RealForm::allowed() const { return fmt::format("a number from {} to {}", lowest, highest); }
+
+std::optional<Endpoint> EndpointForm::parse(std::string_view text, const std::filesystem::path&) const
+{
+    return Endpoint::parse(text);
+}
+
+std::string EndpointForm::allowed() const { return "a numeric address as IP:PORT"; }
+
 std::optional<std::string> NameForm::parse(std::string_view text, const std::filesystem::path&) const
 {
     if (!isAnswerName(text))
--- a/src/daemon/SettingForms.h
+++ b/src/daemon/SettingForms.h
@@ -48,6 +48,25 @@
     std::string allowed() const { return fmt::format("a whole number from {} to {}", lowest, highest); }
 };
 
+// A number between bounds, with or without a fraction.
+struct RealForm {
+    using Value = double;
+
+    double lowest = 0;
+    double highest = 0;
+
+    std::optional<double> parse(std::string_view text, const std::filesystem::path& directory) const;
+    std::string allowed() const;
+};
+
+// A numeric address with a port.
+struct EndpointForm {
+    using Value = Endpoint;
+
+    std::optional<Endpoint> parse(std::string_view text, const std::filesystem::path& directory) const;
+    std::string allowed() const;
+};
+
 // A name of [a-z0-9-].
 struct NameForm {
     using Value = std::string;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -1,14 +1,9 @@
 #include "daemon/Settings.h"
 
-#include <algorithm>
-#include <fstream>
-
 namespace lychee {
 
 namespace {
 
-constexpr IniLimits limits{.textBytes = 64 << 10, .lineBytes = 4096, .sections = 64, .errors = 100};
-
 constexpr std::uint64_t hourMs = 3'600'000;
 constexpr std::uint64_t dayMs = 24 * hourMs;
 constexpr std::uint64_t minuteMs = 60'000;
@@ -17,27 +12,6 @@
 
 } // namespace
 
-SettingBase::SettingBase(SettingSection& section, const SettingDeclaration& declaration)
-    : declaration_(declaration)
-{
-    section.members_.push_back(this);
-}
-
-SettingSection::SettingSection(
-    std::vector<SettingSection*>& sections, std::string_view name, std::string_view description)
-    : name_(name)
-    , description_(description)
-{
-    sections.push_back(this);
-}
-
-SettingBase* SettingSection::find(std::string_view key) const
-{
-    const auto found = std::find_if(
-        members_.begin(), members_.end(), [&](const SettingBase* member) { return member->declaration().key == key; });
-    return found == members_.end() ? nullptr : *found;
-}
-
 Settings::InstanceSection::InstanceSection(std::vector<SettingSection*>& sections)
     : SettingSection(sections, "instance", "Who this instance is.")
     , id(*this, {"id", std::nullopt, "", "Name of the instance, different from all others."})
@@ -131,140 +105,29 @@
 {
 }
 
-// One pass over one file; collects every error.
-class SettingsLoader {
-public:
-    explicit SettingsLoader(const std::filesystem::path& file)
-        : file_(file)
-        , settings_(std::make_shared<Settings>())
-    {
-    }
-
-    SettingsResult run(std::string_view text)
-    {
-        const IniDocument document = IniDocument::parse(text, limits);
-        for (const IniError& error : document.errors)
-            fail(error.line, error.section, error.key, error.reason);
-        for (const IniSection& section : document.sections)
-            readSection(section);
-        for (const SettingSection* section : settings_->sections())
-            requireMembers(*section, document.find(section->name()));
-        checkSilence(document);
-        return {errors_.empty() ? settings_ : nullptr, std::move(errors_)};
-    }
-
-private:
-    void readSection(const IniSection& ini)
-    {
-        const auto& sections = settings_->sections();
-        const auto found = std::find_if(sections.begin(), sections.end(),
-            [&](const SettingSection* section) { return section->name() == ini.name; });
-        if (found == sections.end()) {
-            std::vector<std::string_view> names;
-            names.reserve(sections.size());
-            for (const SettingSection* section : sections)
-                names.push_back(section->name());
-            fail(ini.line, ini.name, "", fmt::format("unknown section, must be one of {}", fmt::join(names, ", ")));
-            return;
-        }
-        for (const IniEntry& entry : ini.entries)
-            readEntry(**found, entry);
-    }
-
-    void readEntry(const SettingSection& section, const IniEntry& entry)
-    {
-        SettingBase* setting = section.find(entry.key);
-        if (!setting) {
-            std::vector<std::string_view> keys;
-            keys.reserve(section.members().size());
-            for (const SettingBase* member : section.members())
-                keys.push_back(member->declaration().key);
-            fail(entry.line, section.name(), entry.key,
-                fmt::format("unknown key, must be one of {}", fmt::join(keys, ", ")));
-            return;
-        }
-        if (!setting->assign(entry.value, file_.parent_path()))
-            fail(entry.line, section.name(), entry.key, fmt::format("must be {}", setting->allowed()));
-    }
-
-    void requireMembers(const SettingSection& section, const IniSection* ini)
-    {
-        for (const SettingBase* setting : section.members()) {
-            const SettingDeclaration& declaration = setting->declaration();
-            if (declaration.fallback || (ini && ini->find(declaration.key)))
-                continue;
-            fail(ini ? ini->line : 0, section.name(), declaration.key,
-                fmt::format("the key is missing, must be {}", setting->allowed()));
-        }
-    }
-
-    // A silence limit close to the interval of heartbeats would suspect peers that are only a little late.
-    void checkSilence(const IniDocument& document)
-    {
-        const auto& peers = settings_->peers;
-        if (peers.silence() >= 2 * peers.heartbeat())
-            return;
-        const IniSection* ini = document.find("peers");
-        fail(ini ? ini->line : 0, "peers", "silence_ms",
-            fmt::format("must be at least twice heartbeat_ms, {}", 2 * peers.heartbeat().count()));
-    }
-
-    void fail(std::size_t line, std::string_view section, std::string_view key, std::string_view reason)
-    {
-        std::string text = file_.string() + ": ";
-        if (line > 0)
-            text += fmt::format("line {}: ", line);
-        if (!section.empty())
-            text += fmt::format("[{}] ", section);
-        if (!key.empty())
-            text += fmt::format("{}: ", key);
-        errors_.push_back(text + std::string(reason));
-    }
-
-    const std::filesystem::path& file_;
-    std::shared_ptr<Settings> settings_;
-    std::vector<std::string> errors_;
-};
+// A silence limit close to the interval of heartbeats would suspect peers that are only a little late.
+void Settings::checkCombinations(const ErrorReport& report) const
+{
+    if (peers.silence() >= 2 * peers.heartbeat())
+        return;
+    report(
+        "peers", "silence_ms", fmt::format("must be at least twice heartbeat_ms, {}", 2 * peers.heartbeat().count()));
+}
 
 SettingsResult Settings::load(const std::filesystem::path& file)
 {
-    std::error_code error;
-    std::ifstream stream;
-    if (std::filesystem::is_regular_file(file, error))
-        stream.open(file, std::ios::binary);
-    if (!stream.is_open())
-        return {nullptr, {fmt::format("{}: the settings must be a readable file", file.string())}};
-    std::string text(limits.textBytes + 1, '\0');
-    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(stream.gcount()));
-    return parse(text, file);
+    auto settings = std::make_shared<Settings>();
+    std::vector<std::string> errors = settings->assignFile(file);
+    return {errors.empty() ? settings : nullptr, std::move(errors)};
 }
 
 SettingsResult Settings::parse(std::string_view text, const std::filesystem::path& file)
 {
-    return SettingsLoader(file).run(text);
+    auto settings = std::make_shared<Settings>();
+    std::vector<std::string> errors = settings->assignText(text, file);
+    return {errors.empty() ? settings : nullptr, std::move(errors)};
 }
 
-std::string Settings::describe()
-{
-    const Settings settings;
-    std::string text
-        = "# Settings of lycheecoursed\n\n"
-          "Generated by `lycheecoursed --describe-settings`. The file is INI text; `--check` validates it. "
-          "Tokens and keys are only read from the files named here.\n";
-    for (const SettingSection* section : settings.sections()) {
-        text += fmt::format("\n## [{}]\n\n{}\n\n", section->name(), section->description());
-        text += "| key | allowed | default | unit | description |\n|---|---|---|---|---|\n";
-        for (const SettingBase* setting : section->members()) {
-            const SettingDeclaration& declaration = setting->declaration();
-            std::string fallback = "required";
-            if (declaration.fallback)
-                fallback = declaration.fallback->empty() ? "none" : fmt::format("`{}`", *declaration.fallback);
-            text += fmt::format("| `{}` | {} | {} | {} | {} |\n", declaration.key, setting->allowed(), fallback,
-                declaration.unit, declaration.description);
-        }
-    }
-    return text;
-}
+std::string Settings::describe() { return Settings().describeAs("Settings of lycheecoursed"); }
 
 } // namespace lychee
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -1,119 +1,16 @@
 // The settings of the daemon: one tree of typed, bounded members with defaults, loaded from INI.
 #pragma once
 
-#include "daemon/SettingForms.h"
-#include "state/IniDocument.h"
+#include "daemon/SettingTree.h"
 
 #include <memory>
 
 namespace lychee {
 
-// What is declared for a setting of any type.
-struct SettingDeclaration {
-    std::string_view key;
-    // The value that stands for an absent key, as written in the file; nothing when the key is required.
-    std::optional<std::string_view> fallback;
-    // Unit of the value; empty when it has none.
-    std::string_view unit;
-    std::string_view description;
-};
-
-class SettingSection;
-
-// One setting without its type.
-class SettingBase {
-public:
-    SettingBase(SettingSection& section, const SettingDeclaration& declaration);
-
-    SettingBase(const SettingBase&) = delete;
-    SettingBase& operator=(const SettingBase&) = delete;
-    virtual ~SettingBase() = default;
-
-    const SettingDeclaration& declaration() const { return declaration_; }
-
-    // Takes the value from the file; false when it is not allowed. Relative paths start at `directory`.
-    virtual bool assign(std::string_view text, const std::filesystem::path& directory) = 0;
-
-    // The allowed range as a person reads it.
-    virtual std::string allowed() const = 0;
-
-private:
-    SettingDeclaration declaration_;
-};
-
-// A setting of one form. Its default, if any, must be allowed; SettingsTest checks this for all.
-template <SettingForm Form> class Setting : public SettingBase {
-public:
-    using Value = typename Form::Value;
-
-    Setting(SettingSection& section, const SettingDeclaration& declaration, Form form = {})
-        : SettingBase(section, declaration)
-        , form_(form)
-    {
-        if (declaration.fallback)
-            assign(*declaration.fallback, {});
-    }
-
-    const Value& operator()() const { return value_; }
-
-    bool assign(std::string_view text, const std::filesystem::path& directory) final
-    {
-        auto value = form_.parse(text, directory);
-        if (!value)
-            return false;
-        value_ = std::move(*value);
-        return true;
-    }
-
-    std::string allowed() const final { return form_.allowed(); }
-
-private:
-    Form form_;
-    Value value_{};
-};
-
-using CountSetting = Setting<NumberForm<std::uint32_t>>;
-using SizeSetting = Setting<NumberForm<std::uint64_t>>;
-using PortSetting = Setting<NumberForm<std::uint16_t>>;
-using DurationSetting = Setting<NumberForm<std::chrono::milliseconds>>;
-using NameSetting = Setting<NameForm>;
-using AddressSetting = Setting<AddressForm>;
-using EndpointListSetting = Setting<EndpointListForm>;
-using SecretFileSetting = Setting<SecretFileForm>;
-
-// A section of the file; its settings register themselves.
-class SettingSection {
-public:
-    SettingSection(std::vector<SettingSection*>& sections, std::string_view name, std::string_view description);
-
-    SettingSection(const SettingSection&) = delete;
-    SettingSection& operator=(const SettingSection&) = delete;
-
-    std::string_view name() const { return name_; }
-
-    std::string_view description() const { return description_; }
-
-    const std::vector<SettingBase*>& members() const { return members_; }
-
-    // The setting with this key; null when there is none.
-    SettingBase* find(std::string_view key) const;
-
-private:
-    friend class SettingBase;
-
-    std::string_view name_;
-    std::string_view description_;
-    std::vector<SettingBase*> members_;
-};
-
 struct SettingsResult;
 
 // All settings of one process; immutable once loaded. A value is read as settings.callers.port().
-class Settings {
-private:
-    // Declared before the sections, which register themselves here.
-    std::vector<SettingSection*> sections_;
-
+class Settings : public SettingTree {
 public:
     Settings() = default;
 
@@ -126,9 +23,6 @@
     // All settings with their ranges, defaults and units, as Markdown.
     static std::string describe();
 
-    // All settings in order of declaration.
-    const std::vector<SettingSection*>& sections() const { return sections_; }
-
     struct InstanceSection : SettingSection {
         explicit InstanceSection(std::vector<SettingSection*>& sections);
 
@@ -202,6 +96,9 @@
 
         DurationSetting quarantine;
     } crashes{sections_};
+
+private:
+    void checkCombinations(const ErrorReport& report) const override;
 };
 
 // Settings, or one line for each error.
--- /dev/null
+++ b/src/fleet/DemandMeter.cpp
@@ -0,0 +1,65 @@
+#include "fleet/DemandMeter.h"
+
+#include <cmath>
+
+namespace lychee::fleet {
+
+namespace {
+
+// Time constants of the averages, in seconds. The short one is half of the time in which demand moves on the
+// deployments (4 to 6 s) and holds some twenty requests of a busy model.
+constexpr double fastSeconds = 1.2;
+constexpr double slowSeconds = 5;
+
+// Demand below this is forgotten: less than one short request a minute.
+constexpr double forgottenWork = 0.0005;
+
+// Seconds of an engine for each prompt token that is read (38.7 tokens a millisecond on the sheets), and for each
+// output token in a batch of usual size.
+constexpr double secondsPerPromptToken = 1 / 38700.0;
+constexpr double secondsPerOutputToken = 0.0004;
+
+// Part of the shared prompt tokens that is not in the cache of the engine that is chosen.
+constexpr double sharedTokensRead = 0.35;
+
+} // namespace
+
+double engineSeconds(const GenerationNeed& need)
+{
+    const double total = static_cast<double>(need.promptTokens.value());
+    const double own = need.parts.empty() ? total : static_cast<double>(need.parts.back().tokens.value());
+    const double read = own + sharedTokensRead * std::max(total - own, 0.0);
+    const TokenCount output = std::min(need.outputHint.value_or(need.maxOutputTokens), need.maxOutputTokens);
+    return read * secondsPerPromptToken + static_cast<double>(output.value()) * secondsPerOutputToken;
+}
+
+void DemandMeter::decay(Rate& rate, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(now - rate.updated).count();
+    rate.fast *= std::exp(-seconds / fastSeconds);
+    rate.slow *= std::exp(-seconds / slowSeconds);
+    rate.updated = now;
+}
+
+void DemandMeter::record(const GenerationNeed& need, TimePoint now)
+{
+    Rate& rate = rates_[need.model];
+    decay(rate, now);
+    const double work = engineSeconds(need);
+    rate.fast += work / fastSeconds;
+    rate.slow += work / slowSeconds;
+}
+
+std::vector<ModelDemand> DemandMeter::read(TimePoint now)
+{
+    std::vector<ModelDemand> demand;
+    for (auto& [model, rate] : rates_) {
+        decay(rate, now);
+        const double work = std::max(rate.fast, rate.slow);
+        if (work > forgottenWork)
+            demand.push_back({model, work});
+    }
+    return demand;
+}
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/PlacementLease.cpp
@@ -0,0 +1,97 @@
+#include "fleet/PlacementLease.h"
+
+namespace lychee::fleet {
+
+LeaseStep PlacementLease::next(TimePoint now) const
+{
+    if (!known_) {
+        const bool pause = stepFailed_ && now - lastStepAt_ < options_.urgentReadInterval;
+        return pause ? LeaseStep::Wait : LeaseStep::Read;
+    }
+    const Duration sinceStep = now - lastStepAt_;
+    if (isHolder()) {
+        if (releasing_)
+            return LeaseStep::Write;
+        return sinceStep >= options_.renewInterval ? LeaseStep::Write : LeaseStep::Wait;
+    }
+    if (releasing_)
+        return LeaseStep::Wait;
+    if (mayTake(now))
+        return sinceStep >= options_.takeDelay || !stepFailed_ ? LeaseStep::Write : LeaseStep::Wait;
+    const bool hears = heardAt_ != TimePoint() && now - heardAt_ < options_.actWindow;
+    const Duration interval = hears ? options_.idleReadInterval : options_.urgentReadInterval;
+    return sinceStep >= interval ? LeaseStep::Read : LeaseStep::Wait;
+}
+
+bool PlacementLease::mayTake(TimePoint now) const
+{
+    if (!holder_)
+        return true;
+    if (holder_->holder.empty())
+        return now - seenAt_ >= options_.takeDelay;
+    // The holder acts for actWindow after a renewal that came before the row was seen. A holder that is heard from
+    // lives, even when its renewals are not seen.
+    return now - seenAt_ >= options_.actWindow + options_.renewInterval + options_.takeDelay;
+}
+
+LeaseRow PlacementLease::row() const
+{
+    if (releasing_)
+        return {InstanceId(), fence()};
+    if (isHolder())
+        return {self_, fence()};
+    return {self_, fence().next()};
+}
+
+void PlacementLease::observed(const std::optional<LeaseRow>& row, RowVersion version, TimePoint answeredAt)
+{
+    lastStepAt_ = answeredAt;
+    stepFailed_ = false;
+    // An answer that was overtaken by a newer one shows the past.
+    if (known_ && version < version_ && row)
+        return;
+    const bool wasHolder = isHolder();
+    if (version != version_ || seenAt_ == TimePoint())
+        seenAt_ = answeredAt;
+    known_ = true;
+    holder_ = row;
+    version_ = version;
+    if (!wasHolder && isHolder()) {
+        // A write of this instance whose answer was lost has taken effect. Renewing it starts the act window.
+        actFrom_ = answeredAt + options_.actWindow + options_.lease;
+        actUntil_ = {};
+    }
+}
+
+void PlacementLease::written(RowVersion version, TimePoint sentAt, TimePoint answeredAt)
+{
+    const LeaseRow written = row();
+    const bool renewed = isHolder();
+    if (!renewed) {
+        // Only where the row never existed has nobody sent orders before.
+        const bool first = !holder_;
+        actFrom_ = first ? answeredAt : seenAt_ + options_.actWindow + options_.lease;
+    }
+    known_ = true;
+    stepFailed_ = false;
+    holder_ = written;
+    version_ = version;
+    seenAt_ = answeredAt;
+    lastStepAt_ = sentAt;
+    actUntil_ = sentAt + options_.actWindow;
+}
+
+void PlacementLease::failed(TimePoint now)
+{
+    lastStepAt_ = now;
+    stepFailed_ = true;
+    // A write without an answer may have changed the row; it has to be read before the next condition.
+    known_ = false;
+}
+
+bool PlacementLease::mayAct(TimePoint now) const
+{
+    return isHolder() && !releasing_ && now >= actFrom_ && now < actUntil_;
+}
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/RouteTable.h
@@ -0,0 +1,141 @@
+// The configuration in force: which service a request goes to, what may be repeated, and how long it may take.
+#pragma once
+
+#include "protocol/Ids.h"
+#include "transport/RuntimeClock.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lychee::fleet {
+
+using RouteId = StrongId<struct RouteIdTag>;
+
+// What may be repeated.
+enum class RequestKind {
+    // May run more than once.
+    Idempotent,
+    // Runs at most once for each attempt of a caller.
+    NonIdempotent,
+    // Answered by a series of events; runs at most once unless the route allows streams to be resumed.
+    Streaming,
+};
+
+// A service that takes a part of the requests of a route.
+struct WeightedService {
+    ServiceId service;
+    double weight = 1;
+};
+
+// One rule of the configuration.
+struct Route {
+    RouteId id;
+    std::string host;
+    // Begins and ends with a slash.
+    std::string prefix;
+    RequestKind kind = RequestKind::NonIdempotent;
+    // Longest time that a request may be kept waiting.
+    Duration timeout = std::chrono::seconds(30);
+    // Time to the answer, or to the first event of a stream, within which it has its full value.
+    Duration latencyObjective = std::chrono::seconds(1);
+    // Longest pause between events of a stream.
+    Duration pauseObjective = std::chrono::seconds(1);
+    // 0 is the most urgent.
+    int priority = 0;
+    std::vector<WeightedService> services;
+    // Targets on which one attempt of a caller may run.
+    int attempts = 1;
+    // Whether a broken stream may be continued on another target.
+    bool resumable = false;
+
+    // Whether a request may be sent again after its outcome is unknown.
+    bool isRepeatable() const
+    {
+        return kind == RequestKind::Idempotent || (kind == RequestKind::Streaming && resumable);
+    }
+};
+
+// A model that the engines of a service can hold.
+struct Model {
+    ModelId id;
+    double weightMegabytes = 0;
+    double adapterMegabytes = 0;
+    // Adapters are named a1, a2 and so on.
+    int adapters = 0;
+    // Time to load from the weight store, from the target's disk and from its memory.
+    Duration storeLoad{0};
+    Duration diskLoad{0};
+    Duration memoryLoad{0};
+};
+
+// What the engines of a service can do.
+struct Engine {
+    int slots = 1;
+    // Tokens of running requests and cached prompts that fit.
+    double cacheTokens = 0;
+    double weightMegabytes = 0;
+    int adapterSlots = 0;
+    // Loads from the weight store a second, over all targets.
+    double loadsPerSecond = 0;
+    std::vector<Model> models;
+
+    // Null when the model is not declared.
+    const Model* find(const ModelId& id) const;
+};
+
+// A group of targets that can serve the same requests.
+struct Service {
+    ServiceId id;
+    std::string healthPath;
+    int maxConnections = 0;
+    // Absent for plain services.
+    std::optional<Engine> engine;
+};
+
+// What a caller may send, and how long it may take.
+struct CallerLimits {
+    std::size_t headerBytes = std::size_t{16} * 1024;
+    std::size_t bodyBytes = std::size_t{4} * 1024 * 1024;
+    Duration headerTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::seconds(15);
+};
+
+// Immutable once created.
+class RouteTable {
+public:
+    static std::shared_ptr<const RouteTable> create(
+        ConfigurationVersion version, std::vector<Route> routes, std::vector<Service> services, CallerLimits limits);
+
+    ConfigurationVersion version() const { return version_; }
+
+    // The route of this host with the longest prefix that begins `path`; null when there is none. A port in `host`
+    // and its case are ignored.
+    const Route* match(std::string_view host, std::string_view path) const;
+
+    const Service* service(const ServiceId& id) const;
+
+    const std::vector<Route>& routes() const { return routes_; }
+
+    const std::vector<Service>& services() const { return services_; }
+
+    const CallerLimits& limits() const { return limits_; }
+
+private:
+    RouteTable() = default;
+
+    ConfigurationVersion version_;
+    std::vector<Route> routes_;
+    std::vector<Service> services_;
+    CallerLimits limits_;
+    // By host, a NUL byte and prefix.
+    std::unordered_map<std::string, std::size_t> byPrefix_;
+    std::unordered_map<ServiceId, std::size_t> byService_;
+};
+
+// The service that takes a request; `draw` is uniform in [0, 1). Null when the route names none.
+const ServiceId* pickService(const Route& route, double draw);
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/TargetBoard.cpp
@@ -0,0 +1,258 @@
+#include "fleet/TargetBoard.h"
+
+#include "coordination/RendezvousHash.h"
+
+#include <cmath>
+
+namespace lychee::fleet {
+
+namespace {
+
+// Work told by a peer is left out after this time; five times the interval at which peers tell it.
+constexpr Duration peerWorkAge = std::chrono::seconds(1);
+
+// After this time a prompt part counts as evicted. An engine of 232,000 tokens that reads 9,000-token prompts 1.5
+// times a second turns over its memory in about 17 s.
+constexpr Duration promptPartAge = std::chrono::seconds(15);
+
+// Prompt parts remembered for each target; above this the old ones are dropped.
+constexpr std::size_t maxPromptParts = 2048;
+
+// Weight of one send in the failure share.
+constexpr double failureWeight = 0.2;
+
+// Time in which the failure share halves while nothing is sent.
+constexpr double failureHalfLifeSeconds = 3;
+
+// Failures in a row after which a target is taken out for a time.
+constexpr int failuresToEject = 3;
+
+// First time out; doubles with each further failure.
+constexpr Duration firstEjection = std::chrono::milliseconds(500);
+constexpr int maxEjectionDoublings = 3;
+
+// How long a target that said it is full is used last.
+constexpr Duration fullPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+TargetWork& TargetWork::operator+=(const TargetWork& other)
+{
+    running += other.running;
+    prefillTokens += other.prefillTokens;
+    heldTokens += other.heldTokens;
+    return *this;
+}
+
+TargetWork TargetState::totalWork(TimePoint now) const
+{
+    TargetWork total = own;
+    for (const auto& [peer, share] : peers) {
+        if (now - share.second <= peerWorkAge)
+            total += share.first;
+    }
+    return total;
+}
+
+double TargetState::decayedFailureShare(TimePoint now) const
+{
+    const double seconds = std::chrono::duration<double>(now - failureShareAt).count();
+    return failureShare * std::exp2(-seconds / failureHalfLifeSeconds);
+}
+
+void TargetBoard::replace(std::span<const TargetRecord> records)
+{
+    std::unordered_map<TargetId, const TargetRecord*> listed;
+    for (const TargetRecord& record : records)
+        listed.emplace(record.id, &record);
+    std::erase_if(targets_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    for (const TargetRecord& record : records)
+        update(record);
+    rebuildServices();
+}
+
+void TargetBoard::update(const TargetRecord& record)
+{
+    std::unique_ptr<TargetState>& state = targets_[record.id];
+    if (!state || state->record.birth != record.birth || state->record.endpoint != record.endpoint) {
+        state = std::make_unique<TargetState>();
+        state->record = record;
+        rebuildServices();
+        return;
+    }
+    Holdings known = std::move(state->record.holdings);
+    const bool moved = state->record.service != record.service;
+    state->record = record;
+    // Entries lag behind what the placement owner has told.
+    if (known.sequence > record.holdings.sequence)
+        state->record.holdings = std::move(known);
+    else if (known.sequence == record.holdings.sequence)
+        state->record.holdings.arriving = std::move(known.arriving);
+    if (moved)
+        rebuildServices();
+}
+
+void TargetBoard::remove(const TargetId& id)
+{
+    if (targets_.erase(id) > 0)
+        rebuildServices();
+}
+
+void TargetBoard::updateHoldings(const TargetId& id, TargetBirth birth, const Holdings& holdings)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end() || found->second->record.birth != birth)
+        return;
+    Holdings& known = found->second->record.holdings;
+    if (holdings.sequence >= known.sequence)
+        known = holdings;
+}
+
+void TargetBoard::recordPeerWork(const InstanceId& peer, std::span<const WorkShare> shares, TimePoint now)
+{
+    for (const auto& [id, state] : targets_)
+        state->peers.erase(peer);
+    for (const WorkShare& share : shares) {
+        if (const auto found = targets_.find(share.target); found != targets_.end())
+            found->second->peers[peer] = {share.work, now};
+    }
+}
+
+std::vector<WorkShare> TargetBoard::ownWork() const
+{
+    std::vector<WorkShare> shares;
+    for (const auto& [id, state] : targets_) {
+        if (state->own.running > 0)
+            shares.push_back({id, state->own});
+    }
+    return shares;
+}
+
+SendId TargetBoard::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now)
+{
+    const SendId id = nextSend_;
+    nextSend_ = nextSend_.next();
+    const auto found = targets_.find(target);
+    if (found == targets_.end())
+        return id;
+    TargetState& state = *found->second;
+    Send send{target, state.record.birth, 0, 0};
+    if (need) {
+        const std::vector<std::uint64_t> hashes = promptPartHashes(*need);
+        send.prefillTokens = uncachedTokens(state, *need, hashes, now);
+        const TokenCount output = std::min(need->outputHint.value_or(need->maxOutputTokens), need->maxOutputTokens);
+        send.heldTokens = static_cast<double>(need->promptTokens.value() + output.value());
+        for (const std::uint64_t hash : hashes)
+            state.promptParts[hash] = now;
+        if (state.promptParts.size() > maxPromptParts)
+            std::erase_if(state.promptParts, [&](const auto& part) { return now - part.second > promptPartAge; });
+    }
+    ++state.own.running;
+    state.own.prefillTokens += send.prefillTokens;
+    state.own.heldTokens += send.heldTokens;
+    sends_.emplace(id, std::move(send));
+    return id;
+}
+
+void TargetBoard::prefillDone(SendId send)
+{
+    const auto found = sends_.find(send);
+    if (found == sends_.end())
+        return;
+    const auto target = targets_.find(found->second.target);
+    if (target != targets_.end() && target->second->record.birth == found->second.birth)
+        target->second->own.prefillTokens
+            = std::max(0.0, target->second->own.prefillTokens - found->second.prefillTokens);
+    found->second.prefillTokens = 0;
+}
+
+void TargetBoard::endSend(SendId send, SendOutcome outcome, TimePoint now)
+{
+    prefillDone(send);
+    const auto found = sends_.find(send);
+    if (found == sends_.end())
+        return;
+    const Send ended = std::move(found->second);
+    sends_.erase(found);
+    const auto target = targets_.find(ended.target);
+    if (target == targets_.end() || target->second->record.birth != ended.birth)
+        return;
+    TargetState& state = *target->second;
+    state.own.running -= std::min<std::uint32_t>(state.own.running, 1);
+    state.own.heldTokens = std::max(0.0, state.own.heldTokens - ended.heldTokens);
+    recordHealth(state, outcome, now);
+}
+
+void TargetBoard::recordHealth(TargetState& state, SendOutcome outcome, TimePoint now)
+{
+    const bool failed
+        = outcome == SendOutcome::Unreachable || outcome == SendOutcome::Failed || outcome == SendOutcome::Silent;
+    if (outcome == SendOutcome::Full)
+        state.fullUntil = now + fullPause;
+    if (!failed && outcome != SendOutcome::Answered)
+        return;
+    state.failureShare = state.decayedFailureShare(now) * (1 - failureWeight) + (failed ? failureWeight : 0);
+    state.failureShareAt = now;
+    if (!failed) {
+        state.consecutiveFailures = 0;
+        state.ejectedUntil = {};
+        return;
+    }
+    ++state.consecutiveFailures;
+    const int beyond = state.consecutiveFailures - (outcome == SendOutcome::Unreachable ? 1 : failuresToEject);
+    if (beyond >= 0)
+        state.ejectedUntil = now + firstEjection * (1 << std::min(beyond, maxEjectionDoublings));
+}
+
+const TargetState* TargetBoard::find(const TargetId& id) const
+{
+    const auto found = targets_.find(id);
+    return found == targets_.end() ? nullptr : found->second.get();
+}
+
+std::span<TargetState* const> TargetBoard::ofService(const ServiceId& service) const
+{
+    const auto found = byService_.find(service);
+    if (found == byService_.end())
+        return {};
+    return found->second;
+}
+
+void TargetBoard::rebuildServices()
+{
+    byService_.clear();
+    for (const auto& [id, state] : targets_)
+        byService_[state->record.service].push_back(state.get());
+    // Equal choices must not depend on the order of a hash table.
+    for (auto& [service, list] : byService_) {
+        std::sort(list.begin(), list.end(),
+            [](const TargetState* left, const TargetState* right) { return left->record.id < right->record.id; });
+    }
+}
+
+std::vector<std::uint64_t> promptPartHashes(const GenerationNeed& need)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(need.parts.size());
+    std::string key = need.model.value() + '/' + (need.adapter ? need.adapter->value() : std::string());
+    for (const PromptPart& part : need.parts) {
+        key += fmt::format("/{:x}", part.id);
+        hashes.push_back(rendezvousWeight(key, ""));
+    }
+    return hashes;
+}
+
+double uncachedTokens(
+    const TargetState& state, const GenerationNeed& need, std::span<const std::uint64_t> partHashes, TimePoint now)
+{
+    double tokens = static_cast<double>(need.promptTokens.value());
+    for (std::size_t i = 0; i < partHashes.size(); ++i) {
+        const auto found = state.promptParts.find(partHashes[i]);
+        if (found == state.promptParts.end() || now - found->second > promptPartAge)
+            break;
+        tokens -= static_cast<double>(need.parts[i].tokens.value());
+    }
+    return std::max(tokens, 1.0);
+}
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/TargetChoice.cpp
@@ -0,0 +1,246 @@
+#include "fleet/TargetChoice.h"
+
+#include "coordination/RendezvousHash.h"
+
+#include <cmath>
+
+namespace lychee::fleet {
+
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond, from the deployments' sheets (38.7).
+constexpr double prefillTokensPerMillisecond = 38.7;
+
+// Part of the shared prompt that is expected in the cache of the target that all instances prefer for it. Below 1,
+// because the first request after a move or an eviction reads it anew.
+constexpr double preferredCacheShare = 0.8;
+
+// Cost of leaving the data centre, in milliseconds: the way there and back and the price of the bytes.
+constexpr double crossingMilliseconds = 6;
+
+// Decoding slows down by about this much for each request in the batch, in milliseconds for each request.
+constexpr double batchMilliseconds = 1.5;
+
+// Time to load an adapter into a free place, and the additional cost where another one has to make way, which its
+// next request pays for. From the sheets: 5 to 9.7 ms beside the way to the owner of placement.
+constexpr double adapterLoadMilliseconds = 15;
+constexpr double adapterEvictionMilliseconds = 60;
+
+// Cost of a send that fails: what the caller loses while it is repeated, in milliseconds.
+constexpr double failureMilliseconds = 1500;
+
+// Added for targets that should be used only when no other can: larger than any wait that a caller accepts.
+constexpr double lastResortMilliseconds = 60000;
+
+// Added for a target that said a moment ago that it is full.
+constexpr double fullMilliseconds = 400;
+
+// A waiting request holds its place in the batch for about this long, in milliseconds.
+constexpr double slotMilliseconds = 600;
+
+// Memory is planned to be used up to this part; above it engines preempt requests.
+constexpr double memoryUse = 0.95;
+
+// A request is admitted when its first event is expected within this part of the time left. The rest is for the
+// other events and for errors of the estimate.
+constexpr double admittedPart = 0.8;
+
+// Time in which a model that is wanted and not held is loaded, from the sheets (2 to 5.8 s).
+constexpr Duration modelLoadTime = std::chrono::seconds(4);
+
+// Shortest time after which a refused caller is told to return.
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(200);
+
+struct Candidate {
+    const TargetState* state = nullptr;
+    // Estimated time to the first event.
+    double milliseconds = 0;
+    // The estimate and everything else that speaks against the target.
+    double cost = 0;
+    bool adapterMissing = false;
+};
+
+class Choice {
+public:
+    Choice(const TargetBoard& board, const ChoiceInput& input)
+        : input_(input)
+        , targets_(board.ofService(input.service.id))
+    {
+        if (input.need)
+            partHashes_ = promptPartHashes(*input.need);
+    }
+
+    std::variant<ChosenTarget, NoTarget> run()
+    {
+        if (input_.need && input_.service.engine
+            && static_cast<double>(input_.need->promptTokens.value()) > input_.service.engine->cacheTokens)
+            return NoTarget{NoTargetReason::TooLarge, shortestRetryAfter};
+        findPreferred();
+        std::optional<Candidate> best;
+        for (const TargetState* state : targets_) {
+            if (!isEligible(*state))
+                continue;
+            const Candidate candidate = evaluate(*state);
+            if (candidate.adapterMissing && !input_.adaptersLoadable)
+                continue;
+            if (!best || candidate.cost < best->cost)
+                best = candidate;
+        }
+        if (!best)
+            return noCandidate();
+        const Duration predicted = toDuration(best->milliseconds);
+        const Duration admitted(
+            static_cast<Duration::rep>(static_cast<double>(input_.remaining.count()) * admittedPart));
+        if (predicted > admitted)
+            return NoTarget{NoTargetReason::TooBusy, std::max(predicted - admitted, shortestRetryAfter)};
+        const TargetRecord& record = best->state->record;
+        return ChosenTarget{record.id, record.endpoint, record.birth, predicted, best->adapterMissing};
+    }
+
+private:
+    static Duration toDuration(double milliseconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+    }
+
+    bool holdsModel(const TargetState& state) const
+    {
+        return !input_.need || input_.need->model.empty() || state.record.holdings.find(input_.need->model);
+    }
+
+    bool isEligible(const TargetState& state) const
+    {
+        return !state.record.draining && holdsModel(state)
+            && std::find(input_.excluded.begin(), input_.excluded.end(), state.record.id) == input_.excluded.end();
+    }
+
+    // All instances prefer the same target for a prompt with the same shared parts, so that it is read only once.
+    void findPreferred()
+    {
+        if (!input_.need || partHashes_.size() < 2)
+            return;
+        const std::string key = fmt::format("{:x}", partHashes_[partHashes_.size() - 2]);
+        std::uint64_t highest = 0;
+        for (const TargetState* state : targets_) {
+            if (state->record.draining || !holdsModel(*state))
+                continue;
+            const std::uint64_t weight = rendezvousWeight(state->record.id.value(), key);
+            if (!preferred_ || weight > highest) {
+                preferred_ = state;
+                highest = weight;
+            }
+        }
+    }
+
+    double promptTokensToRead(const TargetState& state) const
+    {
+        const GenerationNeed& need = *input_.need;
+        const double tokens = uncachedTokens(state, need, partHashes_, input_.now);
+        if (&state != preferred_)
+            return tokens;
+        const double own = static_cast<double>(need.parts.back().tokens.value());
+        const double total = static_cast<double>(need.promptTokens.value());
+        return std::min(tokens, total - preferredCacheShare * std::max(total - own, 0.0));
+    }
+
+    Candidate evaluate(const TargetState& state) const
+    {
+        Candidate candidate{&state, 0, 0, false};
+        const TargetWork work = state.totalWork(input_.now);
+        const double slots = std::max(state.record.slots, 1);
+        const double excess = std::max(0.0, static_cast<double>(work.running) + 1 - slots);
+        candidate.milliseconds = excess / slots * slotMilliseconds;
+        double against = static_cast<double>(work.running) / slots;
+        if (input_.need) {
+            candidate.milliseconds += work.prefillTokens / prefillTokensPerMillisecond;
+            candidate.milliseconds += promptTokensToRead(state) / prefillTokensPerMillisecond;
+            candidate.milliseconds += memoryWait(work);
+            against = static_cast<double>(work.running) * batchMilliseconds;
+            evaluateAdapter(state, candidate, against);
+        } else {
+            against *= slotMilliseconds;
+        }
+        if (state.record.dataCentre != input_.local)
+            against += crossingMilliseconds;
+        against += state.decayedFailureShare(input_.now) * failureMilliseconds;
+        if (state.fullUntil > input_.now)
+            against += fullMilliseconds;
+        if (state.ejectedUntil > input_.now)
+            against += lastResortMilliseconds;
+        candidate.cost = candidate.milliseconds + against;
+        return candidate;
+    }
+
+    double memoryWait(const TargetWork& work) const
+    {
+        const double room = input_.service.engine->cacheTokens * memoryUse;
+        const double wanted = work.heldTokens + static_cast<double>(input_.need->promptTokens.value());
+        if (wanted <= room)
+            return 0;
+        return (wanted - room) / room * slotMilliseconds * 2;
+    }
+
+    void evaluateAdapter(const TargetState& state, Candidate& candidate, double& against) const
+    {
+        if (!input_.need->adapter)
+            return;
+        const HeldModel* held = state.record.holdings.find(input_.need->model);
+        if (held && held->adapters.contains(*input_.need->adapter))
+            return;
+        candidate.adapterMissing = true;
+        candidate.milliseconds += adapterLoadMilliseconds;
+        const auto places = static_cast<std::size_t>(std::max(input_.service.engine->adapterSlots, 0));
+        if (state.record.holdings.adapterCount() >= places)
+            against += adapterEvictionMilliseconds;
+    }
+
+    NoTarget noCandidate() const
+    {
+        bool anyTarget = false;
+        bool anyHolder = false;
+        for (const TargetState* state : targets_) {
+            if (state->record.draining)
+                continue;
+            anyTarget = true;
+            anyHolder = anyHolder || holdsModel(*state);
+        }
+        if (!anyTarget)
+            return {NoTargetReason::NoTargets, modelLoadTime};
+        if (!anyHolder)
+            return {NoTargetReason::ModelNotHeld, modelLoadTime};
+        if (!input_.adaptersLoadable && input_.need && input_.need->adapter)
+            return {NoTargetReason::AdapterNotHeld, std::chrono::seconds(1)};
+        return {NoTargetReason::TooBusy, shortestRetryAfter};
+    }
+
+    const ChoiceInput& input_;
+    std::span<TargetState* const> targets_;
+    std::vector<std::uint64_t> partHashes_;
+    const TargetState* preferred_ = nullptr;
+};
+
+} // namespace
+
+std::string_view nameOf(NoTargetReason reason)
+{
+    switch (reason) {
+    case NoTargetReason::NoTargets:
+        return "no targets";
+    case NoTargetReason::ModelNotHeld:
+        return "model not held";
+    case NoTargetReason::AdapterNotHeld:
+        return "adapter not held";
+    case NoTargetReason::TooBusy:
+        return "too busy";
+    case NoTargetReason::TooLarge:
+        return "too large";
+    }
+    return "unknown";
+}
+
+std::variant<ChosenTarget, NoTarget> chooseTarget(const TargetBoard& board, const ChoiceInput& input)
+{
+    return Choice(board, input).run();
+}
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/TargetChoice.h
@@ -0,0 +1,60 @@
+// Chooses the target of one send, or says why none can take it. Answers the load of many instances before shared
+// targets: each sees its own work at once and that of the others a little late.
+#pragma once
+
+#include "fleet/RouteTable.h"
+#include "fleet/TargetBoard.h"
+
+#include <variant>
+
+namespace lychee::fleet {
+
+// What a choice depends on beside the board.
+struct ChoiceInput {
+    const Service& service;
+    // Null for requests that generate nothing.
+    const GenerationNeed* need = nullptr;
+    DataCentreId local;
+    TimePoint now;
+    // Time until the answer has to be there.
+    Duration remaining{0};
+    // Targets that were tried for this request.
+    std::span<const TargetId> excluded;
+    // Whether a missing adapter can be loaded now.
+    bool adaptersLoadable = true;
+};
+
+struct ChosenTarget {
+    TargetId target;
+    Endpoint endpoint;
+    TargetBirth birth;
+    // Estimated time to the first event.
+    Duration predicted{0};
+    // The adapter has to be loaded before the request is sent.
+    bool adapterMissing = false;
+};
+
+enum class NoTargetReason {
+    // The service has no target that takes work.
+    NoTargets,
+    // No target holds the model.
+    ModelNotHeld,
+    // The model is held, the adapter is not, and it cannot be loaded now.
+    AdapterNotHeld,
+    // Every target would need longer than the caller waits.
+    TooBusy,
+    // Larger than the memory of an engine.
+    TooLarge,
+};
+
+// Why nothing was chosen, and when there is probably room.
+struct NoTarget {
+    NoTargetReason reason = NoTargetReason::NoTargets;
+    Duration retryAfter{0};
+};
+
+std::string_view nameOf(NoTargetReason reason);
+
+std::variant<ChosenTarget, NoTarget> chooseTarget(const TargetBoard& board, const ChoiceInput& input);
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/gateway/ControlPlane.h
@@ -0,0 +1,423 @@
+// What an instance does beside relaying requests: follows the configuration and the targets, talks with its peers, and
+// owns placement when the lease says so.
+#pragma once
+
+#include "gateway/LeaseKeeper.h"
+#include "gateway/Mesh.h"
+#include "gateway/PlacementOwner.h"
+#include "gateway/TableWatch.h"
+#include "gateway/TargetList.h"
+#include "transport/Published.h"
+
+#include <atomic>
+
+namespace lychee::gateway {
+
+inline constexpr LogChannel controlLog("control");
+
+// What the control duty hands to the relay duty and asks of it. The functions may be called from the control duty.
+struct RelayPort {
+    std::function<void(const fleet::TargetRecord&)> listed;
+    std::function<void(const TargetId&)> gone;
+    std::function<void(const TargetId&, fleet::TargetBirth, const fleet::Holdings&)> holdingsChanged;
+    std::function<void(const InstanceId&, std::vector<fleet::WorkShare>)> peerWork;
+    // Whether adapters can be loaded, and how many instances share the retry budget.
+    std::function<void(bool adaptersLoadable, std::size_t instances)> surroundings;
+    // Suspends the fiber; fills in the work, the demand and the uses of this instance.
+    std::function<void(MeshStatus&)> readStatus;
+};
+
+// The platform as the control plane uses it.
+template <typename Platform>
+concept GatewayPlatform = RowStore<typename Platform::Store> && EngineChannel<typename Platform::Channel> && requires(
+    std::string_view text, const std::string& key)
+{
+    {
+        Platform::decodeConfiguration(text)
+        } -> std::same_as<absl::StatusOr<std::shared_ptr<const fleet::RouteTable>>>;
+    {
+        Platform::decodeTarget(key, text)
+        } -> std::same_as<absl::StatusOr<fleet::TargetRecord>>;
+    {
+        Platform::configurationTable
+        } -> std::convertible_to<std::string>;
+    {
+        Platform::configurationKey
+        } -> std::convertible_to<std::string>;
+    {
+        Platform::targetTable
+        } -> std::convertible_to<std::string>;
+};
+
+struct ControlOptions {
+    InstanceId self;
+    // Stays the same over restarts of the process.
+    std::string machine;
+    Endpoint peerEndpoint;
+    Endpoint store;
+    fleet::PlacementLeaseOptions lease;
+};
+
+// Intervals and limits of the control plane.
+struct ControlLimits {
+    // A configuration has to be in force two seconds after it was accepted, also when a connection has gone silent.
+    static constexpr Duration configurationWait = std::chrono::milliseconds(1500);
+    // Entries of targets change many times a second; a leaving target is known in time when they are read this often.
+    static constexpr Duration targetWait = std::chrono::milliseconds(1000);
+    static constexpr Duration targetPause = std::chrono::milliseconds(500);
+    static constexpr Duration status = std::chrono::milliseconds(200);
+    static constexpr Duration placement = std::chrono::milliseconds(200);
+    // Instances come and go rarely, and each one connects to all others when it starts.
+    static constexpr Duration instances = std::chrono::seconds(10);
+    static constexpr Duration instancesRetry = std::chrono::milliseconds(500);
+    static constexpr Duration answer = std::chrono::milliseconds(900);
+    // Demand of a peer that was not heard from for this time is left out.
+    static constexpr Duration demandAge = std::chrono::seconds(2);
+};
+
+template <GatewayPlatform Platform> class ControlPlane {
+public:
+    ControlPlane(
+        Duty& duty, ControlOptions options, std::shared_ptr<Published<fleet::RouteTable>> routes, RelayPort relay)
+        : duty_(duty)
+        , options_(std::move(options))
+        , routes_(std::move(routes))
+        , relay_(std::move(relay))
+        , store_(options_.store)
+        , configurationWatch_(store_, reach_,
+              {Platform::configurationTable, ControlLimits::configurationWait, Duration(0)},
+              [this](const std::vector<StoredRow>& rows) { applyConfiguration(rows); })
+        , targetWatch_(store_, reach_, {Platform::targetTable, ControlLimits::targetWait, ControlLimits::targetPause},
+              [this](const std::vector<StoredRow>& rows) { targets_.apply(rows, currentTime()); })
+        , targets_(reach_, targetHandlers())
+        , lease_(store_, options_.self, options_.lease)
+        , owner_(duty, orderHandlers())
+    {
+    }
+
+    // Runs on the control duty. Fails when the port for peers cannot be bound.
+    absl::Status start()
+    {
+        MeshHandlers handlers{[this](const InstanceId& peer) { joined(peer); },
+            [this](const InstanceId& peer, const MeshMessage& message) { received(peer, message); },
+            [this](const InstanceId& peer) { lost(peer); }};
+        auto mesh = Mesh::start(duty_, {options_.self, options_.peerEndpoint}, std::move(handlers));
+        if (!mesh.ok())
+            return mesh.status();
+        mesh_ = *std::move(mesh);
+        duty_.spawn([this] { configurationWatch_.run(); });
+        duty_.spawn([this] { targetWatch_.run(); });
+        duty_.spawn([this] { lease_.run([this] { tellSurroundings(); }); });
+        duty_.spawn([this] { keepRegistered(); });
+        duty_.spawn([this] { tellStatus(); });
+        duty_.spawn([this] { keepPlacement(); });
+        return absl::OkStatus();
+    }
+
+    // Whether requests can be served. Thread-safe.
+    bool isReady() const { return ready_.load(); }
+
+    // Tells peers and gives up the lease. Suspends the fiber.
+    void leave()
+    {
+        mesh_->broadcast(MeshLeaving{});
+        lease_.release();
+    }
+
+    // Has an adapter loaded by the owner of placement. Suspends the fiber.
+    absl::Status ensureAdapter(
+        const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
+    {
+        if (owner_.owns())
+            return owner_.ensureAdapter(target, model, adapter, deadline);
+        const InstanceId holder = lease_.lease().holder();
+        const std::uint64_t call = ++lastCall_;
+        PendingCall pending;
+        calls_.emplace(call, &pending);
+        absl::Status status = mesh_->send(holder, MeshEnsureAdapter{call, target, model, adapter});
+        if (status.ok()) {
+            pending.done.waitUntil(duty_.timers(), deadline);
+            status = pending.answered ? pending.status
+                                      : makeError(TransportError::TimedOut, "the placement owner does not answer");
+        }
+        calls_.erase(call);
+        return status;
+    }
+
+private:
+    struct PendingCall {
+        FiberEvent done;
+        bool answered = false;
+        absl::Status status;
+    };
+
+    struct PeerState {
+        MeshStatus status;
+        TimePoint heardAt;
+    };
+
+    TargetList::Handlers targetHandlers()
+    {
+        return {[](const std::string& key, std::string_view value) { return Platform::decodeTarget(key, value); },
+            [this](const fleet::TargetRecord& record) {
+                relay_.listed(record);
+                owner_.listed(record);
+            },
+            [this](const TargetId& target) {
+                relay_.gone(target);
+                owner_.gone(target);
+            }};
+    }
+
+    typename PlacementOwner<typename Platform::Channel>::Handlers orderHandlers()
+    {
+        return {[this] {
+                    return OrderAuthority{lease_.mayAct(), InstanceId(options_.machine), lease_.lease().fence()};
+                },
+            [this](const fleet::TargetRecord& record) {
+                relay_.holdingsChanged(record.id, record.birth, record.holdings);
+                mesh_->broadcast(toMessage(record.id, record.birth, record.holdings));
+            }};
+    }
+
+    void applyConfiguration(const std::vector<StoredRow>& rows)
+    {
+        for (const StoredRow& row : rows) {
+            if (row.key != Platform::configurationKey || row.removed)
+                continue;
+            const auto table = Platform::decodeConfiguration(row.value);
+            if (!table.ok()) {
+                controlLog.error("configuration row={} not usable, the last one stays in force: {}", row.version,
+                    messageOf(table.status()));
+                continue;
+            }
+            const auto current = routes_->read();
+            if (current && (*table)->version() <= current->version())
+                continue;
+            controlLog.info("configuration version={} row={} routes={} services={} in force", (*table)->version(),
+                row.version, (*table)->routes().size(), (*table)->services().size());
+            routes_->publish(*table);
+            if (configurationChanged)
+                configurationChanged(**table);
+        }
+    }
+
+    // Enters this instance into the table by which instances find each other, and reads the others.
+    void keepRegistered()
+    {
+        const std::string value = options_.peerEndpoint.toString();
+        while (!duty_.isStopping()) {
+            const auto page = store_.list(instanceTable, currentTime() + ControlLimits::answer);
+            if (!page.ok()) {
+                reach_.failed(currentTime(), messageOf(page.status()));
+                sleepFor(ControlLimits::instancesRetry);
+                continue;
+            }
+            reach_.succeeded(currentTime());
+            std::set<Endpoint> known;
+            RowVersion own;
+            std::string ownValue;
+            for (const StoredRow& row : page->rows) {
+                if (row.key == options_.machine) {
+                    own = row.version;
+                    ownValue = row.value;
+                } else if (const auto endpoint = Endpoint::parse(row.value)) {
+                    known.insert(*endpoint);
+                }
+            }
+            mesh_->setKnown(std::move(known));
+            if (ownValue != value) {
+                // An entry that was written in the meantime, or whose answer was lost, is seen by the next read.
+                store_.write(instanceTable, options_.machine, own, value, currentTime() + ControlLimits::answer);
+                sleepFor(ControlLimits::instancesRetry);
+                continue;
+            }
+            sleepFor(ControlLimits::instances);
+        }
+    }
+
+    void tellStatus()
+    {
+        while (!duty_.isStopping()) {
+            const TimePoint now = currentTime();
+            targets_.tick(now);
+            status_ = {};
+            relay_.readStatus(status_);
+            status_.readsPlatform = reach_.isReached(now);
+            status_.configurationRow = configurationWatch_.replica().version();
+            status_.targetRows = targetWatch_.replica().version();
+            status_.ownsPlacement = owner_.owns();
+            for (const MeshUse& use : status_.uses)
+                owner_.desk().recordUse(use.target, use.model, use.adapter);
+            mesh_->broadcast(status_);
+            ready_.store(routes_->read() != nullptr && targetWatch_.isComplete());
+            tellSurroundings();
+            sleepFor(ControlLimits::status);
+        }
+    }
+
+    void tellSurroundings()
+    {
+        const InstanceId holder = lease_.lease().holder();
+        const bool reached = owner_.owns() || (!holder.empty() && mesh_->isConnected(holder));
+        relay_.surroundings(reached, mesh_->peerCount() + 1);
+    }
+
+    void keepPlacement()
+    {
+        while (!duty_.isStopping()) {
+            const auto table = routes_->read();
+            const bool owns = lease_.mayAct() && table && targetWatch_.isComplete();
+            owner_.tick(owns, table, targets_.targets(), demandOfAll());
+            sleepFor(ControlLimits::placement);
+        }
+    }
+
+    std::vector<fleet::ModelDemand> demandOfAll() const
+    {
+        std::vector<fleet::ModelDemand> demand = fromMessage(status_.demand);
+        for (const auto& [peer, state] : peers_) {
+            if (currentTime() - state.heardAt > ControlLimits::demandAge)
+                continue;
+            for (const fleet::ModelDemand& entry : fromMessage(state.status.demand))
+                demand.push_back(entry);
+        }
+        return demand;
+    }
+
+    void joined(const InstanceId& peer)
+    {
+        if (!owner_.owns())
+            return;
+        for (const fleet::TargetRecord& record : owner_.desk().records())
+            mesh_->send(peer, toMessage(record.id, record.birth, record.holdings)).IgnoreError();
+    }
+
+    void lost(const InstanceId& peer)
+    {
+        peers_.erase(peer);
+        relay_.peerWork(peer, {});
+        if (lease_.lease().holder() == peer) {
+            lease_.lease().lostHolder();
+            for (auto& [call, pending] : calls_) {
+                pending->answered = true;
+                pending->status = makeError(TransportError::ConnectionClosed, "the placement owner is lost");
+                pending->done.notify();
+            }
+        }
+    }
+
+    void received(const InstanceId& peer, const MeshMessage& message)
+    {
+        std::visit([&](const auto& value) { take(peer, value); }, message);
+    }
+
+    void take(const InstanceId&, const MeshHello&) { }
+
+    void take(const InstanceId& peer, const MeshStatus& status)
+    {
+        const TimePoint now = currentTime();
+        peers_[peer] = {status, now};
+        relay_.peerWork(peer, fromMessage(status.work));
+        if (peer == lease_.lease().holder())
+            lease_.lease().heardFromHolder(LeaseKeeper<typename Platform::Store>::leaseTime());
+        for (const MeshUse& use : status.uses)
+            owner_.desk().recordUse(use.target, use.model, use.adapter);
+        if (!status.readsPlatform && reach_.isReached(now))
+            sendRows(peer, status);
+    }
+
+    // A peer that the platform turns away learns the changes from those that it serves.
+    void sendRows(const InstanceId& peer, const MeshStatus& status)
+    {
+        MeshRows message;
+        message.configurationRow = configurationWatch_.replica().version();
+        message.targetRows = targetWatch_.replica().version();
+        if (status.configurationRow >= message.configurationRow && status.targetRows >= message.targetRows)
+            return;
+        addRows(message, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
+        addRows(message, Platform::targetTable, targetWatch_.replica(), status.targetRows);
+        const absl::Status sent = mesh_->send(peer, message);
+        controlLog.debug("peer={} rows={} sent={}", peer, message.rows.size(), sent.ok());
+    }
+
+    static void addRows(MeshRows& message, const std::string& table, const RowReplica& replica, RowVersion since)
+    {
+        for (const StoredRow& row : replica.changedSince(since))
+            message.rows.push_back({table, row.key, row.version, row.removed, row.value});
+    }
+
+    void take(const InstanceId& peer, const MeshRows& message)
+    {
+        RowPage configuration{{}, message.configurationRow};
+        RowPage targets{{}, message.targetRows};
+        for (const MeshRow& row : message.rows) {
+            RowPage& page = row.table == Platform::targetTable ? targets : configuration;
+            page.rows.push_back({row.key, row.version, row.removed, row.value});
+        }
+        controlLog.info("peer={} rows={} configuration_row={} target_rows={} taken", peer, message.rows.size(),
+            message.configurationRow, message.targetRows);
+        configurationWatch_.takeFromPeer(configuration);
+        targetWatch_.takeFromPeer(targets);
+    }
+
+    void take(const InstanceId& peer, const MeshHoldings& message)
+    {
+        if (peer == lease_.lease().holder())
+            relay_.holdingsChanged(message.target, message.birth, fromMessage(message));
+    }
+
+    void take(const InstanceId& peer, const MeshEnsureAdapter& message)
+    {
+        duty_.spawn([this, peer, message] {
+            const TimePoint deadline = currentTime() + ControlLimits::answer;
+            const absl::Status status = owner_.ensureAdapter(message.target, message.model, message.adapter, deadline);
+            mesh_->send(peer, MeshEnsureResult{message.call, std::string(messageOf(status))}).IgnoreError();
+        });
+    }
+
+    void take(const InstanceId&, const MeshEnsureResult& message)
+    {
+        const auto found = calls_.find(message.call);
+        if (found == calls_.end())
+            return;
+        PendingCall& pending = *found->second;
+        pending.answered = true;
+        pending.status = message.reason.empty() ? absl::OkStatus() : makeError(TransportError::Stopped, message.reason);
+        pending.done.notify();
+    }
+
+    void take(const InstanceId& peer, const MeshLeaving&)
+    {
+        controlLog.info("peer={} state=leaving", peer);
+        if (lease_.lease().holder() == peer)
+            lease_.lease().lostHolder();
+    }
+
+    static constexpr const char* instanceTable = "instances";
+
+public:
+    // Called on the control duty when a configuration has come into force.
+    std::function<void(const fleet::RouteTable&)> configurationChanged;
+
+private:
+    Duty& duty_;
+    ControlOptions options_;
+    std::shared_ptr<Published<fleet::RouteTable>> routes_;
+    RelayPort relay_;
+    typename Platform::Store store_;
+    StoreReach reach_;
+    TableWatch<typename Platform::Store> configurationWatch_;
+    TableWatch<typename Platform::Store> targetWatch_;
+    TargetList targets_;
+    LeaseKeeper<typename Platform::Store> lease_;
+    PlacementOwner<typename Platform::Channel> owner_;
+    std::unique_ptr<Mesh> mesh_;
+    std::map<InstanceId, PeerState> peers_;
+    MeshStatus status_;
+    std::map<std::uint64_t, PendingCall*> calls_;
+    std::uint64_t lastCall_ = 0;
+    std::atomic<bool> ready_{false};
+};
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/GatewaySettings.h
@@ -0,0 +1,88 @@
+// The settings of an instance that runs on the users' platform.
+#pragma once
+
+#include "daemon/SettingTree.h"
+
+namespace lychee::gateway {
+
+struct GatewaySettingsResult;
+
+// Immutable once loaded. A value is read as settings.callers.endpoint().
+class GatewaySettings : public SettingTree {
+public:
+    static GatewaySettingsResult load(const std::filesystem::path& file);
+
+    static GatewaySettingsResult parse(std::string_view text, const std::filesystem::path& file);
+
+    // All settings with their ranges, defaults and units, as Markdown.
+    static std::string describe();
+
+    struct InstanceSection : SettingSection {
+        explicit InstanceSection(std::vector<SettingSection*>& sections);
+
+        NameSetting id;
+        NameSetting dataCentre;
+        NameSetting region;
+    } instance{sections_};
+
+    struct CallersSection : SettingSection {
+        explicit CallersSection(std::vector<SettingSection*>& sections);
+
+        EndpointSetting endpoint;
+    } callers{sections_};
+
+    struct ReadinessSection : SettingSection {
+        explicit ReadinessSection(std::vector<SettingSection*>& sections);
+
+        EndpointSetting endpoint;
+    } readiness{sections_};
+
+    struct PeersSection : SettingSection {
+        explicit PeersSection(std::vector<SettingSection*>& sections);
+
+        AddressSetting address;
+        PortSetting port;
+    } peers{sections_};
+
+    struct MetricsSection : SettingSection {
+        explicit MetricsSection(std::vector<SettingSection*>& sections);
+
+        PortSetting port;
+    } metrics{sections_};
+
+    struct PlatformSection : SettingSection {
+        explicit PlatformSection(std::vector<SettingSection*>& sections);
+
+        EndpointSetting endpoint;
+    } platform{sections_};
+
+    struct RetriesSection : SettingSection {
+        explicit RetriesSection(std::vector<SettingSection*>& sections);
+
+        RealSetting part;
+        RealSetting slack;
+        RealSetting windowSeconds;
+    } retries{sections_};
+
+    struct PlacementSection : SettingSection {
+        explicit PlacementSection(std::vector<SettingSection*>& sections);
+
+        DurationSetting lease;
+    } placement{sections_};
+
+    struct StopSection : SettingSection {
+        explicit StopSection(std::vector<SettingSection*>& sections);
+
+        RealSetting graceSeconds;
+    } stop{sections_};
+};
+
+// Settings, or one line for each error.
+struct GatewaySettingsResult {
+    std::shared_ptr<const GatewaySettings> settings;
+    std::vector<std::string> errors;
+
+    bool ok() const { return errors.empty(); }
+};
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/LeaseKeeper.h
@@ -0,0 +1,123 @@
+// Keeps the placement lease in the platform's table.
+#pragma once
+
+#include "fleet/PlacementLease.h"
+#include "gateway/RowStore.h"
+#include "transport/Duty.h"
+#include "transport/Log.h"
+
+namespace lychee::gateway {
+
+inline constexpr LogChannel leaseLog("lease");
+
+// The row as text: fencing number, a blank, and the holder, which is empty after a release.
+std::string encodeLease(const fleet::LeaseRow& row);
+
+// Nothing when the text is not a lease.
+std::optional<fleet::LeaseRow> decodeLease(std::string_view text);
+
+template <RowStore Store> class LeaseKeeper {
+public:
+    LeaseKeeper(Store& store, InstanceId self, fleet::PlacementLeaseOptions options)
+        : store_(store)
+        , lease_(std::move(self), options)
+    {
+    }
+
+    // Runs in a fiber until the duty stops. `changed` is called when the holder has changed.
+    void run(const std::function<void()>& changed)
+    {
+        while (!Duty::current()->isStopping()) {
+            const InstanceId before = lease_.holder();
+            step();
+            if (lease_.holder() != before) {
+                leaseLog.info("holder={} fence={} row={}", lease_.holder(), lease_.fence(), lease_.expectedVersion());
+                changed();
+            }
+            sleepFor(stepInterval);
+        }
+    }
+
+    // Gives the lease up. Suspends the fiber until the row is written or a time limit has passed.
+    void release()
+    {
+        lease_.release();
+        for (int i = 0; i < releaseTries && !lease_.isReleased(); ++i)
+            step();
+    }
+
+    bool mayAct() const { return lease_.mayAct(leaseTime()); }
+
+    fleet::PlacementLease& lease() { return lease_; }
+
+    // Counts suspension of the machine, during which others may take the lease.
+    static TimePoint leaseTime() { return Duty::current()->clock()->nowWithSuspension(); }
+
+private:
+    static constexpr const char* table = "placement";
+    static constexpr const char* key = "owner";
+    static constexpr Duration stepInterval = std::chrono::milliseconds(100);
+    // Shorter than the act window, so that a renewal that is not answered can be repeated in time.
+    static constexpr Duration answerLimit = std::chrono::milliseconds(400);
+    static constexpr int releaseTries = 3;
+
+    void step()
+    {
+        switch (lease_.next(leaseTime())) {
+        case fleet::LeaseStep::Wait:
+            return;
+        case fleet::LeaseStep::Read:
+            return read();
+        case fleet::LeaseStep::Write:
+            return write();
+        }
+    }
+
+    void read()
+    {
+        const absl::StatusOr<RowPage> page = store_.list(table, currentTime() + answerLimit);
+        const TimePoint now = leaseTime();
+        if (!page.ok())
+            return lease_.failed(now);
+        for (const StoredRow& row : page->rows) {
+            if (row.key == key)
+                return observe(row, now);
+        }
+        lease_.observed(std::nullopt, RowVersion(), now);
+    }
+
+    void observe(const StoredRow& row, TimePoint now)
+    {
+        std::optional<fleet::LeaseRow> decoded = decodeLease(row.value);
+        if (!decoded) {
+            leaseLog.error("row={} is not a lease; taken as released", row.version);
+            decoded.emplace();
+        }
+        lease_.observed(decoded, row.version, now);
+    }
+
+    void write()
+    {
+        const TimePoint sentAt = leaseTime();
+        const RowWrite write = store_.write(
+            table, key, lease_.expectedVersion(), encodeLease(lease_.row()), currentTime() + answerLimit);
+        const TimePoint now = leaseTime();
+        switch (write.outcome) {
+        case RowWrite::Outcome::Written:
+            return lease_.written(write.version, sentAt, now);
+        case RowWrite::Outcome::Conflict:
+            if (write.current)
+                return observe(*write.current, now);
+            return lease_.observed(std::nullopt, RowVersion(), now);
+        case RowWrite::Outcome::NotDone:
+        case RowWrite::Outcome::Unknown:
+            leaseLog.warning("write not confirmed: {}", write.detail);
+            return lease_.failed(now);
+        }
+    }
+
+    Store& store_;
+    fleet::PlacementLease lease_;
+};
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/MeshMessages.cpp
@@ -0,0 +1,71 @@
+#include "gateway/MeshMessages.h"
+
+#include "protocol/MessageCodec.h"
+
+namespace lychee::gateway {
+
+std::string encodeMeshMessage(const MeshMessage& message) { return MessageCodec::encode(meshProtocolVersion, message); }
+
+absl::StatusOr<MeshMessage> decodeMeshMessage(std::string_view payload)
+{
+    return MessageCodec::decode<MeshMessage>(meshProtocolVersion, payload);
+}
+
+MeshHoldings toMessage(const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings)
+{
+    MeshHoldings message{target, birth, holdings.sequence, {}, {}};
+    for (const fleet::HeldModel& held : holdings.models)
+        message.models.push_back({held.model, held.version, {held.adapters.begin(), held.adapters.end()}});
+    for (const auto& [model, adapter] : holdings.arriving)
+        message.arriving.push_back({model, adapter});
+    return message;
+}
+
+fleet::Holdings fromMessage(const MeshHoldings& message)
+{
+    fleet::Holdings holdings;
+    holdings.sequence = message.sequence;
+    for (const MeshHeldModel& held : message.models)
+        holdings.models.push_back({held.model, held.version, {held.adapters.begin(), held.adapters.end()}});
+    for (const MeshAdapter& arriving : message.arriving)
+        holdings.arriving.emplace(arriving.model, arriving.adapter);
+    return holdings;
+}
+
+std::vector<MeshWork> toMessage(const std::vector<fleet::WorkShare>& shares)
+{
+    std::vector<MeshWork> work;
+    work.reserve(shares.size());
+    for (const fleet::WorkShare& share : shares)
+        work.push_back({share.target, share.work.running, share.work.prefillTokens, share.work.heldTokens});
+    return work;
+}
+
+std::vector<fleet::WorkShare> fromMessage(const std::vector<MeshWork>& work)
+{
+    std::vector<fleet::WorkShare> shares;
+    shares.reserve(work.size());
+    for (const MeshWork& entry : work)
+        shares.push_back({entry.target, {entry.running, entry.prefillTokens, entry.heldTokens}});
+    return shares;
+}
+
+std::vector<MeshDemand> toMessage(const std::vector<fleet::ModelDemand>& demand)
+{
+    std::vector<MeshDemand> message;
+    message.reserve(demand.size());
+    for (const fleet::ModelDemand& entry : demand)
+        message.push_back({entry.model, entry.work});
+    return message;
+}
+
+std::vector<fleet::ModelDemand> fromMessage(const std::vector<MeshDemand>& demand)
+{
+    std::vector<fleet::ModelDemand> result;
+    result.reserve(demand.size());
+    for (const MeshDemand& entry : demand)
+        result.push_back({entry.model, entry.work});
+    return result;
+}
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/MeshMessages.h
@@ -0,0 +1,166 @@
+// Messages between the instances of one deployment.
+#pragma once
+
+#include "fleet/DemandMeter.h"
+#include "fleet/TargetBoard.h"
+#include "protocol/Ids.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace lychee::gateway {
+
+// Version of the protocol; a peer with another version is refused.
+inline constexpr std::uint64_t meshProtocolVersion = 1;
+
+// First message on a connection, from both sides.
+struct MeshHello {
+    InstanceId instance;
+    // Where the sender accepts connections of peers.
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto fields() { return std::tie(instance, address, port); }
+};
+
+struct MeshWork {
+    TargetId target;
+    std::uint32_t running = 0;
+    double prefillTokens = 0;
+    double heldTokens = 0;
+
+    auto fields() { return std::tie(target, running, prefillTokens, heldTokens); }
+};
+
+struct MeshDemand {
+    ModelId model;
+    double work = 0;
+
+    auto fields() { return std::tie(model, work); }
+};
+
+// An adapter that requests have used lately.
+struct MeshUse {
+    TargetId target;
+    ModelId model;
+    AdapterId adapter;
+
+    auto fields() { return std::tie(target, model, adapter); }
+    bool operator<(const MeshUse& other) const
+    {
+        return std::tie(target, model, adapter) < std::tie(other.target, other.model, other.adapter);
+    }
+};
+
+// Sent several times a second: the work of the sender and what it knows. Shows also that the sender lives.
+struct MeshStatus {
+    std::vector<MeshWork> work;
+    std::vector<MeshDemand> demand;
+    std::vector<MeshUse> uses;
+    // Whether the sender reads the platform's tables, and up to which version of each.
+    bool readsPlatform = false;
+    RowVersion configurationRow;
+    RowVersion targetRows;
+    // The sender holds the placement lease.
+    bool ownsPlacement = false;
+
+    auto fields() { return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, ownsPlacement); }
+};
+
+// A row of the platform's tables, for a peer that cannot read them.
+struct MeshRow {
+    std::string table;
+    std::string key;
+    RowVersion version;
+    bool removed = false;
+    std::string value;
+
+    auto fields() { return std::tie(table, key, version, removed, value); }
+};
+
+struct MeshRows {
+    std::vector<MeshRow> rows;
+    // The sender knows each table up to this version.
+    RowVersion configurationRow;
+    RowVersion targetRows;
+
+    auto fields() { return std::tie(rows, configurationRow, targetRows); }
+};
+
+struct MeshHeldModel {
+    ModelId model;
+    std::uint64_t version = 0;
+    std::vector<AdapterId> adapters;
+
+    auto fields() { return std::tie(model, version, adapters); }
+};
+
+struct MeshAdapter {
+    ModelId model;
+    AdapterId adapter;
+
+    auto fields() { return std::tie(model, adapter); }
+};
+
+// What an engine holds, told by the owner of placement after each change.
+struct MeshHoldings {
+    TargetId target;
+    fleet::TargetBirth birth;
+    fleet::OrderSequence sequence;
+    std::vector<MeshHeldModel> models;
+    std::vector<MeshAdapter> arriving;
+
+    auto fields() { return std::tie(target, birth, sequence, models, arriving); }
+};
+
+// Asks the owner of placement to load an adapter.
+struct MeshEnsureAdapter {
+    std::uint64_t call = 0;
+    TargetId target;
+    ModelId model;
+    AdapterId adapter;
+
+    auto fields() { return std::tie(call, target, model, adapter); }
+};
+
+// Answers MeshEnsureAdapter; `reason` is empty when the adapter is held.
+struct MeshEnsureResult {
+    std::uint64_t call = 0;
+    std::string reason;
+
+    auto fields() { return std::tie(call, reason); }
+};
+
+// The sender stops; it takes no further part.
+struct MeshLeaving {
+    std::uint64_t reserved = 0;
+
+    auto fields() { return std::tie(reserved); }
+};
+
+// The position of a type in this list is its number on the wire; new types go to the end.
+using MeshMessage
+    = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult, MeshLeaving>;
+
+std::string encodeMeshMessage(const MeshMessage& message);
+
+// Fails with ProtocolError.
+absl::StatusOr<MeshMessage> decodeMeshMessage(std::string_view payload);
+
+MeshHoldings toMessage(const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings);
+
+fleet::Holdings fromMessage(const MeshHoldings& message);
+
+std::vector<MeshWork> toMessage(const std::vector<fleet::WorkShare>& shares);
+
+std::vector<fleet::WorkShare> fromMessage(const std::vector<MeshWork>& work);
+
+std::vector<MeshDemand> toMessage(const std::vector<fleet::ModelDemand>& demand);
+
+std::vector<fleet::ModelDemand> fromMessage(const std::vector<MeshDemand>& demand);
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/OrderDesk.h
@@ -0,0 +1,472 @@
+// Sends the orders of the placement owner: keeps for each engine what it holds after how many orders, and sends one
+// order after another on the condition that none has come between.
+#pragma once
+
+#include "fleet/LoadAllowance.h"
+#include "fleet/PlacementPlan.h"
+#include "gateway/EngineOrder.h"
+#include "transport/Duty.h"
+#include "transport/FiberEvent.h"
+#include "transport/Log.h"
+#include "transport/TransportError.h"
+
+#include <deque>
+#include <map>
+
+namespace lychee::gateway {
+
+inline constexpr LogChannel orderLog("orders");
+
+// Limits of ordering.
+struct OrderLimits {
+    // An engine answers an order within milliseconds; later its outcome counts as unknown.
+    static constexpr Duration answer = std::chrono::milliseconds(800);
+    static constexpr Duration report = std::chrono::milliseconds(800);
+    // Reports show the state of some hundred milliseconds ago.
+    static constexpr Duration reportInterval = std::chrono::milliseconds(250);
+    // Adapters take 5 to 10 ms.
+    static constexpr Duration adapterLoad = std::chrono::milliseconds(10);
+    // Adapters that may be on their way to one engine.
+    static constexpr std::size_t adaptersArriving = 4;
+    // An engine that did not answer is left alone for this time.
+    static constexpr Duration failurePause = std::chrono::milliseconds(500);
+    // Requests for adapters that may wait at one engine.
+    static constexpr std::size_t waiting = 256;
+};
+
+// Whether this instance may send an order now, and as whom.
+struct OrderAuthority {
+    bool granted = false;
+    InstanceId holder;
+    FencingNumber fence;
+};
+
+// Runs on the control duty.
+template <EngineChannel Channel> class OrderDesk {
+public:
+    struct Handlers {
+        std::function<OrderAuthority()> authority;
+        // What an engine holds has changed.
+        std::function<void(const fleet::TargetRecord&)> changed;
+    };
+
+    OrderDesk(Duty& duty, Handlers handlers)
+        : duty_(duty)
+        , handlers_(std::move(handlers))
+    {
+    }
+
+    // Takes the list of engines; their state is read anew before the first order.
+    void begin(const std::vector<fleet::TargetRecord>& engines)
+    {
+        slots_.clear();
+        ++term_;
+        for (const fleet::TargetRecord& record : engines)
+            update(record);
+    }
+
+    // Forgets everything; requests that wait fail.
+    void end()
+    {
+        ++term_;
+        for (auto& [id, slot] : slots_)
+            failAll(*slot, "this instance no longer owns placement");
+        slots_.clear();
+    }
+
+    void update(const fleet::TargetRecord& record)
+    {
+        std::shared_ptr<Slot>& slot = slots_[record.id];
+        if (!slot || slot->record.birth != record.birth) {
+            if (slot)
+                failAll(*slot, "the engine has restarted");
+            slot = std::make_shared<Slot>();
+            slot->record = record;
+            return;
+        }
+        fleet::Holdings known = std::move(slot->record.holdings);
+        slot->record = record;
+        slot->record.holdings = std::move(known);
+        if (record.holdings.sequence > slot->record.holdings.sequence)
+            slot->synced = false;
+    }
+
+    void remove(const TargetId& target)
+    {
+        const auto found = slots_.find(target);
+        if (found == slots_.end())
+            return;
+        failAll(*found->second, "the engine is gone");
+        slots_.erase(found);
+    }
+
+    // What the planner needs, for the engines of one service.
+    std::vector<fleet::PlannedEngine> engines(const ServiceId& service) const
+    {
+        std::vector<fleet::PlannedEngine> planned;
+        for (const auto& [id, slot] : slots_) {
+            if (slot->record.service != service)
+                continue;
+            fleet::PlannedEngine engine{id, slot->record.dataCentre, !slot->record.draining, isOrderable(*slot), {},
+                slot->arriving, slot->leaving, slot->record.weightsInMemory, slot->record.weightsOnDisk};
+            engine.models = slot->record.holdings.models;
+            planned.push_back(std::move(engine));
+        }
+        return planned;
+    }
+
+    std::vector<fleet::TargetRecord> records() const
+    {
+        std::vector<fleet::TargetRecord> records;
+        for (const auto& [id, slot] : slots_)
+            records.push_back(slot->record);
+        return records;
+    }
+
+    // Sends the orders of a plan, each engine by itself.
+    void carryOut(const std::vector<fleet::ModelOrder>& orders)
+    {
+        for (const fleet::ModelOrder& order : orders) {
+            const auto found = slots_.find(order.target);
+            if (found == slots_.end() || !isOrderable(*found->second))
+                continue;
+            found->second->planned = order;
+            start(found->second);
+        }
+    }
+
+    // Reads the reports of engines whose state is unknown or in motion.
+    void followUp()
+    {
+        for (const auto& [id, slot] : slots_) {
+            const bool moving = slot->arriving || slot->leaving || !slot->synced;
+            if (moving && !slot->running && currentTime() >= slot->nextReport)
+                start(slot);
+        }
+    }
+
+    void recordUse(const TargetId& target, const ModelId& model, const AdapterId& adapter)
+    {
+        if (const auto found = slots_.find(target); found != slots_.end())
+            found->second->lastUse[{model, adapter}] = currentTime();
+    }
+
+    // Returns once the adapter is held. Suspends the calling fiber.
+    absl::Status ensureAdapter(const fleet::Model& model, int places, double freeMegabytes, const TargetId& target,
+        const AdapterId& adapter, TimePoint deadline)
+    {
+        const auto found = slots_.find(target);
+        if (found == slots_.end())
+            return makeError(TransportError::Stopped, "this instance does not own the engine");
+        const std::shared_ptr<Slot> slot = found->second;
+        slot->lastUse[{model.id, adapter}] = currentTime();
+        if (holds(*slot, model.id, adapter))
+            return absl::OkStatus();
+        if (slot->wishes.size() >= OrderLimits::waiting)
+            return makeError(TransportError::RingFull, "too many adapters wait for the engine");
+        for (const std::shared_ptr<Wish>& wish : slot->wishes) {
+            if (wish->model == model.id && wish->adapter == adapter)
+                return await(wish, deadline);
+        }
+        auto wish = std::make_shared<Wish>();
+        wish->model = model.id;
+        wish->adapter = adapter;
+        wish->places = places;
+        wish->fits = freeMegabytes >= model.adapterMegabytes;
+        wish->deadline = deadline;
+        slot->wishes.push_back(wish);
+        start(slot);
+        return await(wish, deadline);
+    }
+
+    // Memory that an engine has left.
+    double freeMegabytes(const fleet::Engine& engine, const TargetId& target) const
+    {
+        const auto found = slots_.find(target);
+        if (found == slots_.end())
+            return 0;
+        fleet::PlannedEngine planned;
+        planned.models = found->second->record.holdings.models;
+        planned.arriving = found->second->arriving;
+        return fleet::freeMegabytes(engine, planned);
+    }
+
+private:
+    struct Wish {
+        ModelId model;
+        AdapterId adapter;
+        int places = 0;
+        bool fits = false;
+        TimePoint deadline;
+        bool done = false;
+        absl::Status status;
+        std::vector<FiberEvent*> waiting;
+    };
+
+    struct Slot {
+        fleet::TargetRecord record;
+        // The holdings are those after `holdings.sequence` orders.
+        bool synced = false;
+        bool running = false;
+        std::optional<fleet::ModelOrder> planned;
+        std::optional<ModelId> arriving;
+        std::optional<ModelId> leaving;
+        std::deque<std::shared_ptr<Wish>> wishes;
+        std::map<std::pair<ModelId, AdapterId>, TimePoint> lastUse;
+        TimePoint nextReport;
+        TimePoint pausedUntil;
+    };
+
+    static bool holds(const Slot& slot, const ModelId& model, const AdapterId& adapter)
+    {
+        const fleet::HeldModel* held = slot.record.holdings.find(model);
+        return slot.synced && held && held->adapters.contains(adapter);
+    }
+
+    bool isOrderable(const Slot& slot) const
+    {
+        return slot.synced && !slot.planned && !slot.arriving && !slot.leaving && !slot.record.draining
+            && currentTime() >= slot.pausedUntil;
+    }
+
+    static absl::Status await(const std::shared_ptr<Wish>& wish, TimePoint deadline)
+    {
+        FiberEvent event;
+        wish->waiting.push_back(&event);
+        while (!wish->done && event.waitUntil(Duty::current()->timers(), deadline)) { }
+        std::erase(wish->waiting, &event);
+        return wish->done ? wish->status : makeError(TransportError::TimedOut, "the adapter was not loaded in time");
+    }
+
+    static void finish(const std::shared_ptr<Wish>& wish, absl::Status status)
+    {
+        wish->done = true;
+        wish->status = std::move(status);
+        for (FiberEvent* event : wish->waiting)
+            event->notify();
+    }
+
+    static void failAll(Slot& slot, std::string_view reason)
+    {
+        for (const std::shared_ptr<Wish>& wish : slot.wishes)
+            finish(wish, makeError(TransportError::Stopped, reason));
+        slot.wishes.clear();
+        slot.planned.reset();
+    }
+
+    void start(const std::shared_ptr<Slot>& slot)
+    {
+        if (slot->running)
+            return;
+        slot->running = true;
+        duty_.spawn([this, slot, term = term_] { work(slot, term); });
+    }
+
+    // Whether the slot still stands for the engine, and this instance may order.
+    bool isCurrent(const std::shared_ptr<Slot>& slot, std::uint64_t term) const
+    {
+        const auto found = slots_.find(slot->record.id);
+        return term == term_ && found != slots_.end() && found->second == slot;
+    }
+
+    // Does all that there is to do for one engine, one call after another.
+    void work(const std::shared_ptr<Slot>& slot, std::uint64_t term)
+    {
+        while (isCurrent(slot, term)) {
+            if (!handlers_.authority().granted) {
+                failAll(*slot, "this instance may not send orders now");
+                break;
+            }
+            const bool moving = slot->arriving || slot->leaving;
+            if (!slot->synced || (moving && currentTime() >= slot->nextReport && slot->wishes.empty())) {
+                if (!sync(slot, term))
+                    break;
+                continue;
+            }
+            if (slot->planned) {
+                orderModel(slot, term);
+                continue;
+            }
+            if (slot->wishes.empty())
+                break;
+            const std::shared_ptr<Wish> wish = slot->wishes.front();
+            slot->wishes.pop_front();
+            absl::Status status = grant(slot, *wish, term);
+            finish(wish, std::move(status));
+        }
+        slot->running = false;
+    }
+
+    // Reads what the engine holds. Returns false when it could not be read.
+    bool sync(const std::shared_ptr<Slot>& slot, std::uint64_t term)
+    {
+        // A report that is too fresh after an order shows the state before it.
+        if (currentTime() < slot->nextReport)
+            sleepFor(slot->nextReport - currentTime());
+        slot->nextReport = currentTime() + OrderLimits::reportInterval;
+        const auto report = channel_.report(slot->record, currentTime() + OrderLimits::report);
+        if (!isCurrent(slot, term))
+            return false;
+        if (!report.ok()) {
+            slot->pausedUntil = currentTime() + OrderLimits::failurePause;
+            failAll(*slot, "the engine does not answer");
+            return false;
+        }
+        adopt(*slot, *report);
+        return slot->synced;
+    }
+
+    void adopt(Slot& slot, const fleet::EngineReport& report)
+    {
+        if (report.birth != slot.record.birth && report.birth != fleet::TargetBirth()) {
+            // The list will show the restart; until then nothing is known.
+            slot.synced = false;
+            failAll(slot, "the engine has restarted");
+            return;
+        }
+        // A report from before the last order says nothing about the state after it.
+        if (report.holdings.sequence < slot.record.holdings.sequence && slot.synced)
+            return;
+        slot.record.holdings = report.holdings;
+        slot.record.weightsInMemory = report.weightsInMemory;
+        slot.record.weightsOnDisk = report.weightsOnDisk;
+        slot.synced = true;
+        if (!report.holdings.busy) {
+            if (slot.arriving || slot.leaving) {
+                orderLog.info("target={} sequence={} model={} {}", slot.record.id, report.holdings.sequence,
+                    slot.arriving ? *slot.arriving : *slot.leaving, slot.arriving ? "loaded" : "unloaded");
+            }
+            slot.arriving.reset();
+            slot.leaving.reset();
+        }
+        handlers_.changed(slot.record);
+    }
+
+    OrderAnswer send(
+        const std::shared_ptr<Slot>& slot, EngineOrderKind kind, const ModelId& model, std::optional<AdapterId> adapter)
+    {
+        const OrderAuthority authority = handlers_.authority();
+        if (!authority.granted)
+            return OrderAnswer::NotSent;
+        const EngineOrder order{
+            kind, model, std::move(adapter), slot->record.holdings.sequence, authority.holder, authority.fence};
+        const OrderAnswer answer = channel_.send(slot->record, order, currentTime() + OrderLimits::answer);
+        orderLog.info("target={} order={} model={}{}{} expected={} fence={} answer=\"{}\"", slot->record.id,
+            kind == EngineOrderKind::Load ? "load" : "unload", model, order.adapter ? "/" : "",
+            order.adapter ? order.adapter->value() : std::string(), order.expected, order.fence, nameOf(answer));
+        return answer;
+    }
+
+    // Takes note of an answer; false when the state has to be read anew.
+    static bool advance(Slot& slot, OrderAnswer answer)
+    {
+        if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Done) {
+            slot.record.holdings.sequence = slot.record.holdings.sequence.next();
+            return true;
+        }
+        slot.synced = false;
+        slot.nextReport = currentTime() + OrderLimits::reportInterval;
+        if (answer != OrderAnswer::Conflict)
+            slot.pausedUntil = currentTime() + OrderLimits::failurePause;
+        return false;
+    }
+
+    void orderModel(const std::shared_ptr<Slot>& slot, std::uint64_t term)
+    {
+        const fleet::ModelOrder order = *slot->planned;
+        slot->planned.reset();
+        const bool load = order.kind == fleet::ModelOrderKind::Load;
+        const OrderAnswer answer
+            = send(slot, load ? EngineOrderKind::Load : EngineOrderKind::Unload, order.model, std::nullopt);
+        if (!isCurrent(slot, term))
+            return;
+        if (!advance(*slot, answer))
+            return;
+        slot->nextReport = currentTime() + OrderLimits::reportInterval;
+        if (load) {
+            slot->arriving = order.model;
+        } else {
+            // New requests for the model are turned away from now on.
+            std::erase_if(
+                slot->record.holdings.models, [&](const fleet::HeldModel& held) { return held.model == order.model; });
+            slot->leaving = order.model;
+        }
+        handlers_.changed(slot->record);
+    }
+
+    absl::Status grant(const std::shared_ptr<Slot>& slot, const Wish& wish, std::uint64_t term)
+    {
+        if (holds(*slot, wish.model, wish.adapter))
+            return absl::OkStatus();
+        if (currentTime() >= wish.deadline)
+            return makeError(TransportError::TimedOut, "the request has waited too long for the adapter");
+        fleet::Holdings& holdings = slot->record.holdings;
+        if (!holdings.find(wish.model))
+            return makeError(TransportError::Stopped, "the engine does not hold the model");
+        if (holdings.arriving.size() >= OrderLimits::adaptersArriving)
+            return makeError(TransportError::RingFull, "too many adapters are on their way to the engine");
+        if (holdings.adapterCount() >= static_cast<std::size_t>(wish.places) || !wish.fits) {
+            absl::Status room = makeRoom(slot, term);
+            if (!room.ok())
+                return room;
+        }
+        const OrderAnswer answer = send(slot, EngineOrderKind::Load, wish.model, wish.adapter);
+        if (!isCurrent(slot, term))
+            return makeError(TransportError::Stopped, "this instance no longer owns placement");
+        if (!advance(*slot, answer))
+            return makeError(TransportError::Stopped, nameOf(answer));
+        if (answer == OrderAnswer::Accepted)
+            sleepFor(OrderLimits::adapterLoad);
+        if (!isCurrent(slot, term))
+            return makeError(TransportError::Stopped, "this instance no longer owns placement");
+        for (fleet::HeldModel& held : slot->record.holdings.models) {
+            if (held.model == wish.model)
+                held.adapters.insert(wish.adapter);
+        }
+        handlers_.changed(slot->record);
+        return absl::OkStatus();
+    }
+
+    // Unloads the adapter that was not used for the longest time.
+    absl::Status makeRoom(const std::shared_ptr<Slot>& slot, std::uint64_t term)
+    {
+        std::optional<std::pair<ModelId, AdapterId>> oldest;
+        TimePoint oldestUse = TimePoint::max();
+        for (const fleet::HeldModel& held : slot->record.holdings.models) {
+            for (const AdapterId& adapter : held.adapters) {
+                const auto used = slot->lastUse.find({held.model, adapter});
+                const TimePoint use = used == slot->lastUse.end() ? TimePoint() : used->second;
+                if (use < oldestUse) {
+                    oldest = {held.model, adapter};
+                    oldestUse = use;
+                }
+            }
+        }
+        if (!oldest)
+            return makeError(TransportError::RingFull, "no adapter can make way");
+        const OrderAnswer answer = send(slot, EngineOrderKind::Unload, oldest->first, oldest->second);
+        if (!isCurrent(slot, term))
+            return makeError(TransportError::Stopped, "this instance no longer owns placement");
+        if (!advance(*slot, answer))
+            return makeError(TransportError::Stopped, nameOf(answer));
+        for (fleet::HeldModel& held : slot->record.holdings.models) {
+            if (held.model == oldest->first)
+                held.adapters.erase(oldest->second);
+        }
+        handlers_.changed(slot->record);
+        if (answer == OrderAnswer::Done)
+            return absl::OkStatus();
+        // Requests still use it; its place is free when a report says so.
+        slot->synced = false;
+        return makeError(TransportError::RingFull, "the adapter that makes way is still in use");
+    }
+
+    Duty& duty_;
+    Handlers handlers_;
+    Channel channel_;
+    std::map<TargetId, std::shared_ptr<Slot>> slots_;
+    // Counts begin() and end(), so that fibers of an earlier time end.
+    std::uint64_t term_ = 0;
+};
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/RelayParts.h
@@ -0,0 +1,53 @@
+// What relayed requests share on one instance.
+#pragma once
+
+#include "daemon/MetricsSink.h"
+#include "fleet/DemandMeter.h"
+#include "fleet/TargetBoard.h"
+#include "fleet/TargetChoice.h"
+#include "state/RetryBudget.h"
+#include "transport/HttpClient.h"
+#include "transport/HttpServer.h"
+#include "transport/Published.h"
+
+#include <set>
+#include <tuple>
+
+namespace lychee::gateway {
+
+// Used on the relay duty, apart from the configuration.
+struct RelayParts {
+    DataCentreId dataCentre;
+    std::shared_ptr<Published<fleet::RouteTable>> routes;
+    fleet::TargetBoard board;
+    fleet::DemandMeter demand;
+    RetryBudget<ServiceId> resends;
+    HttpClient http;
+    MetricsSink* metrics = nullptr;
+    // Has an adapter loaded on a target; suspends the fiber. Fails when the placement owner is not reached.
+    std::function<absl::Status(const TargetId&, const ModelId&, const AdapterId&, TimePoint deadline)> ensureAdapter;
+    // Adapters that requests have used since they were last told to the placement owner.
+    std::set<std::tuple<TargetId, ModelId, AdapterId>> adapterUses;
+    // Whether the placement owner is known and reached.
+    bool adaptersLoadable = false;
+};
+
+// How a relayed request ended, for its log line and its metrics.
+enum class RelayEnd {
+    // The answer of a target was delivered to the end.
+    Delivered,
+    // Refused; it has not run.
+    Refused,
+    // Its outcome is unknown, or a target failed; the caller was told.
+    Failed,
+    // The stream ended before its end.
+    BrokenOff,
+    // The caller left.
+    CallerLeft,
+    // Malformed, or no route leads there.
+    Rejected,
+};
+
+std::string_view nameOf(RelayEnd end);
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/RowReplica.cpp
@@ -0,0 +1,62 @@
+#include "gateway/RowReplica.h"
+
+namespace lychee::gateway {
+
+bool RowReplica::apply(const StoredRow& row)
+{
+    const auto [found, added] = rows_.try_emplace(row.key, row);
+    if (added)
+        return true;
+    if (row.version <= found->second.version)
+        return false;
+    found->second = row;
+    return true;
+}
+
+std::vector<StoredRow> RowReplica::replace(const RowPage& page)
+{
+    std::vector<StoredRow> changed;
+    std::map<std::string, bool> listed;
+    for (const StoredRow& row : page.rows) {
+        listed.emplace(row.key, true);
+        if (apply(row))
+            changed.push_back(row);
+    }
+    for (auto& [key, row] : rows_) {
+        if (row.removed || listed.contains(key) || row.version > page.version)
+            continue;
+        row = {key, page.version, true, {}};
+        changed.push_back(row);
+    }
+    setVersion(page.version);
+    return changed;
+}
+
+std::vector<StoredRow> RowReplica::applyChanges(const RowPage& page)
+{
+    std::vector<StoredRow> changed;
+    for (const StoredRow& row : page.rows) {
+        if (apply(row))
+            changed.push_back(row);
+    }
+    setVersion(page.version);
+    return changed;
+}
+
+std::vector<StoredRow> RowReplica::changedSince(RowVersion version) const
+{
+    std::vector<StoredRow> changed;
+    for (const auto& [key, row] : rows_) {
+        if (row.version > version)
+            changed.push_back(row);
+    }
+    return changed;
+}
+
+const StoredRow* RowReplica::find(const std::string& key) const
+{
+    const auto found = rows_.find(key);
+    return found == rows_.end() || found->second.removed ? nullptr : &found->second;
+}
+
+} // namespace lychee::gateway
--- /dev/null
+++ b/src/gateway/TableWatch.h
@@ -0,0 +1,98 @@
+// Follows one table of the platform: reads it once and then its changes.
+#pragma once
+
+#include "coordination/CoordinationError.h"
+#include "gateway/RowReplica.h"
+#include "gateway/StoreReach.h"
+#include "transport/Duty.h"
+#include "transport/Log.h"
+
+namespace lychee::gateway {
+
+inline constexpr LogChannel watchLog("watch");
+
+struct TableWatchOptions {
+    std::string table;
+    // How long the platform may wait for a change before it answers.
+    Duration wait{0};
+    // Pause after each answer, so that a table that changes all the time is not read all the time.
+    Duration pause{0};
+};
+
+template <RowStore Store> class TableWatch {
+public:
+    using Handler = std::function<void(const std::vector<StoredRow>&)>;
+
+    TableWatch(Store& store, StoreReach& reach, TableWatchOptions options, Handler handler)
+        : store_(store)
+        , reach_(reach)
+        , options_(std::move(options))
+        , handler_(std::move(handler))
+    {
+    }
+
+    // Runs in a fiber until the duty stops.
+    void run()
+    {
+        while (!Duty::current()->isStopping()) {
+            const bool first = replica_.version() == RowVersion() || historyLost_;
+            absl::StatusOr<RowPage> page = first ? store_.list(options_.table, currentTime() + answerLimit)
+                                                 : store_.changes(options_.table, replica_.version(), options_.wait,
+                                                     currentTime() + options_.wait + answerLimit);
+            if (!page.ok()) {
+                handleFailure(page.status());
+                continue;
+            }
+            reach_.succeeded(currentTime());
+            const std::vector<StoredRow> changed = first ? replica_.replace(*page) : replica_.applyChanges(*page);
+            historyLost_ = false;
+            complete_ = true;
+            if (!changed.empty())
+                handler_(changed);
+            sleepFor(options_.pause);
+        }
+    }
+
+    // Takes in rows that a peer has read, up to a version.
+    void takeFromPeer(const RowPage& page)
+    {
+        const std::vector<StoredRow> changed = replica_.applyChanges(page);
+        complete_ = true;
+        if (!changed.empty())
+            handler_(changed);
+    }
+
+    const RowReplica& replica() const { return replica_; }
+
+    // Whether the whole table has been read once.
+    bool isComplete() const { return complete_; }
+
+private:
+    // Longest wait for an answer beyond the time that the platform was asked to wait. The store answers within 4 ms;
+    // slow ones take 50 times as long.
+    static constexpr Duration answerLimit = std::chrono::milliseconds(900);
+
+    // Pause after a failed call.
+    static constexpr Duration failurePause = std::chrono::milliseconds(200);
+
+    void handleFailure(const absl::Status& status)
+    {
+        if (errorOf<CoordinationError>(status) == CoordinationError::VersionStale) {
+            watchLog.info("table={} version={} history lost, reading anew", options_.table, replica_.version());
+            historyLost_ = true;
+            return;
+        }
+        reach_.failed(currentTime(), messageOf(status));
+        sleepFor(failurePause);
+    }
+
+    Store& store_;
+    StoreReach& reach_;
+    TableWatchOptions options_;
+    Handler handler_;
+    RowReplica replica_;
+    bool historyLost_ = false;
+    bool complete_ = false;
+};
+
+} // namespace lychee::gateway
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -5,7 +5,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+
 #include <array>
+#include <deque>
+
+#include <sys/socket.h>
 
 namespace lychee {
 
@@ -21,18 +27,29 @@
 // Idle connections older than this are closed; shorter than the idle limit of usual servers and middleboxes.
 constexpr Duration maxIdleAge = std::chrono::seconds(20);
 
+// A connection is not used in the last part of the idle time that its peer announced, because the peer's close may
+// already be on its way.
+constexpr Duration announcedIdleMargin = std::chrono::milliseconds(500);
+
+// Answers to earlier requests that are skipped on one connection before it is given up.
+constexpr int maxSkippedAnswers = 2;
+
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint32_t maxHeaderBytes = 32768;
 
+// The age of idle connections counts suspension of the machine, in which the peer may have closed them.
+TimePoint poolTime() { return Duty::current()->clock()->nowWithSuspension(); }
+
 http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
 {
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, endpoint.toString());
+    if (!request.headers.find("Host"))
+        message.set(http::field::host, endpoint.toString());
     for (const HttpHeaders::Field& field : request.headers.fields())
-        message.set(field.name, field.value);
+        message.insert(field.name, field.value);
     message.body() = request.body;
     message.prepare_payload();
     return message;
@@ -49,30 +66,59 @@
 
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
+    // Whether the peer has closed the connection or has sent bytes that nobody asked for.
+    bool isSpoiled()
+    {
+        char byte = 0;
+        const ssize_t count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    bool isUsable(Duration maxIdle) const
+    {
+        return poolTime() - idleSince_ <= std::min({maxIdle, maxIdleAge, announcedIdle_});
+    }
+
     TimePoint idleSince_;
+    Duration announcedIdle_ = Duration::max();
     bool reused_ = false;
 };
 
 class HttpClient::Pool {
 public:
-    std::unique_ptr<Connection> take(const Endpoint& endpoint)
+    std::unique_ptr<Connection> take(const Endpoint& endpoint, Duration maxIdle)
     {
-        auto& idle = idle_[endpoint];
-        while (!idle.empty()) {
-            std::unique_ptr<Connection> connection = std::move(idle.back());
+        const auto found = idle_.find(endpoint);
+        if (found == idle_.end())
+            return nullptr;
+        auto& idle = found->second;
+        std::unique_ptr<Connection> connection;
+        while (!idle.empty() && idle.back()->isUsable(maxIdle)) {
+            connection = std::move(idle.back());
             idle.pop_back();
-            if (currentTime() - connection->idleSince_ > maxIdleAge)
-                continue;
-            connection->reused_ = true;
-            return connection;
+            if (!connection->isSpoiled()) {
+                connection->reused_ = true;
+                break;
+            }
+            connection = nullptr;
         }
-        return nullptr;
+        while (!idle.empty() && !idle.front()->isUsable(maxIdleAge))
+            idle.pop_front();
+        if (idle.empty())
+            idle_.erase(found);
+        return connection;
+    }
+
+    bool has(const Endpoint& endpoint, Duration maxIdle) const
+    {
+        const auto found = idle_.find(endpoint);
+        return found != idle_.end() && !found->second.empty() && found->second.back()->isUsable(maxIdle);
     }
 
     void put(const Endpoint& endpoint, std::unique_ptr<Connection> connection)
     {
         auto& idle = idle_[endpoint];
-        connection->idleSince_ = currentTime();
+        connection->idleSince_ = poolTime();
         if (idle.size() >= maxIdleConnections)
             idle.pop_front();
         idle.push_back(std::move(connection));
@@ -90,36 +136,102 @@
         : pool_(std::move(pool))
         , endpoint_(std::move(endpoint))
         , connection_(std::move(connection))
-        , limits_(limits)
+        , limits_(std::move(limits))
+    {
+        if (limits_.cancellation) {
+            limits_.cancellation->setAbort([this] {
+                error_code ignored;
+                if (connection_)
+                    connection_->socket_.cancel(ignored);
+            });
+        }
+    }
+
+    ~Stream() override
+    {
+        if (limits_.cancellation)
+            limits_.cancellation->setAbort(nullptr);
+    }
+
+    // Sends the request. A peer may answer and stop reading before it has the whole body, so a failed write is not
+    // the end of the call.
+    error_code write(const http::request<http::string_body>& message)
     {
-        parser_.header_limit(maxHeaderBytes);
-        parser_.body_limit(limits_.maxBodyBytes);
+        return runBefore(connection_->socket_, nextDeadline(),
+            [&](error_code& result) { http::async_write(connection_->socket_, message, FiberToken{result}); });
     }
 
+    // Reads the header of the answer that belongs to the request.
     absl::Status readHeader()
     {
-        const error_code error = runBefore(connection_->socket_, nextDeadline(), [&](error_code& result) {
-            http::async_read_header(connection_->socket_, connection_->buffer_, parser_, FiberToken{result});
+        for (int skipped = 0; skipped <= maxSkippedAnswers; ++skipped) {
+            absl::Status status = readNextHeader();
+            if (!status.ok())
+                return status;
+            if (!limits_.belongs || limits_.belongs(headers_))
+                return status;
+            status = skipBody();
+            if (!status.ok())
+                return status;
+        }
+        return makeError(TransportError::MessageMalformed, "the answers belong to other requests");
+    }
+
+    int status() const override { return static_cast<int>(parser_->get().result_int()); }
+
+    const HttpHeaders& headers() const override { return headers_; }
+
+    absl::StatusOr<std::optional<std::string>> read() override
+    {
+        absl::StatusOr<std::optional<std::string>> piece = readPiece();
+        if (piece.ok() && !piece->has_value())
+            recycle();
+        return piece;
+    }
+
+private:
+    absl::Status readNextHeader()
+    {
+        parser_.emplace();
+        parser_->header_limit(maxHeaderBytes);
+        parser_->body_limit(limits_.maxBodyBytes);
+        if (isCancelled())
+            return cancelled();
+        const TimePoint headerDeadline = std::min(nextDeadline(), currentTime() + limits_.headerTimeout);
+        const error_code error = runBefore(connection_->socket_, headerDeadline, [&](error_code& result) {
+            http::async_read_header(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
         });
         if (error)
             return failure(error, "read header");
-        for (const auto& field : parser_.get())
-            headers_.set(std::string(field.name_string()), std::string(field.value()));
+        headers_ = {};
+        for (const auto& field : parser_->get())
+            headers_.add(std::string(field.name_string()), std::string(field.value()));
         return absl::OkStatus();
     }
 
-    int status() const override { return static_cast<int>(parser_.get().result_int()); }
-
-    const HttpHeaders& headers() const override { return headers_; }
+    absl::Status skipBody()
+    {
+        if (!parser_->get().keep_alive())
+            return makeError(TransportError::ConnectionClosed, "the connection ends with an answer to another request");
+        while (true) {
+            const auto piece = readPiece();
+            if (!piece.ok())
+                return piece.status();
+            if (!piece->has_value())
+                return absl::OkStatus();
+        }
+    }
 
-    absl::StatusOr<std::optional<std::string>> read() override
+    absl::StatusOr<std::optional<std::string>> readPiece()
     {
-        while (!parser_.is_done()) {
-            auto& body = parser_.get().body();
+        while (!parser_->is_done()) {
+            if (isCancelled())
+                return cancelled();
+            auto& body = parser_->get().body();
             body.data = chunk_.data();
             body.size = chunk_.size();
             error_code error = runBefore(connection_->socket_, nextDeadline(), [&](error_code& result) {
-                http::async_read_some(connection_->socket_, connection_->buffer_, parser_, FiberToken{result});
+                http::async_read_some(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
             });
             if (error == http::error::need_buffer)
                 error = {};
@@ -129,11 +241,17 @@
             if (count > 0)
                 return std::string(chunk_.data(), count);
         }
-        recycle();
         return std::nullopt;
     }
 
-private:
+    bool isCancelled() const { return limits_.cancellation && limits_.cancellation->isRequested(); }
+
+    absl::Status cancelled()
+    {
+        connection_->socket_.close();
+        return makeError(TransportError::Stopped, "the call was cancelled");
+    }
+
     TimePoint nextDeadline() const { return std::min(limits_.deadline, currentTime() + limits_.interByteTimeout); }
 
     absl::Status failure(const error_code& error, std::string_view doing)
@@ -153,15 +271,37 @@
     // Only a connection whose answer was read to its end may carry another request.
     void recycle()
     {
-        if (connection_ && parser_.get().keep_alive() && connection_->buffer_.size() == 0)
-            pool_->put(endpoint_, std::move(connection_));
+        if (!connection_ || !wholeRequestSent_ || !parser_->get().keep_alive() || connection_->buffer_.size() != 0)
+            return;
+        connection_->announcedIdle_ = announcedIdle();
+        pool_->put(endpoint_, std::move(connection_));
+    }
+
+    // The idle time that the peer announced, less a margin.
+    Duration announcedIdle() const
+    {
+        const std::optional<std::string_view> value = headers_.find("Keep-Alive");
+        constexpr std::string_view key = "timeout=";
+        const std::size_t start = value ? value->find(key) : std::string_view::npos;
+        if (start == std::string_view::npos)
+            return Duration::max();
+        std::string_view text = value->substr(start + key.size());
+        text = text.substr(0, text.find_first_not_of("0123456789"));
+        std::uint32_t seconds = 0;
+        if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &seconds))
+            return Duration::max();
+        return std::chrono::seconds(seconds) - announcedIdleMargin;
     }
 
+public:
+    bool wholeRequestSent_ = false;
+
+private:
     std::shared_ptr<Pool> pool_;
     Endpoint endpoint_;
     std::unique_ptr<Connection> connection_;
     HttpCallLimits limits_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
     HttpHeaders headers_;
     std::array<char, readBufferBytes> chunk_;
 };
@@ -177,7 +317,7 @@
     const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
     if (!limits.freshConnection) {
-        if (std::unique_ptr<Connection> connection = pool_->take(endpoint)) {
+        if (std::unique_ptr<Connection> connection = pool_->take(endpoint, limits.maxIdle)) {
             auto outcome = openOn(std::move(connection), endpoint, request, limits);
             const bool closedWhileIdle = errorOf<TransportError>(outcome.status) == TransportError::ConnectionClosed;
             if (!limits.repeatable || !closedWhileIdle)
@@ -198,12 +338,14 @@
     const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
     const http::request<http::string_body> message = toMessage(endpoint, request);
-    const TimePoint writeDeadline = std::min(limits.deadline, currentTime() + limits.interByteTimeout);
-    const error_code error = runBefore(connection->socket_, writeDeadline,
-        [&](error_code& result) { http::async_write(connection->socket_, message, FiberToken{result}); });
-    if (error)
-        return {socketError(error, "write request"), true, nullptr};
+    if (limits.cancellation && limits.cancellation->isRequested())
+        return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
     auto stream = std::make_unique<Stream>(pool_, endpoint, std::move(connection), limits);
+    const error_code error = stream->write(message);
+    stream->wholeRequestSent_ = !error;
+    if (error && error != boost::asio::error::broken_pipe && error != boost::asio::error::connection_reset)
+        return {socketError(error, "write request"), true, nullptr};
+    // After a failed write an early answer may still wait in the receive buffer.
     const absl::Status status = stream->readHeader();
     if (!status.ok())
         return {status, true, nullptr};
@@ -231,6 +373,8 @@
     }
 }
 
+bool HttpClient::hasIdle(const Endpoint& endpoint, Duration maxIdle) const { return pool_->has(endpoint, maxIdle); }
+
 void HttpClient::forget(const Endpoint& endpoint) { pool_->forget(endpoint); }
 
 } // namespace lychee
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -6,16 +6,40 @@
 
 #include <absl/status/statusor.h>
 
-#include <deque>
+#include <functional>
+#include <memory>
 
 namespace lychee {
 
+// Ends the wait of a call from outside its fiber, for example because the caller has left. Used on one duty.
+class HttpCancellation {
+public:
+    // Closes the connection of the call, now or as soon as it has one. Must not suspend.
+    void cancel()
+    {
+        requested_ = true;
+        if (abort_)
+            abort_();
+    }
+
+    bool isRequested() const { return requested_; }
+
+    // Sets how the call in progress is ended; null when none is.
+    void setAbort(std::function<void()> abort) { abort_ = std::move(abort); }
+
+private:
+    bool requested_ = false;
+    std::function<void()> abort_;
+};
+
 struct HttpCallLimits {
     // When the whole answer must have arrived.
     TimePoint deadline = TimePoint::max();
     Duration connectTimeout = std::chrono::seconds(1);
     // Longest silence of the peer once the request has been sent.
     Duration interByteTimeout = std::chrono::seconds(30);
+    // Longest wait for the header of the answer, when it is shorter than the other limits.
+    Duration headerTimeout = std::chrono::hours(24);
     // Opens a new connection. For calls that must not be repeated: an idle connection may have been forgotten by a
     // middlebox, and whether such a call ran could not be told.
     bool freshConnection = false;
@@ -24,6 +48,13 @@
     bool pooledOnly = false;
     // Sends the request once more on a new connection when a pooled one turns out to be closed.
     bool repeatable = false;
+    // Pooled connections that were idle for longer are not used.
+    Duration maxIdle = std::chrono::seconds(20);
+    // Ends the call early; may be null.
+    std::shared_ptr<HttpCancellation> cancellation;
+    // Whether an answer belongs to this request. An answer that does not is skipped, because a faulty peer may send
+    // a second answer to an earlier request first. Empty accepts every answer.
+    std::function<bool(const HttpHeaders&)> belongs;
     std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 };
 
@@ -61,6 +92,9 @@
     // Sends a request and reads the whole answer.
     HttpOutcome<HttpResponse> call(const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits);
 
+    // Whether call() would find an idle connection to the endpoint that was used within `maxIdle`.
+    bool hasIdle(const Endpoint& endpoint, Duration maxIdle) const;
+
     // Closes the idle connections to an endpoint.
     void forget(const Endpoint& endpoint);
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -31,7 +31,7 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto& field : message)
-        request.headers.set(std::string(field.name_string()), std::string(field.value()));
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
     request.body = std::move(message.body());
     return request;
 }
@@ -57,7 +57,13 @@
 template <typename Message> void setHeaders(Message& message, const HttpHeaders& headers)
 {
     for (const HttpHeaders::Field& field : headers.fields())
-        message.set(field.name, field.value);
+        message.insert(field.name, field.value);
+}
+
+// HTTP/1.1 requires exactly one Host header; without it the request's route is undefined.
+bool hasValidHost(const http::request<http::string_body>& message)
+{
+    return message.version() < 11 || message.count(http::field::host) == 1;
 }
 
 } // namespace
@@ -80,6 +86,7 @@
     void stopAccepting();
     void close();
 
+    bool closeAfterAnswers_ = false;
     Duty& duty_;
     tcp::acceptor acceptor_;
     HttpServerOptions options_;
@@ -91,7 +98,7 @@
 };
 
 // One connection; answers its requests one after another.
-class HttpServer::State::Connection final : public HttpExchange {
+class HttpServer::State::Connection final : public HttpExchange, public std::enable_shared_from_this<Connection> {
 public:
     Connection(std::shared_ptr<State> state, tcp::socket socket)
         : state_(std::move(state))
@@ -110,6 +117,7 @@
             answered_ = false;
             streaming_ = false;
             state_->handler_(*this);
+            stopWatching();
             busy_ = false;
             --state_->activeExchanges_;
             if (!answered_ || !keepAlive_)
@@ -187,7 +195,38 @@
         return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
+    void onPeerGone(std::function<void()> callback) override
+    {
+        peerGone_ = std::move(callback);
+        watchPeer();
+    }
+
+    TimePoint startedAt() const override { return startedAt_; }
+
 private:
+    void watchPeer()
+    {
+        watching_ = true;
+        socket_.async_wait(
+            tcp::socket::wait_read, [self = shared_from_this(), exchange = exchanges_](const error_code& error) {
+                self->watching_ = false;
+                if (error == boost::asio::error::operation_aborted || exchange != self->exchanges_ || !self->busy_)
+                    return;
+                // Readable without an end means that the next request has arrived early; it is read in its turn.
+                if (self->isPeerGone() && self->peerGone_)
+                    std::exchange(self->peerGone_, nullptr)();
+            });
+    }
+
+    void stopWatching()
+    {
+        ++exchanges_;
+        peerGone_ = nullptr;
+        error_code ignored;
+        if (watching_ && socket_.is_open())
+            socket_.cancel(ignored);
+    }
+
     template <typename Operation> absl::Status write(std::string_view doing, Operation&& operation)
     {
         const error_code error = runBefore(socket_, currentTime() + state_->options_.writeTimeout, operation);
@@ -205,7 +244,7 @@
 
     template <typename Message> void prepare(Message& message)
     {
-        if (state_->draining_)
+        if (state_->draining_ || state_->closeAfterAnswers_)
             keepAlive_ = false;
         message.keep_alive(keepAlive_);
     }
@@ -218,8 +257,15 @@
         parser.body_limit(state_->options_.maxBodyBytes);
         if (buffer_.size() == 0 && !awaitFirstByte())
             return false;
-        const error_code error = runBefore(socket_, currentTime() + state_->options_.readTimeout,
-            [&](error_code& result) { http::async_read(socket_, buffer_, parser, FiberToken{result}); });
+        startedAt_ = currentTime();
+        error_code error = runBefore(socket_, currentTime() + state_->options_.headerTimeout,
+            [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
+        if (!error && !parser.is_done()) {
+            error = runBefore(socket_, currentTime() + state_->options_.readTimeout,
+                [&](error_code& result) { http::async_read(socket_, buffer_, parser, FiberToken{result}); });
+        }
+        if (!error && !hasValidHost(parser.get()))
+            error = http::error::bad_field;
         if (error) {
             if (!isClosed(error))
                 rejectRequest(faultOf(error));
@@ -252,6 +298,10 @@
     bool answered_ = false;
     bool streaming_ = false;
     bool keepAlive_ = true;
+    bool watching_ = false;
+    std::uint64_t exchanges_ = 0;
+    TimePoint startedAt_;
+    std::function<void()> peerGone_;
 };
 
 void HttpServer::State::acceptLoop()
@@ -312,6 +362,17 @@
 
 std::size_t HttpServer::activeExchanges() const { return state_->activeExchanges_.load(); }
 
+void HttpServer::setLimits(HttpServerOptions options)
+{
+    boost::asio::post(state_->duty_.io(),
+        [state = state_, options = std::move(options)]() mutable { state->options_ = std::move(options); });
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    boost::asio::post(state_->duty_.io(), [state = state_] { state->closeAfterAnswers_ = true; });
+}
+
 void HttpServer::stopAccepting()
 {
     boost::asio::post(state_->duty_.io(), [state = state_] { state->stopAccepting(); });
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -22,7 +22,9 @@
     std::size_t maxConnections = 10000;
     // Longest wait for the next request on a connection.
     Duration idleTimeout = std::chrono::seconds(60);
-    // Longest time from the first byte of a request to its last.
+    // Longest time from the first byte of a request to the end of its header.
+    Duration headerTimeout = std::chrono::seconds(30);
+    // Longest time from the end of the header of a request to its last byte.
     Duration readTimeout = std::chrono::seconds(30);
     // Longest time for one write to make progress.
     Duration writeTimeout = std::chrono::seconds(30);
@@ -54,6 +56,13 @@
 
     // Whether the peer has closed the connection.
     virtual bool isPeerGone() = 0;
+
+    // Calls `callback` once when the peer closes or resets the connection before this request is answered. The
+    // callback runs on the duty's thread and must not suspend.
+    virtual void onPeerGone(std::function<void()> callback) = 0;
+
+    // When the first byte of the request arrived.
+    virtual TimePoint startedAt() const = 0;
 };
 
 // Listens on one address. The handler runs in the fiber of the connection and must answer or abort.
@@ -73,6 +82,12 @@
     // Number of requests that are being handled. Thread-safe.
     std::size_t activeExchanges() const;
 
+    // Replaces the limits; requests that are being read keep the earlier ones. Thread-safe.
+    void setLimits(HttpServerOptions options);
+
+    // Keeps accepting, but each connection is closed after its next answer, which says so. Thread-safe.
+    void closeAfterAnswers();
+
     // Closes the listening socket; idle connections are closed, the others after their current request. Thread-safe.
     void stopAccepting();
 
--- a/src/transport/Log.h
+++ b/src/transport/Log.h
@@ -1,4 +1,5 @@
-// Log channels: one fixed prefix for each part, written to standard error.
+// Log channels: one fixed prefix for each part, one line of key=value pairs for each event, written to standard output
+// by a thread of its own. Callers never block; when the queue is full the oldest lines are dropped.
 #pragma once
 
 #include <fmt/format.h>
@@ -23,6 +24,12 @@
 // Parses "debug", "info", "warning" or "error". Returns false on anything else.
 bool parseLogLevel(std::string_view text, LogLevel& level);
 
+// Lines that were dropped because the queue was full.
+std::size_t droppedLogLines();
+
+// Waits, for a bounded time, until the queued lines are written. For the end of the process.
+void flushLog();
+
 // A named source of log lines. Declare one at the top of each part's source file.
 class LogChannel {
 public:
--- a/src/transport/RuntimeClock.cpp
+++ b/src/transport/RuntimeClock.cpp
@@ -1,11 +1,28 @@
 #include "transport/RuntimeClock.h"
 
+#include <ctime>
+
 namespace lychee {
 
+namespace {
+
+Duration readClock(clockid_t id)
+{
+    timespec time{};
+    clock_gettime(id, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+// How far the clock that counts suspension of the machine is ahead of the steady clock.
+Duration suspensionLead() { return readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC); }
+
+} // namespace
+
 std::shared_ptr<RuntimeClock> RuntimeClock::createRunning()
 {
     std::shared_ptr<RuntimeClock> clock(new RuntimeClock);
     clock->resumedAt_ = std::chrono::steady_clock::now();
+    clock->initialLead_ = suspensionLead();
     return clock;
 }
 
@@ -24,6 +41,20 @@
     return TimePoint(elapsed_ + (std::chrono::steady_clock::now() - resumedAt_));
 }
 
+Duration RuntimeClock::suspended() const
+{
+    std::scoped_lock lock(mutex_);
+    if (paused_)
+        return playedSuspension_;
+    return playedSuspension_ + suspensionLead() - initialLead_;
+}
+
+void RuntimeClock::addSuspension(Duration duration)
+{
+    std::scoped_lock lock(mutex_);
+    playedSuspension_ += duration;
+}
+
 bool RuntimeClock::isPaused() const
 {
     std::scoped_lock lock(mutex_);
--- a/src/transport/RuntimeClock.h
+++ b/src/transport/RuntimeClock.h
@@ -31,6 +31,13 @@
     // Time since the clock was created, without the periods in which it was paused.
     time_point now() const;
 
+    // Like now(), with the time added during which the machine was suspended. For leases: while a machine is suspended,
+    // others go on.
+    time_point nowWithSuspension() const { return now() + suspended(); }
+
+    // Lets a test play a suspension of the machine.
+    void addSuspension(Duration duration);
+
     bool isPaused() const;
 
     void pause();
@@ -50,7 +57,12 @@
 
     void notifyListeners();
 
+    Duration suspended() const;
+
     mutable std::mutex mutex_;
+    // How far the clock that counts suspension is ahead of the one that does not, when this clock was created.
+    Duration initialLead_{0};
+    Duration playedSuspension_{0};
     bool paused_ = false;
     std::chrono::steady_clock::time_point resumedAt_;
     Duration elapsed_{0};
