End the crash of the placement owner and loads beyond memory

Ruled out: late orders as the cause of LIMIT (the order was accepted with the expected sequence). Change: the entry is held by value; a busy engine whose order is not known takes no model order, and the largest model counts as arriving; listening and idle connections end after the balancer's lag. An adapter in use is not unloaded: running requests are told as uses five times a second.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -178,7 +178,10 @@
         MeshStatus status;
         status.work = toMessage(parts_.board.ownWork());
         status.demand = toMessage(parts_.demand.read(currentTime()));
-        for (const auto& [target, model, adapter] : std::exchange(parts_.adapterUses, {}))
+        auto used = std::exchange(parts_.adaptersUsed, {});
+        for (const auto& [entry, count] : parts_.adaptersInUse)
+            used.insert(entry);
+        for (const auto& [target, model, adapter] : used)
             status.uses.push_back({target, model, adapter});
         return status;
     }
@@ -302,9 +305,7 @@
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
         control_->leave();
-        while (currentTime() < limit
-            && (currentTime() < began + GatewayLimits::balancerLag || callers_->activeExchanges() > 0))
-            sleepFor(GatewayLimits::drainCheck);
+        sleepFor(std::min<Duration>(GatewayLimits::balancerLag, limit - began));
         callers_->stopAccepting();
         while (currentTime() < limit && callers_->activeExchanges() > 0)
             sleepFor(GatewayLimits::drainCheck);
--- a/src/gateway/OrderDesk.h
+++ b/src/gateway/OrderDesk.h
@@ -26,6 +26,8 @@
     static constexpr Duration reportInterval = std::chrono::milliseconds(250);
     // Adapters take 5 to 10 ms.
     static constexpr Duration adapterLoad = std::chrono::milliseconds(10);
+    // An adapter that was used this recently may still be in use; instances tell its uses five times a second.
+    static constexpr Duration adapterInUse = std::chrono::milliseconds(600);
     // Adapters that may be on their way to one engine.
     static constexpr std::size_t adaptersArriving = 4;
     // An engine that did not answer is left alone for this time.
@@ -139,8 +141,7 @@
     void followUp()
     {
         for (const auto& [id, slot] : slots_) {
-            const bool moving = slot->arriving || slot->leaving || !slot->synced;
-            if (moving && !slot->running && currentTime() >= slot->nextReport)
+            if ((isMoving(*slot) || !slot->synced) && !slot->running && currentTime() >= slot->nextReport)
                 start(slot);
         }
     }
@@ -188,7 +189,15 @@
         fleet::PlannedEngine planned;
         planned.models = found->second->record.holdings.models;
         planned.arriving = found->second->arriving;
-        return fleet::freeMegabytes(engine, planned);
+        double free = fleet::freeMegabytes(engine, planned);
+        // What arrives by an order of an earlier owner is not known; it may be the largest model.
+        if (found->second->unsettled) {
+            double largest = 0;
+            for (const fleet::Model& model : engine.models)
+                largest = std::max(largest, model.weightMegabytes);
+            free -= largest;
+        }
+        return free;
     }
 
 private:
@@ -211,6 +220,8 @@
         std::optional<fleet::ModelOrder> planned;
         std::optional<ModelId> arriving;
         std::optional<ModelId> leaving;
+        // An order of an earlier owner is being carried out, so the holdings are not those after `sequence` orders yet.
+        bool unsettled = false;
         std::deque<std::shared_ptr<Wish>> wishes;
         std::map<std::pair<ModelId, AdapterId>, TimePoint> lastUse;
         TimePoint nextReport;
@@ -225,11 +236,13 @@
 
     bool isOrderable(const Slot& slot) const
     {
-        return slot.synced && !slot.planned && !slot.arriving && !slot.leaving && !slot.record.draining
-            && currentTime() >= slot.pausedUntil;
+        return slot.synced && !slot.unsettled && !slot.planned && !slot.arriving && !slot.leaving
+            && !slot.record.draining && currentTime() >= slot.pausedUntil;
     }
 
-    static absl::Status await(const std::shared_ptr<Wish>& wish, TimePoint deadline)
+    static bool isMoving(const Slot& slot) { return slot.arriving || slot.leaving || slot.unsettled; }
+
+    static absl::Status await(std::shared_ptr<Wish> wish, TimePoint deadline)
     {
         FiberEvent event;
         wish->waiting.push_back(&event);
@@ -277,8 +290,7 @@
                 failAll(*slot, "this instance may not send orders now");
                 break;
             }
-            const bool moving = slot->arriving || slot->leaving;
-            if (!slot->synced || (moving && currentTime() >= slot->nextReport && slot->wishes.empty())) {
+            if (!slot->synced || (isMoving(*slot) && currentTime() >= slot->nextReport && slot->wishes.empty())) {
                 if (!sync(slot, term))
                     break;
                 continue;
@@ -331,6 +343,7 @@
         slot.record.weightsInMemory = report.weightsInMemory;
         slot.record.weightsOnDisk = report.weightsOnDisk;
         slot.synced = true;
+        slot.unsettled = report.holdings.busy && !slot.arriving && !slot.leaving;
         if (!report.holdings.busy) {
             if (slot.arriving || slot.leaving) {
                 orderLog.info("target={} sequence={} model={} {}", slot.record.id, report.holdings.sequence,
@@ -358,10 +371,12 @@
     }
 
     // Takes note of an answer; false when the state has to be read anew.
-    static bool advance(Slot& slot, OrderAnswer answer)
+    static bool advance(Slot& slot, EngineOrderKind kind, OrderAnswer answer)
     {
         if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Done) {
-            slot.record.holdings.sequence = slot.record.holdings.sequence.next();
+            // An engine that holds already what it is to load accepts no order; it does carry out an unload at once.
+            if (answer == OrderAnswer::Accepted || kind == EngineOrderKind::Unload)
+                slot.record.holdings.sequence = slot.record.holdings.sequence.next();
             return true;
         }
         slot.synced = false;
@@ -376,11 +391,11 @@
         const fleet::ModelOrder order = *slot->planned;
         slot->planned.reset();
         const bool load = order.kind == fleet::ModelOrderKind::Load;
-        const OrderAnswer answer
-            = send(slot, load ? EngineOrderKind::Load : EngineOrderKind::Unload, order.model, std::nullopt);
+        const EngineOrderKind kind = load ? EngineOrderKind::Load : EngineOrderKind::Unload;
+        const OrderAnswer answer = send(slot, kind, order.model, std::nullopt);
         if (!isCurrent(slot, term))
             return;
-        if (!advance(*slot, answer))
+        if (!advance(*slot, kind, answer))
             return;
         slot->nextReport = currentTime() + OrderLimits::reportInterval;
         if (load) {
@@ -413,7 +428,7 @@
         const OrderAnswer answer = send(slot, EngineOrderKind::Load, wish.model, wish.adapter);
         if (!isCurrent(slot, term))
             return makeError(TransportError::Stopped, "this instance no longer owns placement");
-        if (!advance(*slot, answer))
+        if (!advance(*slot, EngineOrderKind::Load, answer))
             return makeError(TransportError::Stopped, nameOf(answer));
         if (answer == OrderAnswer::Accepted)
             sleepFor(OrderLimits::adapterLoad);
@@ -436,7 +451,7 @@
             for (const AdapterId& adapter : held.adapters) {
                 const auto used = slot->lastUse.find({held.model, adapter});
                 const TimePoint use = used == slot->lastUse.end() ? TimePoint() : used->second;
-                if (use < oldestUse) {
+                if (use < oldestUse && (use == TimePoint() || currentTime() - use > OrderLimits::adapterInUse)) {
                     oldest = {held.model, adapter};
                     oldestUse = use;
                 }
@@ -447,7 +462,7 @@
         const OrderAnswer answer = send(slot, EngineOrderKind::Unload, oldest->first, oldest->second);
         if (!isCurrent(slot, term))
             return makeError(TransportError::Stopped, "this instance no longer owns placement");
-        if (!advance(*slot, answer))
+        if (!advance(*slot, EngineOrderKind::Unload, answer))
             return makeError(TransportError::Stopped, nameOf(answer));
         for (fleet::HeldModel& held : slot->record.holdings.models) {
             if (held.model == oldest->first)
--- a/src/gateway/RelayParts.h
+++ b/src/gateway/RelayParts.h
@@ -10,6 +10,7 @@
 #include "transport/HttpServer.h"
 #include "transport/Published.h"
 
+#include <map>
 #include <set>
 #include <tuple>
 
@@ -26,8 +27,10 @@
     MetricsSink* metrics = nullptr;
     // Has an adapter loaded on a target; suspends the fiber. Fails when the placement owner is not reached.
     std::function<absl::Status(const TargetId&, const ModelId&, const AdapterId&, TimePoint deadline)> ensureAdapter;
-    // Adapters that requests have used since they were last told to the placement owner.
-    std::set<std::tuple<TargetId, ModelId, AdapterId>> adapterUses;
+    // Adapters that requests use now, with their number, and those used since the last look.
+    using AdapterOnTarget = std::tuple<TargetId, ModelId, AdapterId>;
+    std::map<AdapterOnTarget, int> adaptersInUse;
+    std::set<AdapterOnTarget> adaptersUsed;
     // Whether the placement owner is known and reached.
     bool adaptersLoadable = false;
 };
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -66,6 +66,33 @@
         bool sent = false;
     };
 
+    // Keeps the adapter of a request known as used while the request runs.
+    class AdapterUse {
+    public:
+        AdapterUse(RelayParts& parts, const TargetId& target, const std::optional<fleet::GenerationNeed>& need)
+            : parts_(parts)
+        {
+            if (!need || !need->adapter)
+                return;
+            entry_.emplace(target, need->model, *need->adapter);
+            ++parts_.adaptersInUse[*entry_];
+            parts_.adaptersUsed.insert(*entry_);
+        }
+
+        ~AdapterUse()
+        {
+            if (entry_ && --parts_.adaptersInUse[*entry_] == 0)
+                parts_.adaptersInUse.erase(*entry_);
+        }
+
+        AdapterUse(const AdapterUse&) = delete;
+        AdapterUse& operator=(const AdapterUse&) = delete;
+
+    private:
+        RelayParts& parts_;
+        std::optional<RelayParts::AdapterOnTarget> entry_;
+    };
+
     bool accept()
     {
         if (!table_) {
@@ -158,8 +185,7 @@
     {
         if (target.adapterMissing && !ensureAdapter(target))
             return;
-        if (caller_.generation && caller_.generation->adapter)
-            parts_.adapterUses.emplace(target.target, caller_.generation->model, *caller_.generation->adapter);
+        const AdapterUse use(parts_, target.target, caller_.generation);
         Attempt attempt = open(target);
         const bool failed = !attempt.status.ok();
         if (cancellation_->isRequested())
