--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fleet/ResendRule.h"
-#include "gateway/EventSplitter.h"
+#include "protocol/EventSplitter.h"
 #include "gateway/RelayDialect.h"
 #include "gateway/RelayParts.h"
 #include "transport/Log.h"
--- a/src/gateway/EventSplitter.cpp
+++ b/src/protocol/EventSplitter.cpp
@@ -1,9 +1,9 @@
-#include "gateway/EventSplitter.h"
+#include "protocol/EventSplitter.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace lychee::gateway {
+namespace lychee {
 
 namespace {
 
@@ -46,4 +46,4 @@
     }
 }
 
-} // namespace lychee::gateway
+} // namespace lychee
--- a/src/gateway/EventSplitter.h
+++ b/src/protocol/EventSplitter.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace lychee::gateway {
+namespace lychee {
 
 class EventSplitter {
 public:
@@ -29,4 +29,4 @@
     std::optional<std::uint64_t> lastEventId_;
 };
 
-} // namespace lychee::gateway
+} // namespace lychee
--- /dev/null
+++ b/tests/unit/LoadAllowanceTest.cpp
@@ -0,0 +1,58 @@
+#include "fleet/DemandMeter.h"
+#include "fleet/LoadAllowance.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace lychee::fleet {
+namespace {
+
+TimePoint at(double seconds) { return TimePoint(Duration(static_cast<Duration::rep>(seconds * 1e9))); }
+
+// Guards against more loads in a window than the weight store allows: the rate, a tenth above it and three loads.
+TEST(LoadAllowance, StaysBelowTheCeilingInEveryWindow)
+{
+    for (const double rate : {0.5, 2.1, 20.0}) {
+        constexpr double window = 5;
+        LoadAllowance allowance(rate, at(0));
+        std::deque<double> loads;
+        for (double now = 0; now < 60; now += 0.01) {
+            // Demand pauses now and then, so that the saved loads are used at once.
+            if (static_cast<int>(now / 7) % 2 == 1 || !allowance.isAvailable(at(now)))
+                continue;
+            allowance.take(at(now));
+            loads.push_back(now);
+            while (loads.front() < now - window)
+                loads.pop_front();
+            EXPECT_LE(static_cast<double>(loads.size()), rate * window * 1.1 + 3) << rate << " at " << now;
+        }
+    }
+}
+
+// Guards against a new owner that starts with loads saved up which its predecessor has used.
+TEST(LoadAllowance, StartsEmpty) { EXPECT_FALSE(LoadAllowance(2.1, at(100)).isAvailable(at(100))); }
+
+// Guards against a rise of demand that is seen too late, and against copies dropped in a short pause.
+TEST(DemandMeter, SeesARiseFastAndForgetsSlowly)
+{
+    DemandMeter meter;
+    GenerationNeed need;
+    need.model = ModelId("m");
+    need.promptTokens = TokenCount(9200);
+    need.maxOutputTokens = TokenCount(80);
+    const double work = engineSeconds(need) * 10;
+    double now = 0;
+    for (; now < 1.2; now += 0.1)
+        meter.record(need, at(now));
+    ASSERT_EQ(meter.read(at(now)).size(), 1u);
+    EXPECT_GT(meter.read(at(now))[0].work, 0.5 * work);
+    for (; now < 20; now += 0.1)
+        meter.record(need, at(now));
+    EXPECT_NEAR(meter.read(at(now))[0].work, work, 0.2 * work);
+    EXPECT_GT(meter.read(at(now + 3))[0].work, 0.4 * work);
+    EXPECT_TRUE(meter.read(at(now + 120)).empty());
+}
+
+} // namespace
+} // namespace lychee::fleet
--- /dev/null
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -0,0 +1,202 @@
+#include "fleet/PlacementLease.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace lychee::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+TimePoint at(Duration time) { return TimePoint(time); }
+
+// The row in the platform's table, with compare-and-set.
+struct Table {
+    std::optional<LeaseRow> row;
+    std::uint64_t version = 0;
+
+    bool write(RowVersion expected, const LeaseRow& next)
+    {
+        if (expected.value() != version)
+            return false;
+        row = next;
+        ++version;
+        return true;
+    }
+};
+
+void read(PlacementLease& lease, const Table& table, TimePoint now)
+{
+    lease.observed(table.row, RowVersion(table.version), now);
+}
+
+// One step of an instance whose calls take no time.
+void step(PlacementLease& lease, Table& table, TimePoint now)
+{
+    switch (lease.next(now)) {
+    case LeaseStep::Wait:
+        return;
+    case LeaseStep::Read:
+        return read(lease, table, now);
+    case LeaseStep::Write:
+        if (table.write(lease.expectedVersion(), lease.row()))
+            lease.written(RowVersion(table.version), now, now);
+        else
+            read(lease, table, now);
+        return;
+    }
+}
+
+// Guards against a start at which nobody may order for seconds although nobody has ordered before.
+TEST(PlacementLease, FirstHolderActsAtOnce)
+{
+    Table table;
+    PlacementLease lease(InstanceId("a"), {});
+    step(lease, table, at(1s));
+    EXPECT_FALSE(lease.mayAct(at(1s)));
+    step(lease, table, at(1s));
+    EXPECT_TRUE(lease.mayAct(at(1s)));
+    EXPECT_EQ(lease.fence(), FencingNumber(1));
+}
+
+// Guards against orders of two holders to one target within one lease: the successor of a dead holder waits until the
+// last order that the dead one could have sent is one lease old.
+TEST(PlacementLease, SuccessorWaitsOutTheLastOrder)
+{
+    Table table;
+    const PlacementLeaseOptions options;
+    PlacementLease first(InstanceId("a"), options);
+    PlacementLease second(InstanceId("b"), options);
+    step(first, table, at(1s));
+    step(first, table, at(1s));
+    const TimePoint lastOrder = at(1s) + options.actWindow - 1ms;
+    ASSERT_TRUE(first.mayAct(lastOrder));
+    ASSERT_FALSE(first.mayAct(at(1s) + options.actWindow));
+    // The first instance is dead from now on.
+    TimePoint now = at(1s);
+    while (!second.mayAct(now)) {
+        step(second, table, now);
+        now += 50ms;
+        ASSERT_LT(now, at(20s)) << "the lease is never taken over";
+    }
+    EXPECT_GE(now - lastOrder, options.lease);
+    EXPECT_EQ(second.fence(), FencingNumber(2));
+}
+
+// Guards against a holder that goes on after a pause or a suspension in which others took the lease.
+TEST(PlacementLease, HolderThatPausedDoesNotAct)
+{
+    Table table;
+    PlacementLease first(InstanceId("a"), {});
+    PlacementLease second(InstanceId("b"), {});
+    step(first, table, at(1s));
+    step(first, table, at(1s));
+    for (TimePoint now = at(1s); now < at(9s); now += 50ms)
+        step(second, table, now);
+    ASSERT_TRUE(second.mayAct(at(9s)));
+    EXPECT_FALSE(first.mayAct(at(9s)));
+    step(first, table, at(9s));
+    EXPECT_FALSE(first.isHolder());
+    EXPECT_FALSE(first.mayAct(at(9s)));
+}
+
+// Guards against a write whose answer was lost: it is read back, and a write that took effect does not let its sender
+// act earlier than the lease of the predecessor allows.
+TEST(PlacementLease, LostAnswerIsReadBack)
+{
+    Table table;
+    table.row = LeaseRow{InstanceId("dead"), FencingNumber(4)};
+    table.version = 7;
+    PlacementLease lease(InstanceId("a"), {});
+    read(lease, table, at(1s));
+    TimePoint now = at(1s);
+    while (lease.next(now) != LeaseStep::Write) {
+        if (lease.next(now) == LeaseStep::Read)
+            read(lease, table, now);
+        now += 50ms;
+    }
+    ASSERT_TRUE(table.write(lease.expectedVersion(), lease.row()));
+    lease.failed(now);
+    EXPECT_FALSE(lease.mayAct(now));
+    now += 600ms;
+    ASSERT_EQ(lease.next(now), LeaseStep::Read);
+    read(lease, table, now);
+    EXPECT_TRUE(lease.isHolder());
+    const TimePoint known = now;
+    while (!lease.mayAct(now)) {
+        step(lease, table, now);
+        now += 50ms;
+        ASSERT_LT(now, at(30s));
+    }
+    EXPECT_GE(now - known, PlacementLeaseOptions().lease);
+}
+
+// Guards against two holders at once in any order of steps, pauses, lost answers and outages of the table.
+TEST(PlacementLease, NeverHasTwoHoldersWithinALease)
+{
+    constexpr int seeds = 200;
+    for (int seed = 0; seed < seeds; ++seed) {
+        std::mt19937 random(static_cast<std::uint32_t>(seed));
+        Table table;
+        PlacementLeaseOptions options;
+        std::vector<PlacementLease> leases;
+        std::vector<TimePoint> pausedUntil(3);
+        for (int i = 0; i < 3; ++i) {
+            options.takeDelay = std::chrono::milliseconds(random() % 300);
+            leases.emplace_back(InstanceId(fmt::format("instance-{}", i)), options);
+        }
+        std::optional<std::size_t> lastActor;
+        TimePoint lastAct;
+        for (TimePoint now = at(1s); now < at(60s); now += 20ms) {
+            for (std::size_t i = 0; i < leases.size(); ++i) {
+                if (now < pausedUntil[i])
+                    continue;
+                if (random() % 400 == 0)
+                    pausedUntil[i] = now + std::chrono::milliseconds(random() % 6000);
+                PlacementLease& lease = leases[i];
+                const LeaseStep next = lease.next(now);
+                if (next == LeaseStep::Write && random() % 10 == 0) {
+                    // Half of the writes without an answer take effect.
+                    if (random() % 2 == 0)
+                        table.write(lease.expectedVersion(), lease.row());
+                    lease.failed(now);
+                } else {
+                    step(lease, table, now);
+                }
+                if (!lease.mayAct(now))
+                    continue;
+                if (lastActor && *lastActor != i) {
+                    ASSERT_GE(now - lastAct, options.lease) << "seed " << seed;
+                }
+                lastActor = i;
+                lastAct = now;
+            }
+        }
+        EXPECT_TRUE(lastActor.has_value()) << "seed " << seed;
+    }
+}
+
+// Guards against a stop that leaves placement without an owner for longer than needed.
+TEST(PlacementLease, ReleasedLeaseIsTakenSooner)
+{
+    Table table;
+    PlacementLease first(InstanceId("a"), {});
+    PlacementLease second(InstanceId("b"), {});
+    step(first, table, at(1s));
+    step(first, table, at(1s));
+    step(second, table, at(1s));
+    first.release();
+    EXPECT_FALSE(first.mayAct(at(1s)));
+    step(first, table, at(1100ms));
+    EXPECT_TRUE(first.isReleased());
+    TimePoint now = at(1200ms);
+    while (!second.isHolder()) {
+        step(second, table, now);
+        now += 50ms;
+        ASSERT_LT(now, at(3s));
+    }
+}
+
+} // namespace
+} // namespace lychee::fleet
--- /dev/null
+++ b/tests/unit/ResendRuleTest.cpp
@@ -0,0 +1,77 @@
+#include "fleet/ResendRule.h"
+
+#include <gtest/gtest.h>
+
+namespace lychee::fleet {
+namespace {
+
+Route routeOf(RequestKind kind, bool resumable, int attempts)
+{
+    Route route;
+    route.kind = kind;
+    route.resumable = resumable;
+    route.attempts = attempts;
+    return route;
+}
+
+// Guards against a booking that runs twice: after any byte was sent and no proof came, it is never sent again.
+TEST(ResendRule, NeverRepeatsWhatMayHaveRun)
+{
+    for (const Route& route : {routeOf(RequestKind::NonIdempotent, false, 3), routeOf(RequestKind::Streaming, false, 3),
+             routeOf(RequestKind::NonIdempotent, true, 3)}) {
+        for (const SendResult result : {SendResult::OutcomeUnknown, SendResult::TargetFailed}) {
+            SendHistory history;
+            history.add(result);
+            const NextStep step = nextStep(route, history, result, true);
+            EXPECT_NE(step, NextStep::SendAgain);
+            EXPECT_NE(step, NextStep::Refuse);
+        }
+        EXPECT_FALSE(mayResendAfterUnknown(route, {}));
+    }
+}
+
+// Guards against a refusal that says "not run" although an earlier send may have run.
+TEST(ResendRule, RefusesOnlyWhatHasNotRun)
+{
+    const Route route = routeOf(RequestKind::Idempotent, false, 3);
+    SendHistory history;
+    history.add(SendResult::OutcomeUnknown);
+    history.add(SendResult::NotRun);
+    EXPECT_EQ(nextStep(route, history, SendResult::NotRun, false), NextStep::ReportUnknown);
+    SendHistory fresh;
+    fresh.add(SendResult::NotRun);
+    EXPECT_EQ(nextStep(route, fresh, SendResult::NotRun, false), NextStep::Refuse);
+}
+
+// Guards against a request that runs on more targets than its route allows.
+TEST(ResendRule, KeepsToTheAttemptsOfTheRoute)
+{
+    const Route route = routeOf(RequestKind::Idempotent, false, 2);
+    SendHistory history;
+    history.add(SendResult::OutcomeUnknown);
+    EXPECT_EQ(nextStep(route, history, SendResult::OutcomeUnknown, true), NextStep::SendAgain);
+    history.add(SendResult::TargetFailed);
+    EXPECT_EQ(nextStep(route, history, SendResult::TargetFailed, true), NextStep::PassFailure);
+}
+
+// Guards against sends without end when every target turns a request away, and against spending the retry budget on
+// targets that were never reached.
+TEST(ResendRule, BoundsTheSendsOfOneRequest)
+{
+    const Route route = routeOf(RequestKind::NonIdempotent, false, 1);
+    SendHistory history;
+    int sends = 0;
+    do {
+        history.add(SendResult::NotRun);
+        ++sends;
+        ASSERT_LT(sends, 100);
+    } while (nextStep(route, history, SendResult::NotRun, true) == NextStep::SendAgain);
+    SendHistory unreached;
+    unreached.add(SendResult::NotSent);
+    EXPECT_EQ(nextStep(route, unreached, SendResult::NotSent, false), NextStep::SendAgain);
+    EXPECT_FALSE(drawsOnBudget(SendResult::NotSent));
+    EXPECT_TRUE(drawsOnBudget(SendResult::NotRun));
+}
+
+} // namespace
+} // namespace lychee::fleet
--- /dev/null
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -0,0 +1,257 @@
+#include "fleet/TargetChoice.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace lychee::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId hall("hall");
+const ModelId model("m");
+
+TimePoint at(Duration time) { return TimePoint(time); }
+
+TargetRecord record(int index, std::vector<AdapterId> adapters = {})
+{
+    TargetRecord result;
+    result.id = TargetId(fmt::format("t{}", index));
+    result.service = hall;
+    result.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + index)};
+    result.dataCentre = DataCentreId("a");
+    result.birth = TargetBirth(1);
+    result.slots = 64;
+    result.holdings.models.push_back({model, 1, {adapters.begin(), adapters.end()}});
+    return result;
+}
+
+Service service()
+{
+    Service result;
+    result.id = hall;
+    result.engine.emplace();
+    result.engine->slots = 64;
+    result.engine->cacheTokens = 232000;
+    result.engine->adapterSlots = 5;
+    result.engine->models.push_back({model, 65000, 12, 9, 5s, 1s, 400ms});
+    return result;
+}
+
+GenerationNeed need(std::uint64_t first, std::uint64_t second, std::uint64_t own)
+{
+    GenerationNeed result;
+    result.model = model;
+    result.parts = {{first, TokenCount(2500)}, {second, TokenCount(3800)}, {own, TokenCount(2900)}};
+    result.promptTokens = TokenCount(9200);
+    result.maxOutputTokens = TokenCount(80);
+    return result;
+}
+
+class TargetChoiceTest : public testing::Test {
+protected:
+    std::variant<ChosenTarget, NoTarget> choose(
+        const TargetBoard& board, const GenerationNeed* wanted, Duration remaining = 6s) const
+    {
+        return chooseTarget(
+            board, {service_, wanted, DataCentreId("a"), now_, remaining, excluded_, adaptersLoadable_});
+    }
+
+    std::string chosen(const TargetBoard& board, const GenerationNeed* wanted) const
+    {
+        const auto choice = choose(board, wanted);
+        const auto* target = std::get_if<ChosenTarget>(&choice);
+        return target ? target->target.value() : "none";
+    }
+
+    NoTargetReason reason(const TargetBoard& board, const GenerationNeed* wanted, Duration remaining = 6s) const
+    {
+        return std::get<NoTarget>(choose(board, wanted, remaining)).reason;
+    }
+
+    static TargetBoard boardOf(int count)
+    {
+        TargetBoard board;
+        for (int i = 0; i < count; ++i)
+            board.update(record(i));
+        return board;
+    }
+
+    Service service_ = service();
+    TimePoint now_ = at(10s);
+    std::vector<TargetId> excluded_;
+    bool adaptersLoadable_ = true;
+};
+
+// Guards against instances that each read the same shared prompt on another engine: without talk all choose the same.
+TEST_F(TargetChoiceTest, InstancesAgreeOnTheEngineOfASharedPrompt)
+{
+    std::set<std::string> used;
+    for (std::uint64_t prompt = 0; prompt < 30; ++prompt) {
+        const GenerationNeed one = need(1, prompt, 100 + prompt);
+        const GenerationNeed other = need(1, prompt, 900 + prompt);
+        const TargetBoard here = boardOf(6);
+        const TargetBoard there = boardOf(6);
+        EXPECT_EQ(chosen(here, &one), chosen(there, &other)) << prompt;
+        used.insert(chosen(here, &one));
+    }
+    EXPECT_GT(used.size(), 3u) << "all prompts go to few engines";
+}
+
+// Guards against a hot prompt that keeps all its requests on one engine while the others are idle.
+TEST_F(TargetChoiceTest, LeavesThePreferredEngineWhenItsQueueCostsMoreThanReadingAgain)
+{
+    TargetBoard board = boardOf(4);
+    const GenerationNeed wanted = need(1, 2, 3);
+    std::set<std::string> used;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        const GenerationNeed next = need(1, 2, 100 + i);
+        const auto choice = choose(board, &next);
+        const auto& target = std::get<ChosenTarget>(choice);
+        used.insert(target.target.value());
+        board.beginSend(target.target, &next, now_);
+    }
+    EXPECT_GT(used.size(), 1u);
+}
+
+// Guards against the work of peers being overlooked, and against old news of it being believed for ever.
+TEST_F(TargetChoiceTest, CountsTheFreshWorkOfPeers)
+{
+    TargetBoard board = boardOf(2);
+    const GenerationNeed wanted = need(1, 2, 3);
+    const std::string preferred = chosen(board, &wanted);
+    const std::vector<WorkShare> shares{{TargetId(preferred), {20, 90000, 180000}}};
+    board.recordPeerWork(InstanceId("peer"), shares, now_);
+    EXPECT_NE(chosen(board, &wanted), preferred);
+    now_ += 5s;
+    EXPECT_EQ(chosen(board, &wanted), preferred);
+}
+
+// Guards against new requests for targets that leave, are gone, or were tried for the same request.
+TEST_F(TargetChoiceTest, UsesNoTargetThatLeavesOrWasTried)
+{
+    TargetBoard board = boardOf(2);
+    TargetRecord leaving = record(0);
+    leaving.draining = true;
+    board.update(leaving);
+    const GenerationNeed wanted = need(1, 2, 3);
+    EXPECT_EQ(chosen(board, &wanted), "t1");
+    excluded_ = {TargetId("t1")};
+    EXPECT_EQ(chosen(board, &wanted), "none");
+    excluded_.clear();
+    board.remove(TargetId("t1"));
+    EXPECT_EQ(reason(board, &wanted), NoTargetReason::NoTargets);
+}
+
+// Guards against a request that waits for a model which nobody holds, or for an answer that cannot be in time.
+TEST_F(TargetChoiceTest, RefusesAtOnceWhatCannotBeServed)
+{
+    TargetBoard board = boardOf(1);
+    GenerationNeed wanted = need(1, 2, 3);
+    wanted.model = ModelId("elsewhere");
+    EXPECT_EQ(reason(board, &wanted), NoTargetReason::ModelNotHeld);
+    wanted.model = model;
+    EXPECT_EQ(reason(board, &wanted, 100ms), NoTargetReason::TooBusy);
+    wanted.promptTokens = TokenCount(300000);
+    EXPECT_EQ(reason(board, &wanted), NoTargetReason::TooLarge);
+}
+
+// Guards against adapters that are loaded where another engine has them, and against a wait for one that cannot be
+// loaded now.
+TEST_F(TargetChoiceTest, PrefersTheEngineThatHasTheAdapter)
+{
+    TargetBoard board;
+    board.update(record(0));
+    board.update(record(1, {AdapterId("a3")}));
+    GenerationNeed wanted = need(1, 2, 3);
+    wanted.parts.clear();
+    wanted.promptTokens = TokenCount(800);
+    wanted.adapter = AdapterId("a3");
+    EXPECT_EQ(chosen(board, &wanted), "t1");
+    wanted.adapter = AdapterId("a4");
+    EXPECT_TRUE(std::get<ChosenTarget>(choose(board, &wanted)).adapterMissing);
+    adaptersLoadable_ = false;
+    EXPECT_EQ(reason(board, &wanted), NoTargetReason::AdapterNotHeld);
+}
+
+// Guards against a target that fails part of its requests and still gets its full share, and against taking every
+// target out when all fail.
+TEST_F(TargetChoiceTest, AvoidsTargetsThatFailUnlessAllDo)
+{
+    TargetBoard board = boardOf(2);
+    const GenerationNeed wanted = need(1, 2, 3);
+    const std::string preferred = chosen(board, &wanted);
+    for (int i = 0; i < 4; ++i)
+        board.endSend(board.beginSend(TargetId(preferred), nullptr, now_), SendOutcome::Failed, now_);
+    const std::string other = chosen(board, &wanted);
+    EXPECT_NE(other, preferred);
+    for (int i = 0; i < 4; ++i)
+        board.endSend(board.beginSend(TargetId(other), nullptr, now_), SendOutcome::Failed, now_);
+    EXPECT_NE(chosen(board, &wanted), "none");
+    now_ += 30s;
+    EXPECT_EQ(chosen(board, &wanted), preferred);
+}
+
+// Guards against plain services whose requests pile up on one target.
+TEST_F(TargetChoiceTest, SpreadsPlainRequests)
+{
+    service_.engine.reset();
+    TargetBoard board = boardOf(3);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 30; ++i) {
+        const auto choice = choose(board, nullptr);
+        const auto& target = std::get<ChosenTarget>(choice);
+        ++counts[target.target.value()];
+        board.beginSend(target.target, nullptr, now_);
+    }
+    for (const auto& [target, count] : counts)
+        EXPECT_EQ(count, 10) << target;
+}
+
+// Guards against the counts of a target that go wrong when it restarts, leaves the list or a send ends twice.
+TEST(TargetBoard, KeepsItsCountsThroughRestarts)
+{
+    TargetBoard board;
+    board.update(record(0));
+    const GenerationNeed wanted = need(1, 2, 3);
+    const SendId before = board.beginSend(TargetId("t0"), &wanted, at(1s));
+    TargetRecord restarted = record(0);
+    restarted.birth = TargetBirth(2);
+    board.update(restarted);
+    const SendId after = board.beginSend(TargetId("t0"), &wanted, at(1s));
+    board.endSend(before, SendOutcome::Failed, at(1s));
+    EXPECT_EQ(board.find(TargetId("t0"))->own.running, 1u);
+    board.prefillDone(after);
+    EXPECT_EQ(board.find(TargetId("t0"))->own.prefillTokens, 0);
+    board.endSend(after, SendOutcome::Answered, at(1s));
+    board.endSend(after, SendOutcome::Answered, at(1s));
+    EXPECT_EQ(board.find(TargetId("t0"))->own.running, 0u);
+    EXPECT_TRUE(board.ownWork().empty());
+    const SendId gone = board.beginSend(TargetId("t0"), &wanted, at(1s));
+    board.remove(TargetId("t0"));
+    board.endSend(gone, SendOutcome::Answered, at(1s));
+    EXPECT_EQ(board.size(), 0u);
+}
+
+// Guards against entries of the list, which lag, that undo what the placement owner has told since.
+TEST(TargetBoard, KeepsTheNewestHoldings)
+{
+    TargetBoard board;
+    board.update(record(0));
+    Holdings told;
+    told.sequence = OrderSequence(5);
+    told.models.push_back({ModelId("new"), 1, {}});
+    board.updateHoldings(TargetId("t0"), TargetBirth(1), told);
+    board.update(record(0));
+    EXPECT_TRUE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
+    board.updateHoldings(TargetId("t0"), TargetBirth(9), {});
+    EXPECT_TRUE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
+    TargetRecord later = record(0);
+    later.holdings.sequence = OrderSequence(6);
+    board.update(later);
+    EXPECT_FALSE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
+}
+
+} // namespace
+} // namespace lychee::fleet
