Wait for models on their way, load right after an unload, share the resend window

Cause 2: between the unload that makes room and the load passed 400 to 600 ms, because the end of the unload was seen in a report of 200 ms ago and the load planned in the next pass. Ruled out: a lower Retry-After (callers come back at a third of their time anyway). Change: the owner tells what it loads and until when, and requests that can still be in time wait for it; the load is ordered until the engine takes it, which proves that the unload is done; the budget counts its window exactly; two unreached targets of a data centre stand for all of it. Memory and places are checked when the order is sent, not when it was asked for.

--- a/bench/decisions/OwnPolicy.cpp
+++ b/bench/decisions/OwnPolicy.cpp
@@ -36,7 +36,7 @@
     budget.enabled = switches_.retryBudget;
     for (std::size_t i = 0; i < simulation.deployment().instances.size(); ++i)
         instances_.push_back({nullptr, LoadTable(catalogue), PrefixAffinity(catalogue.targetCount()),
-            Admission(configuration, admission), RetryBudget<>(budget)});
+            Admission(configuration, admission), RetryBudget(budget)});
     for (Instance& instance : instances_)
         instance.loads.setSenders(instances_.size());
     placeInitially();
--- a/bench/decisions/OwnPolicy.h
+++ b/bench/decisions/OwnPolicy.h
@@ -43,7 +43,7 @@
         LoadTable loads;
         PrefixAffinity affinity;
         Admission admission;
-        RetryBudget<> budget;
+        RetryBudget budget;
     };
     struct Delayed {
         double at = 0;
--- a/src/daemon/Dispatcher.h
+++ b/src/daemon/Dispatcher.h
@@ -102,7 +102,7 @@
     std::unique_ptr<PrefixAffinity> affinity_;
     std::unique_ptr<Admission> admission_;
     std::unique_ptr<DemandTracker> demand_;
-    RetryBudget<> retryBudget_;
+    RetryBudget retryBudget_;
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/src/fleet/PlacementPlan.cpp
+++ b/src/fleet/PlacementPlan.cpp
@@ -18,6 +18,9 @@
 constexpr double evictionCost = 0.15;
 constexpr double loadSecondCost = 0.04;
 
+// Giving up one of few copies costs more than one of many: demand returns to models that had it before.
+constexpr double scarceCopyCost = 0.2;
+
 // Another copy in the same data centre is worth less than one in another: the loss of a data centre takes both.
 constexpr double sameDataCentreCost = 0.05;
 
@@ -173,19 +176,26 @@
         const PlannedEngine& planned = engines_[i];
         Place place{i, {}, use_[i]};
         double room = freeMegabytes(engine_, planned);
-        std::vector<std::pair<double, const HeldModel*>> releasable;
+        struct Releasable {
+            double use = 0;
+            std::size_t copies = 0;
+            const HeldModel* held = nullptr;
+        };
+        std::vector<Releasable> releasable;
         for (const HeldModel& held : planned.models) {
             if (const std::optional<double> use = useAfterRelease(held.model))
-                releasable.emplace_back(*use, &held);
+                releasable.push_back({*use, holdersOf(held.model).size(), &held});
         }
-        std::sort(releasable.begin(), releasable.end(),
-            [](const auto& left, const auto& right) { return left.first < right.first; });
-        for (const auto& [use, held] : releasable) {
+        // Among idle models one with many copies gives one up.
+        std::sort(releasable.begin(), releasable.end(), [](const Releasable& left, const Releasable& right) {
+            return left.use != right.use ? left.use < right.use : left.copies > right.copies;
+        });
+        for (const auto& [use, copies, held] : releasable) {
             if (room >= model.weightMegabytes)
                 break;
             room += heldMegabytes(engine_, *held);
             place.evicted.push_back(held->model);
-            place.cost += evictionCost + use;
+            place.cost += evictionCost + use + scarceCopyCost / static_cast<double>(std::max<std::size_t>(copies, 1));
         }
         if (room < model.weightMegabytes)
             return std::nullopt;
@@ -218,13 +228,23 @@
         used_[place.engine] = true;
         if (!place.evicted.empty()) {
             const ModelId& evicted = place.evicted.front();
-            orders_.push_back({planned.id, ModelOrderKind::Unload, evicted, PlanReason::Room, false});
+            ModelOrder order{planned.id, ModelOrderKind::Unload, evicted, PlanReason::Room, false, Duration(0), {}};
+            // The load follows at once where one unload is enough.
+            if (place.evicted.size() == 1) {
+                order.roomFor = wish.model->id;
+                order.fromStore = isFromStore(planned, wish.model->id);
+                order.loadTime = loadTime(planned, *wish.model);
+                if (order.fromStore)
+                    --storeLoads_;
+            }
+            orders_.push_back(std::move(order));
             std::erase(holders_[evicted], place.engine);
         } else {
             const bool fromStore = isFromStore(planned, wish.model->id);
             if (fromStore)
                 --storeLoads_;
-            orders_.push_back({planned.id, ModelOrderKind::Load, wish.model->id, wish.reason, fromStore});
+            orders_.push_back({planned.id, ModelOrderKind::Load, wish.model->id, wish.reason, fromStore,
+                loadTime(planned, *wish.model), {}});
         }
         // Counted as a copy also while room is being made, so that the same wish is not granted twice.
         holders_[wish.model->id].push_back(place.engine);
--- a/src/fleet/PlacementPlan.h
+++ b/src/fleet/PlacementPlan.h
@@ -52,6 +52,10 @@
     PlanReason reason = PlanReason::Missing;
     // The weights come from the weight store, whose loads are limited.
     bool fromStore = true;
+    // How long the load takes.
+    Duration loadTime{0};
+    // The model for which an unload makes room; it is loaded as soon as the unload is complete.
+    std::optional<ModelId> roomFor;
 
     bool operator==(const ModelOrder&) const = default;
 };
--- a/src/fleet/TargetBoard.cpp
+++ b/src/fleet/TargetBoard.cpp
@@ -31,6 +31,10 @@
 constexpr Duration firstEjection = std::chrono::milliseconds(500);
 constexpr int maxEjectionDoublings = 3;
 
+// A data centre counts as cut off when this many of its targets could not be reached within this time.
+constexpr std::size_t unreachedTargets = 2;
+constexpr Duration unreachedAge = std::chrono::milliseconds(1500);
+
 // How long a target that said it is full is used last.
 constexpr Duration fullPause = std::chrono::milliseconds(150);
 
@@ -86,8 +90,10 @@
     // Entries lag behind what the placement owner has told.
     if (known.sequence > record.holdings.sequence)
         state->record.holdings = std::move(known);
-    else if (known.sequence == record.holdings.sequence)
+    else if (known.sequence == record.holdings.sequence) {
         state->record.holdings.arriving = std::move(known.arriving);
+        state->record.holdings.loading = std::move(known.loading);
+    }
     if (moved)
         rebuildServices();
 }
@@ -183,8 +189,42 @@
     recordHealth(state, outcome, now);
 }
 
+void TargetBoard::recordReach(const TargetState& state, SendOutcome outcome, TimePoint now)
+{
+    Reach& reach = reach_[state.record.dataCentre];
+    if (outcome == SendOutcome::Unreachable || outcome == SendOutcome::Silent)
+        reach.unreached[state.record.id] = now;
+    else if (outcome == SendOutcome::Answered || outcome == SendOutcome::Full)
+        reach.unreached.clear();
+}
+
+bool TargetBoard::isCutOff(const DataCentreId& dataCentre, TimePoint now) const
+{
+    const auto found = reach_.find(dataCentre);
+    if (found == reach_.end())
+        return false;
+    std::size_t count = 0;
+    for (const auto& [target, time] : found->second.unreached)
+        count += now - time <= unreachedAge && targets_.contains(target) ? 1 : 0;
+    return count >= unreachedTargets;
+}
+
+void TargetBoard::noteMissing(const TargetId& id, const GenerationNeed& need)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    auto& models = found->second->record.holdings.models;
+    for (HeldModel& held : models) {
+        if (held.model == need.model && need.adapter && held.adapters.erase(*need.adapter) > 0)
+            return;
+    }
+    std::erase_if(models, [&](const HeldModel& held) { return held.model == need.model; });
+}
+
 void TargetBoard::recordHealth(TargetState& state, SendOutcome outcome, TimePoint now)
 {
+    recordReach(state, outcome, now);
     const bool failed
         = outcome == SendOutcome::Unreachable || outcome == SendOutcome::Failed || outcome == SendOutcome::Silent;
     if (outcome == SendOutcome::Full)
--- a/src/fleet/TargetBoard.h
+++ b/src/fleet/TargetBoard.h
@@ -4,6 +4,7 @@
 #include "fleet/CallerRequest.h"
 #include "fleet/TargetRecord.h"
 
+#include <map>
 #include <span>
 #include <unordered_map>
 
@@ -101,6 +102,12 @@
 
     void endSend(SendId send, SendOutcome outcome, TimePoint now);
 
+    // Whether a data centre seems to be cut off: several of its targets could not be reached lately, and none was.
+    bool isCutOff(const DataCentreId& dataCentre, TimePoint now) const;
+
+    // A target has said that it does not hold the model, or the adapter, although its last entry says so.
+    void noteMissing(const TargetId& id, const GenerationNeed& need);
+
     // Null when the target is not listed.
     const TargetState* find(const TargetId& id) const;
 
@@ -119,11 +126,18 @@
         double heldTokens = 0;
     };
 
+    // Targets of a data centre that could not be reached since one of them last was.
+    struct Reach {
+        std::map<TargetId, TimePoint> unreached;
+    };
+
     void rebuildServices();
+    void recordReach(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
 
     std::unordered_map<TargetId, std::unique_ptr<TargetState>> targets_;
     std::unordered_map<ServiceId, std::vector<TargetState*>> byService_;
+    std::map<DataCentreId, Reach> reach_;
     std::unordered_map<SendId, Send> sends_;
     SendId nextSend_{1};
 };
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -45,8 +45,16 @@
 // other events and for errors of the estimate.
 constexpr double admittedPart = 0.8;
 
-// Time in which a model that is wanted and not held is loaded, from the sheets (2 to 5.8 s).
-constexpr Duration modelLoadTime = std::chrono::seconds(4);
+// Time after which a service without targets may have some again: targets restart within a few seconds.
+constexpr Duration noTargetsRetry = std::chrono::seconds(2);
+
+// Time in which the placement owner orders a load: a report of demand, a plan and the way to the engine.
+constexpr Duration orderWait = std::chrono::milliseconds(900);
+
+// Each output token of a request waits for the prompt pieces that its engine reads meanwhile: a request with this many
+// output tokens is held up by all of the prompts that are waiting.
+constexpr double outputTokensHeldUp = 150;
+constexpr double longestHoldUp = 2;
 
 // Shortest time after which a refused caller is told to return.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(200);
@@ -63,14 +71,15 @@
 class Choice {
 public:
     Choice(const TargetBoard& board, const ChoiceInput& input)
-        : input_(input)
+        : board_(board)
+        , input_(input)
         , targets_(board.ofService(input.service.id))
     {
         if (input.need)
             partHashes_ = promptPartHashes(*input.need);
     }
 
-    std::variant<ChosenTarget, NoTarget> run()
+    TargetDecision run()
     {
         if (input_.need && input_.service.engine
             && static_cast<double>(input_.need->promptTokens.value()) > input_.service.engine->cacheTokens)
@@ -81,16 +90,16 @@
             if (!isEligible(*state))
                 continue;
             const Candidate candidate = evaluate(*state);
-            if (candidate.adapterMissing && !input_.adaptersLoadable)
+            if (candidate.adapterMissing && !input_.placementReached)
                 continue;
             if (!best || candidate.cost < best->cost)
                 best = candidate;
         }
-        if (!best)
-            return noCandidate();
-        const Duration predicted = toDuration(best->milliseconds);
         const Duration admitted(
             static_cast<Duration::rep>(static_cast<double>(input_.remaining.count()) * admittedPart));
+        if (!best)
+            return noCandidate(admitted);
+        const Duration predicted = toDuration(best->milliseconds);
         if (predicted > admitted)
             return NoTarget{NoTargetReason::TooBusy, std::max(predicted - admitted, shortestRetryAfter)};
         const TargetRecord& record = best->state->record;
@@ -156,6 +165,7 @@
             candidate.milliseconds += promptTokensToRead(state) / prefillTokensPerMillisecond;
             candidate.milliseconds += memoryWait(work);
             against = static_cast<double>(work.running) * batchMilliseconds;
+            against += work.prefillTokens / prefillTokensPerMillisecond * holdUp();
             evaluateAdapter(state, candidate, against);
         } else {
             against *= slotMilliseconds;
@@ -165,12 +175,19 @@
         against += state.decayedFailureShare(input_.now) * failureMilliseconds;
         if (state.fullUntil > input_.now)
             against += fullMilliseconds;
-        if (state.ejectedUntil > input_.now)
+        if (state.ejectedUntil > input_.now || board_.isCutOff(state.record.dataCentre, input_.now))
             against += lastResortMilliseconds;
         candidate.cost = candidate.milliseconds + against;
         return candidate;
     }
 
+    double holdUp() const
+    {
+        const TokenCount output
+            = std::min(input_.need->outputHint.value_or(input_.need->maxOutputTokens), input_.need->maxOutputTokens);
+        return std::min(longestHoldUp, static_cast<double>(output.value()) / outputTokensHeldUp);
+    }
+
     double memoryWait(const TargetWork& work) const
     {
         const double room = input_.service.engine->cacheTokens * memoryUse;
@@ -194,7 +211,7 @@
             against += adapterEvictionMilliseconds;
     }
 
-    NoTarget noCandidate() const
+    TargetDecision noCandidate(Duration admitted) const
     {
         bool anyTarget = false;
         bool anyHolder = false;
@@ -205,14 +222,38 @@
             anyHolder = anyHolder || holdsModel(*state);
         }
         if (!anyTarget)
-            return {NoTargetReason::NoTargets, modelLoadTime};
+            return NoTarget{NoTargetReason::NoTargets, noTargetsRetry};
         if (!anyHolder)
-            return {NoTargetReason::ModelNotHeld, modelLoadTime};
-        if (!input_.adaptersLoadable && input_.need && input_.need->adapter)
-            return {NoTargetReason::AdapterNotHeld, std::chrono::seconds(1)};
-        return {NoTargetReason::TooBusy, shortestRetryAfter};
+            return modelMissing(admitted);
+        if (!input_.placementReached && input_.need && input_.need->adapter)
+            return NoTarget{NoTargetReason::AdapterNotHeld, std::chrono::seconds(1)};
+        return NoTarget{NoTargetReason::TooBusy, shortestRetryAfter};
+    }
+
+    // A request waits for a model that is being loaded if it can still be in time; the caller could not come back
+    // later and be served sooner. One that nobody loads yet waits for the owner's next plan.
+    TargetDecision modelMissing(Duration admitted) const
+    {
+        const fleet::Model* model = input_.service.engine ? input_.service.engine->find(input_.need->model) : nullptr;
+        if (!model)
+            return NoTarget{NoTargetReason::ModelNotHeld, noTargetsRetry};
+        std::optional<TimePoint> ready;
+        for (const TargetState* state : targets_) {
+            const auto& loading = state->record.holdings.loading;
+            if (loading && loading->first == input_.need->model && !state->record.draining)
+                ready = std::min(ready.value_or(TimePoint::max()), loading->second);
+        }
+        const bool hoped = input_.placementReached && input_.waited < orderWait;
+        if (!ready && !hoped)
+            return NoTarget{NoTargetReason::ModelNotHeld, model->storeLoad};
+        const TimePoint expected = std::max(ready.value_or(input_.now + model->storeLoad), input_.now);
+        const double tokens = static_cast<double>(input_.need->promptTokens.value());
+        if (expected - input_.now + toDuration(tokens / prefillTokensPerMillisecond) > admitted)
+            return NoTarget{NoTargetReason::ModelNotHeld, expected - input_.now + shortestRetryAfter};
+        return AwaitedModel{expected};
     }
 
+    const TargetBoard& board_;
     const ChoiceInput& input_;
     std::span<TargetState* const> targets_;
     std::vector<std::uint64_t> partHashes_;
@@ -238,7 +279,7 @@
     return "unknown";
 }
 
-std::variant<ChosenTarget, NoTarget> chooseTarget(const TargetBoard& board, const ChoiceInput& input)
+TargetDecision chooseTarget(const TargetBoard& board, const ChoiceInput& input)
 {
     return Choice(board, input).run();
 }
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -20,8 +20,10 @@
     Duration remaining{0};
     // Targets that were tried for this request.
     std::span<const TargetId> excluded;
-    // Whether a missing adapter can be loaded now.
-    bool adaptersLoadable = true;
+    // Whether the placement owner is reached, so that missing models and adapters are loaded.
+    bool placementReached = true;
+    // How long the request has waited for a model that nobody loads yet.
+    Duration waited{0};
 };
 
 struct ChosenTarget {
@@ -34,6 +36,11 @@
     bool adapterMissing = false;
 };
 
+// No target holds the model yet; one will soon enough for the request.
+struct AwaitedModel {
+    TimePoint expectedAt;
+};
+
 enum class NoTargetReason {
     // The service has no target that takes work.
     NoTargets,
@@ -55,6 +62,8 @@
 
 std::string_view nameOf(NoTargetReason reason);
 
-std::variant<ChosenTarget, NoTarget> chooseTarget(const TargetBoard& board, const ChoiceInput& input);
+using TargetDecision = std::variant<ChosenTarget, AwaitedModel, NoTarget>;
+
+TargetDecision chooseTarget(const TargetBoard& board, const ChoiceInput& input);
 
 } // namespace lychee::fleet
--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -34,6 +34,9 @@
     std::set<std::pair<ModelId, AdapterId>> arriving;
     // An order is being carried out.
     bool busy = false;
+    // The model that the placement owner has ordered, and when it will be there at the latest estimate. On the clock
+    // of this process.
+    std::optional<std::pair<ModelId, TimePoint>> loading;
 
     // Null when the model is not held.
     const HeldModel* find(const ModelId& id) const;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -21,8 +21,8 @@
     std::function<void(const TargetId&)> gone;
     std::function<void(const TargetId&, fleet::TargetBirth, const fleet::Holdings&)> holdingsChanged;
     std::function<void(const InstanceId&, std::vector<fleet::WorkShare>)> peerWork;
-    // Whether adapters can be loaded, and how many instances share the retry budget.
-    std::function<void(bool adaptersLoadable, std::size_t instances)> surroundings;
+    // Whether the placement owner is reached, and how many instances share the retry budget.
+    std::function<void(bool placementReached, std::size_t instances)> surroundings;
     // Suspends the fiber; fills in the work, the demand and the uses of this instance.
     std::function<void(MeshStatus&)> readStatus;
 };
@@ -176,7 +176,7 @@
                 },
             [this](const fleet::TargetRecord& record) {
                 relay_.holdingsChanged(record.id, record.birth, record.holdings);
-                mesh_->broadcast(toMessage(record.id, record.birth, record.holdings));
+                mesh_->broadcast(toMessage(record.id, record.birth, record.holdings, currentTime()));
             }};
     }
 
@@ -290,7 +290,7 @@
         if (!owner_.owns())
             return;
         for (const fleet::TargetRecord& record : owner_.desk().records())
-            mesh_->send(peer, toMessage(record.id, record.birth, record.holdings)).IgnoreError();
+            mesh_->send(peer, toMessage(record.id, record.birth, record.holdings, currentTime())).IgnoreError();
     }
 
     void lost(const InstanceId& peer)
@@ -364,7 +364,7 @@
     void take(const InstanceId& peer, const MeshHoldings& message)
     {
         if (peer == lease_.lease().holder())
-            relay_.holdingsChanged(message.target, message.birth, fromMessage(message));
+            relay_.holdingsChanged(message.target, message.birth, fromMessage(message, currentTime()));
     }
 
     void take(const InstanceId& peer, const MeshEnsureAdapter& message)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -154,14 +154,13 @@
             postToRelay(
                 [this, peer, shares = std::move(shares)] { parts_.board.recordPeerWork(peer, shares, currentTime()); });
         };
-        port.surroundings = [this](bool adaptersLoadable, std::size_t instances) {
-            if (adaptersLoadable == adaptersLoadable_ && instances == instances_)
-                return;
-            gatewayLog.info("placement_reached={} instances={}", adaptersLoadable, instances);
-            adaptersLoadable_ = adaptersLoadable;
+        port.surroundings = [this](bool placementReached, std::size_t instances) {
+            if (placementReached != placementReached_ || instances != instances_)
+                gatewayLog.info("placement_reached={} instances={}", placementReached, instances);
+            placementReached_ = placementReached;
             instances_ = instances;
-            postToRelay([this, adaptersLoadable, instances, settings = settings_] {
-                parts_.adaptersLoadable = adaptersLoadable;
+            postToRelay([this, placementReached, instances, settings = settings_] {
+                parts_.placementReached = placementReached;
                 setBudget(*settings, std::max(instances, assumedInstances));
             });
         };
@@ -202,16 +201,14 @@
         return result.ok() ? *result : result.status();
     }
 
-    // The budget is shared by all instances, each of which takes an equal part. A third of the allowance may be saved
-    // from requests and from the floor each, the last third flows in during a window.
+    // The budget is shared by all instances, each of which takes an equal part.
     void setBudget(const GatewaySettings& settings, std::size_t instances)
     {
-        const double share = settings.retries.slack() / static_cast<double>(instances) / 3;
-        RetryBudgetOptions options;
+        fleet::ResendBudgetOptions options;
         options.part = settings.retries.part();
-        options.floorPerSecond = share / settings.retries.windowSeconds();
-        options.maxFloor = share;
-        options.maxSaved = share;
+        options.share = settings.retries.slack() / static_cast<double>(instances);
+        options.window = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(settings.retries.windowSeconds()));
         parts_.resends.setOptions(options);
     }
 
@@ -338,7 +335,7 @@
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> metrics_;
     std::unique_ptr<boost::asio::signal_set> signals_;
-    bool adaptersLoadable_ = false;
+    bool placementReached_ = false;
     std::atomic<std::size_t> instances_{0};
     std::atomic<bool> stopping_{false};
     std::promise<int> stopped_;
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -11,17 +11,27 @@
     return MessageCodec::decode<MeshMessage>(meshProtocolVersion, payload);
 }
 
-MeshHoldings toMessage(const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings)
+MeshHoldings toMessage(
+    const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings, TimePoint now)
 {
-    MeshHoldings message{target, birth, holdings.sequence, {}, {}};
+    MeshHoldings message;
+    message.target = target;
+    message.birth = birth;
+    message.sequence = holdings.sequence;
     for (const fleet::HeldModel& held : holdings.models)
         message.models.push_back({held.model, held.version, {held.adapters.begin(), held.adapters.end()}});
     for (const auto& [model, adapter] : holdings.arriving)
         message.arriving.push_back({model, adapter});
+    if (holdings.loading) {
+        message.loading = holdings.loading->first;
+        const Duration left = std::max(holdings.loading->second - now, Duration(0));
+        message.loadingMs
+            = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+    }
     return message;
 }
 
-fleet::Holdings fromMessage(const MeshHoldings& message)
+fleet::Holdings fromMessage(const MeshHoldings& message, TimePoint now)
 {
     fleet::Holdings holdings;
     holdings.sequence = message.sequence;
@@ -29,6 +39,8 @@
         holdings.models.push_back({held.model, held.version, {held.adapters.begin(), held.adapters.end()}});
     for (const MeshAdapter& arriving : message.arriving)
         holdings.arriving.emplace(arriving.model, arriving.adapter);
+    if (!message.loading.empty())
+        holdings.loading.emplace(message.loading, now + std::chrono::milliseconds(message.loadingMs));
     return holdings;
 }
 
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -113,8 +113,11 @@
     fleet::OrderSequence sequence;
     std::vector<MeshHeldModel> models;
     std::vector<MeshAdapter> arriving;
+    // The model that is being loaded, empty when there is none, and the estimated time until it is there.
+    ModelId loading;
+    std::uint32_t loadingMs = 0;
 
-    auto fields() { return std::tie(target, birth, sequence, models, arriving); }
+    auto fields() { return std::tie(target, birth, sequence, models, arriving, loading, loadingMs); }
 };
 
 // Asks the owner of placement to load an adapter.
@@ -151,9 +154,10 @@
 // Fails with ProtocolError.
 absl::StatusOr<MeshMessage> decodeMeshMessage(std::string_view payload);
 
-MeshHoldings toMessage(const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings);
+MeshHoldings toMessage(
+    const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings, TimePoint now);
 
-fleet::Holdings fromMessage(const MeshHoldings& message);
+fleet::Holdings fromMessage(const MeshHoldings& message, TimePoint now);
 
 std::vector<MeshWork> toMessage(const std::vector<fleet::WorkShare>& shares);
 
--- a/src/gateway/OrderDesk.h
+++ b/src/gateway/OrderDesk.h
@@ -10,6 +10,7 @@
 #include "transport/Log.h"
 #include "transport/TransportError.h"
 
+#include <array>
 #include <deque>
 #include <map>
 
@@ -27,7 +28,12 @@
     // Adapters take 5 to 10 ms.
     static constexpr Duration adapterLoad = std::chrono::milliseconds(10);
     // An adapter that was used this recently may still be in use; instances tell its uses five times a second.
-    static constexpr Duration adapterInUse = std::chrono::milliseconds(600);
+    static constexpr Duration adapterInUse = std::chrono::milliseconds(400);
+    // Time beyond that of the load itself until instances know that a model is there.
+    static constexpr Duration loadMargin = std::chrono::milliseconds(300);
+    // Waits before each try to load after an unload, which takes as long as the last request of the model.
+    static constexpr std::array<Duration, 5> unloadPauses{std::chrono::milliseconds(25), std::chrono::milliseconds(50),
+        std::chrono::milliseconds(100), std::chrono::milliseconds(200), std::chrono::milliseconds(400)};
     // Adapters that may be on their way to one engine.
     static constexpr std::size_t adaptersArriving = 4;
     // An engine that did not answer is left alone for this time.
@@ -153,59 +159,38 @@
     }
 
     // Returns once the adapter is held. Suspends the calling fiber.
-    absl::Status ensureAdapter(const fleet::Model& model, int places, double freeMegabytes, const TargetId& target,
-        const AdapterId& adapter, TimePoint deadline)
+    absl::Status ensureAdapter(
+        const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
         const auto found = slots_.find(target);
         if (found == slots_.end())
             return makeError(TransportError::Stopped, "this instance does not own the engine");
         const std::shared_ptr<Slot> slot = found->second;
-        slot->lastUse[{model.id, adapter}] = currentTime();
-        if (holds(*slot, model.id, adapter))
+        slot->lastUse[{model, adapter}] = currentTime();
+        if (holds(*slot, model, adapter))
             return absl::OkStatus();
         if (slot->wishes.size() >= OrderLimits::waiting)
             return makeError(TransportError::RingFull, "too many adapters wait for the engine");
         for (const std::shared_ptr<Wish>& wish : slot->wishes) {
-            if (wish->model == model.id && wish->adapter == adapter)
+            if (wish->model == model && wish->adapter == adapter)
                 return await(wish, deadline);
         }
         auto wish = std::make_shared<Wish>();
-        wish->model = model.id;
+        wish->model = model;
         wish->adapter = adapter;
-        wish->places = places;
-        wish->fits = freeMegabytes >= model.adapterMegabytes;
         wish->deadline = deadline;
         slot->wishes.push_back(wish);
         start(slot);
         return await(wish, deadline);
     }
 
-    // Memory that an engine has left.
-    double freeMegabytes(const fleet::Engine& engine, const TargetId& target) const
-    {
-        const auto found = slots_.find(target);
-        if (found == slots_.end())
-            return 0;
-        fleet::PlannedEngine planned;
-        planned.models = found->second->record.holdings.models;
-        planned.arriving = found->second->arriving;
-        double free = fleet::freeMegabytes(engine, planned);
-        // What arrives by an order of an earlier owner is not known; it may be the largest model.
-        if (found->second->unsettled) {
-            double largest = 0;
-            for (const fleet::Model& model : engine.models)
-                largest = std::max(largest, model.weightMegabytes);
-            free -= largest;
-        }
-        return free;
-    }
+    // The configuration in force.
+    void setRoutes(std::shared_ptr<const fleet::RouteTable> routes) { routes_ = std::move(routes); }
 
 private:
     struct Wish {
         ModelId model;
         AdapterId adapter;
-        int places = 0;
-        bool fits = false;
         TimePoint deadline;
         bool done = false;
         absl::Status status;
@@ -240,6 +225,25 @@
             && !slot.record.draining && currentTime() >= slot.pausedUntil;
     }
 
+    const fleet::Engine* engineOf(const Slot& slot) const
+    {
+        const fleet::Service* service = routes_ ? routes_->service(slot.record.service) : nullptr;
+        return service && service->engine ? &*service->engine : nullptr;
+    }
+
+    // Memory that the engine has left. What arrives by an order of an earlier owner is not known; it may be the
+    // largest model.
+    static double freeMegabytes(const fleet::Engine& engine, const Slot& slot)
+    {
+        fleet::PlannedEngine planned;
+        planned.models = slot.record.holdings.models;
+        planned.arriving = slot.arriving;
+        double largest = 0;
+        for (const fleet::Model& model : engine.models)
+            largest = std::max(largest, model.weightMegabytes);
+        return fleet::freeMegabytes(engine, planned) - (slot.unsettled ? largest : 0);
+    }
+
     static bool isMoving(const Slot& slot) { return slot.arriving || slot.leaving || slot.unsettled; }
 
     static absl::Status await(std::shared_ptr<Wish> wish, TimePoint deadline)
@@ -339,7 +343,10 @@
         // A report from before the last order says nothing about the state after it.
         if (report.holdings.sequence < slot.record.holdings.sequence && slot.synced)
             return;
+        const auto loading = std::move(slot.record.holdings.loading);
         slot.record.holdings = report.holdings;
+        if (report.holdings.busy)
+            slot.record.holdings.loading = loading;
         slot.record.weightsInMemory = report.weightsInMemory;
         slot.record.weightsOnDisk = report.weightsOnDisk;
         slot.synced = true;
@@ -391,6 +398,9 @@
         const fleet::ModelOrder order = *slot->planned;
         slot->planned.reset();
         const bool load = order.kind == fleet::ModelOrderKind::Load;
+        // Adapters may have come since the plan was made.
+        if (load && !fits(*slot, order.model))
+            return;
         const EngineOrderKind kind = load ? EngineOrderKind::Load : EngineOrderKind::Unload;
         const OrderAnswer answer = send(slot, kind, order.model, std::nullopt);
         if (!isCurrent(slot, term))
@@ -399,7 +409,7 @@
             return;
         slot->nextReport = currentTime() + OrderLimits::reportInterval;
         if (load) {
-            slot->arriving = order.model;
+            beginLoad(*slot, order.model, order.loadTime);
         } else {
             // New requests for the model are turned away from now on.
             std::erase_if(
@@ -407,6 +417,46 @@
             slot->leaving = order.model;
         }
         handlers_.changed(slot->record);
+        if (order.roomFor)
+            loadAfterUnload(slot, order, term);
+    }
+
+    // Whether a model fits beside what the engine holds now.
+    bool fits(const Slot& slot, const ModelId& model) const
+    {
+        const fleet::Engine* engine = engineOf(slot);
+        const fleet::Model* declared = engine ? engine->find(model) : nullptr;
+        return declared && freeMegabytes(*engine, slot) >= declared->weightMegabytes;
+    }
+
+    static void beginLoad(Slot& slot, const ModelId& model, Duration loadTime)
+    {
+        slot.arriving = model;
+        slot.record.holdings.loading.emplace(model, currentTime() + loadTime + OrderLimits::loadMargin);
+    }
+
+    // Orders a load until the engine takes it. An engine carries out one order at a time, so one that takes the load
+    // has completed the unload before it, and its memory is free.
+    void loadAfterUnload(const std::shared_ptr<Slot>& slot, const fleet::ModelOrder& unload, std::uint64_t term)
+    {
+        for (const Duration pause : OrderLimits::unloadPauses) {
+            sleepFor(pause);
+            if (!isCurrent(slot, term) || !fits(*slot, *unload.roomFor))
+                return;
+            const OrderAnswer answer = send(slot, EngineOrderKind::Load, *unload.roomFor, std::nullopt);
+            if (!isCurrent(slot, term))
+                return;
+            if (answer == OrderAnswer::Conflict)
+                continue;
+            if (!advance(*slot, EngineOrderKind::Load, answer))
+                return;
+            slot->leaving.reset();
+            slot->nextReport = currentTime() + OrderLimits::reportInterval;
+            beginLoad(*slot, *unload.roomFor, unload.loadTime);
+            handlers_.changed(slot->record);
+            return;
+        }
+        // Requests still run on the model that makes way; the planner decides anew once it is gone.
     }
 
     absl::Status grant(const std::shared_ptr<Slot>& slot, const Wish& wish, std::uint64_t term)
@@ -420,7 +470,12 @@
             return makeError(TransportError::Stopped, "the engine does not hold the model");
         if (holdings.arriving.size() >= OrderLimits::adaptersArriving)
             return makeError(TransportError::RingFull, "too many adapters are on their way to the engine");
-        if (holdings.adapterCount() >= static_cast<std::size_t>(wish.places) || !wish.fits) {
+        const fleet::Engine* engine = engineOf(*slot);
+        const fleet::Model* declared = engine ? engine->find(wish.model) : nullptr;
+        if (!declared)
+            return makeError(TransportError::Stopped, "the model is not declared");
+        const bool placeFree = holdings.adapterCount() < static_cast<std::size_t>(std::max(engine->adapterSlots, 0));
+        if (!placeFree || freeMegabytes(*engine, *slot) < declared->adapterMegabytes) {
             absl::Status room = makeRoom(slot, term);
             if (!room.ok())
                 return room;
@@ -479,6 +534,7 @@
     Duty& duty_;
     Handlers handlers_;
     Channel channel_;
+    std::shared_ptr<const fleet::RouteTable> routes_;
     std::map<TargetId, std::shared_ptr<Slot>> slots_;
     // Counts begin() and end(), so that fibers of an earlier time end.
     std::uint64_t term_ = 0;
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -31,6 +31,7 @@
         if (!owns_ || !table)
             return;
         table_ = table;
+        desk_.setRoutes(table);
         desk_.followUp();
         for (const fleet::Service& service : table->services()) {
             if (service.engine)
@@ -58,16 +59,9 @@
     absl::Status ensureAdapter(
         const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
-        if (!owns_ || !table_)
+        if (!owns_)
             return makeError(TransportError::Stopped, "this instance does not own placement");
-        for (const fleet::Service& service : table_->services()) {
-            const fleet::Model* declared = service.engine ? service.engine->find(model) : nullptr;
-            if (!declared)
-                continue;
-            return desk_.ensureAdapter(*declared, service.engine->adapterSlots,
-                desk_.freeMegabytes(*service.engine, target), target, adapter, deadline);
-        }
-        return makeError(TransportError::Stopped, "the model is not declared");
+        return desk_.ensureAdapter(target, model, adapter, deadline);
     }
 
 private:
@@ -99,9 +93,9 @@
         const std::vector<fleet::PlannedEngine> engines = desk_.engines(service.id);
         const std::vector<fleet::ModelOrder> orders = fleet::planModels(*service.engine, engines, demand, storeLoads);
         for (const fleet::ModelOrder& order : orders) {
-            placementLog.info("target={} plan={} model={} reason={} store={}", order.target,
+            placementLog.info("target={} plan={} model={} reason={} room_for={} store={}", order.target,
                 order.kind == fleet::ModelOrderKind::Load ? "load" : "unload", order.model, nameOf(order.reason),
-                order.fromStore);
+                order.roomFor.value_or(ModelId("-")), order.fromStore);
             // Counted when it is planned, because the order may take effect whatever its answer is.
             if (order.fromStore)
                 loads_->take(now);
--- a/src/gateway/RelayParts.h
+++ b/src/gateway/RelayParts.h
@@ -3,9 +3,9 @@
 
 #include "daemon/MetricsSink.h"
 #include "fleet/DemandMeter.h"
+#include "fleet/ResendBudget.h"
 #include "fleet/TargetBoard.h"
 #include "fleet/TargetChoice.h"
-#include "state/RetryBudget.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/Published.h"
@@ -22,7 +22,7 @@
     std::shared_ptr<Published<fleet::RouteTable>> routes;
     fleet::TargetBoard board;
     fleet::DemandMeter demand;
-    RetryBudget<ServiceId> resends;
+    fleet::ResendBudget resends;
     HttpClient http;
     MetricsSink* metrics = nullptr;
     // Has an adapter loaded on a target; suspends the fiber. Fails when the placement owner is not reached.
@@ -31,8 +31,8 @@
     using AdapterOnTarget = std::tuple<TargetId, ModelId, AdapterId>;
     std::map<AdapterOnTarget, int> adaptersInUse;
     std::set<AdapterOnTarget> adaptersUsed;
-    // Whether the placement owner is known and reached.
-    bool adaptersLoadable = false;
+    // Whether the placement owner is known and reached, so that models and adapters are loaded.
+    bool placementReached = false;
 };
 
 // How a relayed request ended, for its log line and its metrics.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -15,7 +15,7 @@
 // Limits of relaying, each with its unit in the type.
 struct RelayLimits {
     // Opening a connection to a target a few milliseconds away.
-    static constexpr Duration connect = std::chrono::milliseconds(400);
+    static constexpr Duration connect = std::chrono::milliseconds(250);
     // A request that must not run twice goes only to a connection that was used this recently; an older one may have
     // been forgotten on the way, and then nobody knows whether the request ran.
     static constexpr Duration freshIdle = std::chrono::milliseconds(800);
@@ -26,6 +26,8 @@
     // An engine that was told to load an adapter turns requests away until it is there.
     static constexpr Duration adapterPause = std::chrono::milliseconds(15);
     static constexpr int adapterPauses = 3;
+    // How often a request that waits for a model looks for it.
+    static constexpr Duration modelPause = std::chrono::milliseconds(50);
     // A stream that has begun waits this long between tries to continue it elsewhere.
     static constexpr Duration resumePause = std::chrono::milliseconds(100);
     // Callers abandon a stream after a gap of two seconds or more.
@@ -148,15 +150,19 @@
                     noTarget(*none);
                 continue;
             }
+            if (const auto* awaited = std::get_if<fleet::AwaitedModel>(&choice)) {
+                awaitModel(*awaited);
+                continue;
+            }
             sendTo(std::get<fleet::ChosenTarget>(choice));
         }
     }
 
-    std::variant<fleet::ChosenTarget, fleet::NoTarget> choose() const
+    fleet::TargetDecision choose() const
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, parts_.dataCentre, now,
-            deadline_ - now, excluded_, parts_.adaptersLoadable};
+            deadline_ - now, excluded_, parts_.placementReached, modelWait_};
         return fleet::chooseTarget(parts_.board, input);
     }
 
@@ -170,6 +176,17 @@
         return true;
     }
 
+    // Looks again often, because loads are done sooner or later than expected, and callers leave.
+    void awaitModel(const fleet::AwaitedModel& awaited)
+    {
+        if (modelWait_ == Duration(0)) {
+            relayLog.info("request={} model={} awaited expected_ms={}", caller_.attempt, caller_.generation->model,
+                std::chrono::duration_cast<std::chrono::milliseconds>(awaited.expectedAt - currentTime()).count());
+        }
+        sleepFor(RelayLimits::modelPause);
+        modelWait_ += RelayLimits::modelPause;
+    }
+
     void noTarget(const fleet::NoTarget& none)
     {
         if (begun_)
@@ -204,6 +221,9 @@
             adapterLoadedAt_ = currentTime();
             return true;
         }
+        // Nobody else need wait for an owner that does not answer; the control duty tells when it is reached again.
+        if (errorOf<TransportError>(status) == TransportError::TimedOut)
+            parts_.placementReached = false;
         relayLog.info("request={} target={} adapter={}/{} not loaded: {}", caller_.attempt, target.target, need.model,
             *need.adapter, messageOf(status));
         lastProblem_ = "the adapter could not be loaded";
@@ -224,7 +244,7 @@
         limits.maxIdle = route_->isRepeatable() ? RelayLimits::idle : RelayLimits::freshIdle;
         limits.cancellation = cancellation_;
         limits.belongs = [id = caller_.attempt](const HttpHeaders& headers) { return Dialect::belongs(headers, id); };
-        if (fleet::mayResendAfterUnknown(*route_, history_) && parts_.resends.hasRetry(service_->id, now)) {
+        if (fleet::mayResendAfterUnknown(*route_, history_) && parts_.resends.isAvailable(service_->id, now)) {
             limits.headerTimeout = patienceFor(target);
             if (route_->kind == fleet::RequestKind::Streaming)
                 limits.interByteTimeout = std::max(limits.headerTimeout, 2 * route_->pauseObjective);
@@ -291,11 +311,15 @@
             attempt, answer.misdirected || adapterArriving ? fleet::SendOutcome::Declined : fleet::SendOutcome::Full);
         if (status == 400)
             return reject(400, "the target rejected the request");
+        if (answer.misdirected && caller_.generation && !adapterArriving)
+            parts_.board.noteMissing(attempt.target.target, *caller_.generation);
         if (adapterArriving) {
             ++adapterPauses_;
             sleepFor(RelayLimits::adapterPause);
-            if (parts_.resends.takeRetry(service_->id, currentTime()))
+            if (parts_.resends.isAvailable(service_->id, currentTime())) {
+                parts_.resends.take(service_->id, currentTime());
                 return;
+            }
         }
         proceed(attempt, fleet::SendResult::NotRun, fmt::format("status {}", status));
     }
@@ -317,7 +341,7 @@
         lastProblem_ = std::string(problem);
         excluded_.push_back(attempt.target.target);
         const TimePoint now = currentTime();
-        const bool budget = parts_.resends.hasRetry(service_->id, now);
+        const bool budget = parts_.resends.isAvailable(service_->id, now);
         const fleet::NextStep step = fleet::nextStep(*route_, history_, result, budget);
         relayLog.info("request={} route={} target={} send={} problem=\"{}\" next={} budget={} left_ms={}",
             caller_.attempt, route_->id, attempt.target.target, history_.sends, problem, static_cast<int>(step), budget,
@@ -325,7 +349,7 @@
         switch (step) {
         case fleet::NextStep::SendAgain:
             if (fleet::drawsOnBudget(result))
-                parts_.resends.takeRetry(service_->id, now);
+                parts_.resends.take(service_->id, now);
             return;
         case fleet::NextStep::Refuse:
             if (begun_)
@@ -523,6 +547,7 @@
     TimePoint lastEventAt_;
     std::optional<TimePoint> adapterLoadedAt_;
     int adapterPauses_ = 0;
+    Duration modelWait_{0};
     // The failure that a target reported, for the case that no other target answers.
     std::optional<HttpResponse> failure_;
     TargetId lastTarget_;
--- a/src/state/RetryBudget.h
+++ b/src/state/RetryBudget.h
@@ -1,65 +1,34 @@
-// Limits retries to a part of the requests, for each team or each service.
+// Limits the retries of each team to a part of its requests.
 #pragma once
 
 #include "protocol/Ids.h"
 #include "transport/RuntimeClock.h"
 
-#include <algorithm>
-#include <unordered_map>
-
 namespace lychee {
 
 struct RetryBudgetOptions {
     bool enabled = true;
     // Retries per request.
     double part = 0.1;
-    // Retries a second that each key always has, so that one with few requests can retry at all.
+    // Retries a second that a team always has, so that a team with few requests can retry at all.
     double floorPerSecond = 0.2;
-    // Retries that the floor saves up at most; also what a new key starts with.
-    double maxFloor = 2;
-    // Retries from requests that may be saved up.
+    // Retries that may be saved up.
     double maxSaved = 50;
 };
 
-// The budgets of one instance, one for each key.
-template <typename Key = TeamId> class RetryBudget {
+// The budgets of all teams, of one instance.
+class RetryBudget {
 public:
     explicit RetryBudget(RetryBudgetOptions options = {})
         : options_(options)
     {
     }
 
-    // Changes the limits; what is saved beyond them is lost.
-    void setOptions(RetryBudgetOptions options) { options_ = options; }
-
     // Records a first attempt.
-    void request(const Key& key, TimePoint now)
-    {
-        Saved& saved = refill(key, now);
-        saved.fromRequests = std::min(options_.maxSaved, saved.fromRequests + options_.part);
-    }
-
-    // Whether takeRetry() would succeed.
-    bool hasRetry(const Key& key, TimePoint now)
-    {
-        const Saved& saved = refill(key, now);
-        return !options_.enabled || saved.fromRequests >= oneRetry || saved.fromFloor >= oneRetry;
-    }
+    void request(const TeamId& team, TimePoint now);
 
     // Takes one retry from the budget; false if there is none left.
-    bool takeRetry(const Key& key, TimePoint now)
-    {
-        if (!options_.enabled)
-            return true;
-        Saved& saved = refill(key, now);
-        for (double* balance : {&saved.fromRequests, &saved.fromFloor}) {
-            if (*balance >= oneRetry) {
-                *balance -= 1;
-                return true;
-            }
-        }
-        return false;
-    }
+    bool takeRetry(const TeamId& team, TimePoint now);
 
 private:
     struct Saved {
@@ -68,23 +37,10 @@
         TimePoint updated;
     };
 
-    // Sums of tenths fall short of whole numbers by rounding.
-    static constexpr double oneRetry = 1 - 1e-9;
-
-    Saved& refill(const Key& key, TimePoint now)
-    {
-        const auto [found, added] = saved_.try_emplace(key, Saved{0, options_.maxFloor, now});
-        Saved& saved = found->second;
-        const double elapsed = std::chrono::duration<double>(now - saved.updated).count();
-        saved.fromFloor
-            = std::min(options_.maxFloor, saved.fromFloor + std::max(0.0, elapsed) * options_.floorPerSecond);
-        saved.fromRequests = std::min(options_.maxSaved, saved.fromRequests);
-        saved.updated = now;
-        return saved;
-    }
+    Saved& refill(const TeamId& team, TimePoint now);
 
     RetryBudgetOptions options_;
-    std::unordered_map<Key, Saved> saved_;
+    std::unordered_map<TeamId, Saved> teams_;
 };
 
 } // namespace lychee
--- /dev/null
+++ b/tests/unit/ResendBudgetTest.cpp
@@ -0,0 +1,82 @@
+#include "fleet/ResendBudget.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+namespace lychee::fleet {
+namespace {
+
+TimePoint at(double seconds) { return TimePoint(Duration(static_cast<Duration::rep>(seconds * 1e9))); }
+
+// Requests in the window that ends at `end`, or in the one that ended half a window or a whole one earlier, whichever
+// has most: the users' rule counts them so, because a failure follows its request.
+double requestsFor(const std::deque<double>& requests, double end, double window)
+{
+    double most = 0;
+    for (const double offset : {0.0, window / 2, window}) {
+        const auto count = std::count_if(requests.begin(), requests.end(),
+            [&](double time) { return time > end - offset - window && time <= end - offset; });
+        most = std::max(most, static_cast<double>(count));
+    }
+    return most;
+}
+
+// Guards against a storm of sends: in every window those of all instances stay within the shared allowance.
+TEST(ResendBudget, AllInstancesTogetherKeepTheAllowanceInEveryWindow)
+{
+    constexpr double slack = 52;
+    constexpr double part = 0.2;
+    constexpr double window = 10;
+    constexpr std::size_t instances = 6;
+    const ServiceId service("s");
+    for (std::uint32_t seed = 0; seed < 20; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<ResendBudget> budgets(instances);
+        for (ResendBudget& budget : budgets)
+            budget.setOptions({part, slack / instances, std::chrono::seconds(10)});
+        std::deque<double> requests;
+        std::deque<double> sends;
+        for (double now = 0; now < 40; now += 0.01) {
+            ResendBudget& budget = budgets[random() % instances];
+            // Load comes in waves, and every request wants to be sent again.
+            if (random() % (static_cast<int>(now / 8) % 2 == 0 ? 2 : 20) == 0) {
+                budget.request(service, at(now));
+                requests.push_back(now);
+            }
+            while (budget.isAvailable(service, at(now))) {
+                budget.take(service, at(now));
+                sends.push_back(now);
+            }
+            while (!requests.empty() && requests.front() <= now - 2 * window)
+                requests.pop_front();
+            while (!sends.empty() && sends.front() <= now - window)
+                sends.pop_front();
+            ASSERT_LE(static_cast<double>(sends.size()), part * requestsFor(requests, now, window) + slack + 1e-6)
+                << "seed " << seed << " at " << now;
+        }
+    }
+}
+
+// Guards against a budget that is too small for the streams of one target that crashes, although few other sends have
+// drawn on it: what the requests of the last seconds allow can be used at once.
+TEST(ResendBudget, AllowsABurstAfterAQuietTime)
+{
+    ResendBudget budget;
+    budget.setOptions({0.2, 5, std::chrono::seconds(10)});
+    const ServiceId service("s");
+    for (double now = 0; now < 9; now += 0.1)
+        budget.request(service, at(now));
+    int sends = 0;
+    for (; budget.isAvailable(service, at(9)); ++sends)
+        budget.take(service, at(9));
+    EXPECT_GE(sends, 20);
+    EXPECT_FALSE(budget.isAvailable(service, at(15)));
+    EXPECT_TRUE(budget.isAvailable(ServiceId("other"), at(15)));
+    EXPECT_TRUE(budget.isAvailable(service, at(40)));
+}
+
+} // namespace
+} // namespace lychee::fleet
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -51,11 +51,11 @@
 
 class TargetChoiceTest : public testing::Test {
 protected:
-    std::variant<ChosenTarget, NoTarget> choose(
+    TargetDecision choose(
         const TargetBoard& board, const GenerationNeed* wanted, Duration remaining = 6s) const
     {
         return chooseTarget(
-            board, {service_, wanted, DataCentreId("a"), now_, remaining, excluded_, adaptersLoadable_});
+            board, {service_, wanted, DataCentreId("a"), now_, remaining, excluded_, placementReached_, waited_});
     }
 
     std::string chosen(const TargetBoard& board, const GenerationNeed* wanted) const
@@ -81,7 +81,8 @@
     Service service_ = service();
     TimePoint now_ = at(10s);
     std::vector<TargetId> excluded_;
-    bool adaptersLoadable_ = true;
+    bool placementReached_ = true;
+    Duration waited_{0};
 };
 
 // Guards against instances that each read the same shared prompt on another engine: without talk all choose the same.
@@ -149,7 +150,7 @@
 {
     TargetBoard board = boardOf(1);
     GenerationNeed wanted = need(1, 2, 3);
-    wanted.model = ModelId("elsewhere");
+    wanted.model = ModelId("undeclared");
     EXPECT_EQ(reason(board, &wanted), NoTargetReason::ModelNotHeld);
     wanted.model = model;
     EXPECT_EQ(reason(board, &wanted, 100ms), NoTargetReason::TooBusy);
@@ -157,6 +158,48 @@
     EXPECT_EQ(reason(board, &wanted), NoTargetReason::TooLarge);
 }
 
+// Guards against a caller that is sent away and comes back in vain although the model will be there in time, and
+// against one that waits for a model which cannot be there in time or which nobody loads.
+TEST_F(TargetChoiceTest, WaitsOnlyForAModelThatIsThereInTime)
+{
+    service_.engine->models.push_back({ModelId("rare"), 65000, 12, 0, 3s, 1s, 400ms});
+    TargetBoard board = boardOf(1);
+    GenerationNeed wanted = need(1, 2, 3);
+    wanted.model = ModelId("rare");
+    EXPECT_TRUE(std::holds_alternative<AwaitedModel>(choose(board, &wanted, 6s)));
+    EXPECT_EQ(reason(board, &wanted, 3s), NoTargetReason::ModelNotHeld);
+    waited_ = 2s;
+    EXPECT_EQ(reason(board, &wanted, 6s), NoTargetReason::ModelNotHeld);
+    Holdings loading;
+    loading.sequence = OrderSequence(1);
+    loading.loading.emplace(ModelId("rare"), now_ + 1s);
+    board.updateHoldings(TargetId("t0"), TargetBirth(1), loading);
+    const auto choice = choose(board, &wanted, 3s);
+    ASSERT_TRUE(std::holds_alternative<AwaitedModel>(choice));
+    EXPECT_EQ(std::get<AwaitedModel>(choice).expectedAt, now_ + 1s);
+    EXPECT_EQ(reason(board, &wanted, 1s), NoTargetReason::ModelNotHeld);
+}
+
+// Guards against request after request that waits for a connection into a data centre that is cut off.
+TEST_F(TargetChoiceTest, LeavesADataCentreThatIsCutOff)
+{
+    TargetBoard board;
+    for (int i = 0; i < 6; ++i) {
+        TargetRecord entry = record(i);
+        entry.dataCentre = DataCentreId(i < 3 ? "b" : "c");
+        board.update(entry);
+    }
+    for (int i = 0; i < 2; ++i)
+        board.endSend(board.beginSend(TargetId(fmt::format("t{}", i)), nullptr, now_), SendOutcome::Unreachable, now_);
+    EXPECT_TRUE(board.isCutOff(DataCentreId("b"), now_));
+    for (std::uint64_t prompt = 0; prompt < 20; ++prompt) {
+        const GenerationNeed wanted = need(1, prompt, 3);
+        EXPECT_EQ(board.find(TargetId(chosen(board, &wanted)))->record.dataCentre, DataCentreId("c"));
+    }
+    board.endSend(board.beginSend(TargetId("t2"), nullptr, now_), SendOutcome::Answered, now_);
+    EXPECT_FALSE(board.isCutOff(DataCentreId("b"), now_));
+}
+
 // Guards against adapters that are loaded where another engine has them, and against a wait for one that cannot be
 // loaded now.
 TEST_F(TargetChoiceTest, PrefersTheEngineThatHasTheAdapter)
@@ -171,7 +214,7 @@
     EXPECT_EQ(chosen(board, &wanted), "t1");
     wanted.adapter = AdapterId("a4");
     EXPECT_TRUE(std::get<ChosenTarget>(choose(board, &wanted)).adapterMissing);
-    adaptersLoadable_ = false;
+    placementReached_ = false;
     EXPECT_EQ(reason(board, &wanted), NoTargetReason::AdapterNotHeld);
 }
 
