Place copies by squared use and leave copies in use alone

Change: relief is the change of the sum of squared uses; a copy in use for more than 12% of its engine's time and one loaded less than 5 s ago stay; one model order at a time for each engine; work of output tokens as the sheets have it; the resend window is used to nine tenths, because waves of load broke the users' rule in the test; memory above 95% counts as a wait of seconds.

--- a/src/fleet/DemandMeter.cpp
+++ b/src/fleet/DemandMeter.cpp
@@ -9,15 +9,15 @@
 // Time constants of the averages, in seconds. The short one is half of the time in which demand moves on the
 // deployments (4 to 6 s) and holds some twenty requests of a busy model.
 constexpr double fastSeconds = 1.2;
-constexpr double slowSeconds = 5;
+constexpr double slowSeconds = 3;
 
 // Demand below this is forgotten: less than one short request a minute.
 constexpr double forgottenWork = 0.0005;
 
 // Seconds of an engine for each prompt token that is read (38.7 tokens a millisecond on the sheets), and for each
-// output token in a batch of usual size.
+// output token: what one more request adds to a step of the batch.
 constexpr double secondsPerPromptToken = 1 / 38700.0;
-constexpr double secondsPerOutputToken = 0.0004;
+constexpr double secondsPerOutputToken = 0.00006;
 
 // Part of the shared prompt tokens that is not in the cache of the engine that is chosen.
 constexpr double sharedTokensRead = 0.35;
--- a/src/fleet/PlacementPlan.cpp
+++ b/src/fleet/PlacementPlan.cpp
@@ -1,28 +1,37 @@
 #include "fleet/PlacementPlan.h"
 
+#include <limits>
 #include <unordered_map>
 
 namespace lychee::fleet {
 
 namespace {
 
-// A model wants another copy when its holders are busy for more than this part of their time. Low, because a copy
-// takes seconds to load and prompts are read in bursts.
-constexpr double fullUse = 0.45;
+// Uses below this are no reason to move anything: waits are short up to about half use.
+constexpr double idleUse = 0.2;
 
-// A copy may make way when the remaining holders of its model stay below this.
-constexpr double releasableUse = 0.35;
+// Least relief of a move, in squares of use; below it the measured demand is mostly chance.
+constexpr double leastRelief = 0.03;
 
-// What speaks against an engine as the place of a copy, in parts of its time: each model that has to make way, and
-// each second of loading.
-constexpr double evictionCost = 0.15;
-constexpr double loadSecondCost = 0.04;
+// Cost of a move in squares of use, and for each second of loading, in which the copy helps nobody.
+constexpr double moveCost = 0.01;
+constexpr double loadSecondCost = 0.004;
+
+// Unloading a copy in use turns away the requests that wait for it and takes as long as those that run, so it costs
+// this much for each part of the engine's time that they use, and a copy that is used more than a little stays.
+constexpr double drainCost = 1;
+constexpr double leastDrainedUse = 0.12;
 
 // Giving up one of few copies costs more than one of many: demand returns to models that had it before.
-constexpr double scarceCopyCost = 0.2;
+constexpr double scarceCopyCost = 0.02;
 
 // Another copy in the same data centre is worth less than one in another: the loss of a data centre takes both.
-constexpr double sameDataCentreCost = 0.05;
+constexpr double sameDataCentreCost = 0.01;
+
+// Wishes that are looked at in one pass; the next pass follows within a second.
+constexpr std::size_t wishesInPass = 12;
+
+double square(double value) { return value * value; }
 
 // Memory of a model and its adapters. The size of a model that is no longer declared is unknown; it counts as the
 // whole memory, so that nothing is loaded beside it.
@@ -49,8 +58,10 @@
             if (!engines[i].available)
                 continue;
             for (const HeldModel& held : engines[i].models) {
-                if (engines[i].leaving != held.model)
-                    holders_[held.model].push_back(i);
+                if (engines[i].leaving == held.model)
+                    continue;
+                holders_[held.model].push_back(i);
+                ++ready_[held.model];
             }
             if (engines[i].arriving)
                 holders_[*engines[i].arriving].push_back(i);
@@ -92,6 +103,12 @@
         return found == holders_.end() ? none : found->second;
     }
 
+    int readyCopies(const ModelId& model) const
+    {
+        const auto found = ready_.find(model);
+        return found == ready_.end() ? 0 : found->second;
+    }
+
     // Work of a model is taken as spread evenly over its holders.
     void computeUse()
     {
@@ -102,14 +119,15 @@
         }
     }
 
-    double meanUse(const std::vector<std::size_t>& holders) const
+    double leastUse(const std::vector<std::size_t>& holders) const
     {
-        double sum = 0;
+        double least = std::numeric_limits<double>::max();
         for (const std::size_t holder : holders)
-            sum += use_[holder];
-        return holders.empty() ? 0 : sum / static_cast<double>(holders.size());
+            least = std::min(least, use_[holder]);
+        return least;
     }
 
+    // Models that lack a copy, the most urgent first.
     std::vector<Wish> wishes() const
     {
         std::vector<Wish> wishes;
@@ -118,15 +136,15 @@
             const double work = workOf(model.id);
             if (holders.empty()) {
                 // A model that callers wait for goes before one that nobody asks for.
-                wishes.push_back({&model, PlanReason::Missing, work > 0 ? 1000 + work : 0.001});
+                wishes.push_back({&model, PlanReason::Missing, work > 0 ? 1000 + work : 0});
                 continue;
             }
-            const double use = meanUse(holders);
-            if (work > 0 && use > fullUse)
-                wishes.push_back({&model, PlanReason::Demand, (use - fullUse) * work});
+            if (work > 0 && leastUse(holders) > idleUse)
+                wishes.push_back({&model, PlanReason::Demand, square(work) / static_cast<double>(holders.size())});
         }
         std::stable_sort(wishes.begin(), wishes.end(),
             [](const Wish& left, const Wish& right) { return left.urgency > right.urgency; });
+        wishes.resize(std::min(wishes.size(), wishesInPass));
         return wishes;
     }
 
@@ -142,8 +160,7 @@
         }
         if (!best)
             return;
-        // A copy on an engine that is as busy as the present holders relieves nobody.
-        if (wish.reason == PlanReason::Demand && use_[best->engine] >= meanUse(holdersOf(wish.model->id)))
+        if (wish.reason == PlanReason::Demand && best->cost > -leastRelief)
             return;
         issue(wish, *best);
     }
@@ -171,34 +188,26 @@
         return planned.weightsOnDisk.contains(model.id) ? model.diskLoad : model.storeLoad;
     }
 
+    // What a copy of a model on an engine changes in the sum of squared uses, with the models that make way for it.
+    // Squares weigh a busy engine more than several that are half busy, as waiting does.
     std::optional<Place> placeOn(std::size_t i, const Model& model) const
     {
         const PlannedEngine& planned = engines_[i];
-        Place place{i, {}, use_[i]};
+        Place place{i, {}, moveCost};
         double room = freeMegabytes(engine_, planned);
-        struct Releasable {
-            double use = 0;
-            std::size_t copies = 0;
-            const HeldModel* held = nullptr;
-        };
-        std::vector<Releasable> releasable;
-        for (const HeldModel& held : planned.models) {
-            if (const std::optional<double> use = useAfterRelease(held.model))
-                releasable.push_back({*use, holdersOf(held.model).size(), &held});
-        }
-        // Among idle models one with many copies gives one up.
-        std::sort(releasable.begin(), releasable.end(), [](const Releasable& left, const Releasable& right) {
-            return left.use != right.use ? left.use < right.use : left.copies > right.copies;
-        });
-        for (const auto& [use, copies, held] : releasable) {
+        double use = use_[i];
+        for (const Release& release : releases(i)) {
             if (room >= model.weightMegabytes)
                 break;
-            room += heldMegabytes(engine_, *held);
-            place.evicted.push_back(held->model);
-            place.cost += evictionCost + use + scarceCopyCost / static_cast<double>(std::max<std::size_t>(copies, 1));
+            room += heldMegabytes(engine_, *release.held);
+            place.evicted.push_back(release.held->model);
+            place.cost += release.cost;
+            use = std::max(0.0, use - release.relieved);
         }
         if (room < model.weightMegabytes)
             return std::nullopt;
+        place.cost += square(use) - square(use_[i]);
+        place.cost += costOfCopy(model.id, use);
         place.cost += loadSecondCost * std::chrono::duration<double>(loadTime(planned, model)).count();
         for (const std::size_t holder : holdersOf(model.id)) {
             if (engines_[holder].dataCentre == planned.dataCentre)
@@ -207,19 +216,57 @@
         return place;
     }
 
-    // How busy the holders of a model would be without one of its copies; nothing when the copy has to stay.
-    std::optional<double> useAfterRelease(const ModelId& model) const
+    // Change at the present holders and at an engine of this use, when it takes an equal part of the work.
+    double costOfCopy(const ModelId& model, double use) const
     {
-        if (!engine_.find(model))
-            return 0;
         const auto& holders = holdersOf(model);
-        if (holders.size() < 2)
-            return std::nullopt;
-        const double use
-            = meanUse(holders) + workOf(model) / static_cast<double>(holders.size() * (holders.size() - 1));
-        if (workOf(model) > 0 && use > releasableUse)
-            return std::nullopt;
-        return workOf(model) > 0 ? use : 0;
+        const double work = workOf(model);
+        const double copies = static_cast<double>(holders.size());
+        const double part = work / (copies + 1);
+        double cost = square(use + part) - square(use);
+        for (const std::size_t holder : holders)
+            cost += square(std::max(0.0, use_[holder] - (work / copies - part))) - square(use_[holder]);
+        return cost;
+    }
+
+    // A model that an engine can give up.
+    struct Release {
+        const HeldModel* held = nullptr;
+        // Change at the other holders.
+        double cost = 0;
+        // Use of the engine that goes away.
+        double relieved = 0;
+    };
+
+    // The models that an engine can give up, the cheapest first. The last copy of a declared model stays.
+    std::vector<Release> releases(std::size_t i) const
+    {
+        std::vector<Release> releases;
+        for (const HeldModel& held : engines_[i].models) {
+            const auto& holders = holdersOf(held.model);
+            const bool declared = engine_.find(held.model) != nullptr;
+            if (engines_[i].leaving == held.model || engines_[i].fresh.contains(held.model)
+                || (declared && readyCopies(held.model) < 2))
+                continue;
+            Release release{&held, 0, 0};
+            if (declared) {
+                const double copies = static_cast<double>(holders.size());
+                release.relieved = workOf(held.model) / copies;
+                if (release.relieved > leastDrainedUse)
+                    continue;
+                release.cost += drainCost * release.relieved;
+                for (const std::size_t holder : holders) {
+                    if (holder != i)
+                        release.cost += square(use_[holder] + release.relieved / (copies - 1)) - square(use_[holder]);
+                }
+                release.cost += scarceCopyCost / (copies - 1);
+            }
+            releases.push_back(release);
+        }
+        std::sort(releases.begin(), releases.end(), [](const Release& left, const Release& right) {
+            return left.cost - square(left.relieved) < right.cost - square(right.relieved);
+        });
+        return releases;
     }
 
     void issue(const Wish& wish, const Place& place)
@@ -239,6 +286,7 @@
             }
             orders_.push_back(std::move(order));
             std::erase(holders_[evicted], place.engine);
+            --ready_[evicted];
         } else {
             const bool fromStore = isFromStore(planned, wish.model->id);
             if (fromStore)
@@ -257,6 +305,8 @@
     std::vector<bool> used_;
     std::unordered_map<ModelId, double> work_;
     std::unordered_map<ModelId, std::vector<std::size_t>> holders_;
+    // Copies that serve now; those on their way may yet fail.
+    std::unordered_map<ModelId, int> ready_;
     std::vector<double> use_;
     std::vector<ModelOrder> orders_;
 };
--- a/src/fleet/PlacementPlan.h
+++ b/src/fleet/PlacementPlan.h
@@ -27,6 +27,8 @@
     std::optional<ModelId> leaving;
     std::set<ModelId> weightsInMemory;
     std::set<ModelId> weightsOnDisk;
+    // Models that were loaded a moment ago; they do not make way yet.
+    std::set<ModelId> fresh;
 };
 
 enum class ModelOrderKind {
--- a/src/fleet/ResendBudget.cpp
+++ b/src/fleet/ResendBudget.cpp
@@ -2,6 +2,14 @@
 
 namespace lychee::fleet {
 
+namespace {
+
+// Part of the allowance that is used. The rest covers sends whose requests leave the window before them, where load
+// comes in waves.
+constexpr double usedPart = 0.9;
+
+} // namespace
+
 std::int64_t ResendBudget::stepOf(TimePoint now) const
 {
     return now.time_since_epoch() / (options_.window / static_cast<std::int64_t>(steps));
@@ -31,7 +39,7 @@
         if (age < static_cast<std::int64_t>(steps))
             requests += count.requests;
     }
-    return sends + 1 <= options_.part * requests + options_.share;
+    return sends + 1 <= usedPart * (options_.part * requests + options_.share);
 }
 
 void ResendBudget::take(const ServiceId& service, TimePoint now) { current(service, now).sends += 1; }
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -38,6 +38,9 @@
 // A waiting request holds its place in the batch for about this long, in milliseconds.
 constexpr double slotMilliseconds = 600;
 
+// Time in which the running requests of an engine give back its whole memory, in milliseconds.
+constexpr double fullMemoryMilliseconds = 4000;
+
 // Memory is planned to be used up to this part; above it engines preempt requests.
 constexpr double memoryUse = 0.95;
 
@@ -194,7 +197,7 @@
         const double wanted = work.heldTokens + static_cast<double>(input_.need->promptTokens.value());
         if (wanted <= room)
             return 0;
-        return (wanted - room) / room * slotMilliseconds * 2;
+        return slotMilliseconds + (wanted - room) / room * fullMemoryMilliseconds;
     }
 
     void evaluateAdapter(const TargetState& state, Candidate& candidate, double& against) const
@@ -279,9 +282,6 @@
     return "unknown";
 }
 
-TargetDecision chooseTarget(const TargetBoard& board, const ChoiceInput& input)
-{
-    return Choice(board, input).run();
-}
+TargetDecision chooseTarget(const TargetBoard& board, const ChoiceInput& input) { return Choice(board, input).run(); }
 
 } // namespace lychee::fleet
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -207,8 +207,8 @@
         fleet::ResendBudgetOptions options;
         options.part = settings.retries.part();
         options.share = settings.retries.slack() / static_cast<double>(instances);
-        options.window = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(settings.retries.windowSeconds()));
+        options.window
+            = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(settings.retries.windowSeconds()));
         parts_.resends.setOptions(options);
     }
 
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -11,8 +11,7 @@
     return MessageCodec::decode<MeshMessage>(meshProtocolVersion, payload);
 }
 
-MeshHoldings toMessage(
-    const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings, TimePoint now)
+MeshHoldings toMessage(const TargetId& target, fleet::TargetBirth birth, const fleet::Holdings& holdings, TimePoint now)
 {
     MeshHoldings message;
     message.target = target;
--- a/src/gateway/OrderDesk.h
+++ b/src/gateway/OrderDesk.h
@@ -25,6 +25,8 @@
     static constexpr Duration report = std::chrono::milliseconds(800);
     // Reports show the state of some hundred milliseconds ago.
     static constexpr Duration reportInterval = std::chrono::milliseconds(250);
+    // A copy stays for at least this long, so that models do not take turns.
+    static constexpr Duration freshCopy = std::chrono::seconds(5);
     // Adapters take 5 to 10 ms.
     static constexpr Duration adapterLoad = std::chrono::milliseconds(10);
     // An adapter that was used this recently may still be in use; instances tell its uses five times a second.
@@ -118,6 +120,10 @@
             fleet::PlannedEngine engine{id, slot->record.dataCentre, !slot->record.draining, isOrderable(*slot), {},
                 slot->arriving, slot->leaving, slot->record.weightsInMemory, slot->record.weightsOnDisk};
             engine.models = slot->record.holdings.models;
+            for (const auto& [model, time] : slot->loadedAt) {
+                if (currentTime() - time < OrderLimits::freshCopy)
+                    engine.fresh.insert(model);
+            }
             planned.push_back(std::move(engine));
         }
         return planned;
@@ -202,6 +208,9 @@
         // The holdings are those after `holdings.sequence` orders.
         bool synced = false;
         bool running = false;
+        // A model order is under way.
+        bool ordering = false;
+        std::map<ModelId, TimePoint> loadedAt;
         std::optional<fleet::ModelOrder> planned;
         std::optional<ModelId> arriving;
         std::optional<ModelId> leaving;
@@ -221,7 +230,7 @@
 
     bool isOrderable(const Slot& slot) const
     {
-        return slot.synced && !slot.unsettled && !slot.planned && !slot.arriving && !slot.leaving
+        return slot.synced && !slot.unsettled && !slot.ordering && !slot.planned && !slot.arriving && !slot.leaving
             && !slot.record.draining && currentTime() >= slot.pausedUntil;
     }
 
@@ -300,7 +309,9 @@
                 continue;
             }
             if (slot->planned) {
+                slot->ordering = true;
                 orderModel(slot, term);
+                slot->ordering = false;
                 continue;
             }
             if (slot->wishes.empty())
@@ -356,6 +367,8 @@
                 orderLog.info("target={} sequence={} model={} {}", slot.record.id, report.holdings.sequence,
                     slot.arriving ? *slot.arriving : *slot.leaving, slot.arriving ? "loaded" : "unloaded");
             }
+            if (slot.arriving)
+                slot.loadedAt[*slot.arriving] = currentTime();
             slot.arriving.reset();
             slot.leaving.reset();
         }
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -91,6 +91,7 @@
             loads_.emplace(service.engine->loadsPerSecond, now);
         const int storeLoads = loads_->isAvailable(now) ? 1 : 0;
         const std::vector<fleet::PlannedEngine> engines = desk_.engines(service.id);
+        recordDemand(engines, demand, now);
         const std::vector<fleet::ModelOrder> orders = fleet::planModels(*service.engine, engines, demand, storeLoads);
         for (const fleet::ModelOrder& order : orders) {
             placementLog.info("target={} plan={} model={} reason={} room_for={} store={}", order.target,
@@ -103,7 +104,32 @@
         desk_.carryOut(orders);
     }
 
+    // One line a second for each model that is asked for, so that the reason of a plan can be found later.
+    void recordDemand(
+        const std::vector<fleet::PlannedEngine>& engines, const std::vector<fleet::ModelDemand>& demand, TimePoint now)
+    {
+        if (now < nextRecord_)
+            return;
+        nextRecord_ = now + recordInterval;
+        std::map<ModelId, double> work;
+        for (const fleet::ModelDemand& entry : demand)
+            work[entry.model] += entry.work;
+        for (const auto& [model, amount] : work) {
+            std::size_t holders = 0;
+            std::size_t arriving = 0;
+            for (const fleet::PlannedEngine& engine : engines) {
+                holders += std::any_of(engine.models.begin(), engine.models.end(),
+                    [&](const fleet::HeldModel& held) { return held.model == model; });
+                arriving += engine.arriving == model ? 1 : 0;
+            }
+            placementLog.info("model={} work={:.3f} holders={} arriving={}", model, amount, holders, arriving);
+        }
+    }
+
+    static constexpr Duration recordInterval = std::chrono::seconds(1);
+
     bool owns_ = false;
+    TimePoint nextRecord_;
     std::shared_ptr<const fleet::RouteTable> table_;
     std::optional<fleet::LoadAllowance> loads_;
     OrderDesk<Channel> desk_;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "fleet/ResendRule.h"
-#include "protocol/EventSplitter.h"
 #include "gateway/RelayDialect.h"
 #include "gateway/RelayParts.h"
+#include "protocol/EventSplitter.h"
 #include "transport/Log.h"
 #include "transport/TransportError.h"
 
@@ -507,6 +507,14 @@
         end_ = exchange_.respond(Dialect::ownAnswer(own)).ok() ? end : RelayEnd::CallerLeft;
     }
 
+    std::string modelName() const
+    {
+        if (!caller_.generation)
+            return "-";
+        const auto& adapter = caller_.generation->adapter;
+        return caller_.generation->model.value() + (adapter ? "/" + adapter->value() : std::string());
+    }
+
     void record()
     {
         const TimePoint now = currentTime();
@@ -514,9 +522,9 @@
         const RelayEnd end = end_.value_or(RelayEnd::CallerLeft);
         relayLog.info(
             "request={} route={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} reason=\"{}\"",
-            caller_.attempt, route_ ? route_->id.value() : std::string("-"), table_ ? table_->version().value() : 0,
-            nameOf(end), answerStatus_, lastTarget_, history_.sends, history_.possibleRuns, milliseconds,
-            end == RelayEnd::Delivered ? std::string() : lastProblem_);
+            caller_.attempt, route_ ? route_->id.value() : std::string("-"), modelName(),
+            table_ ? table_->version().value() : 0, nameOf(end), answerStatus_, lastTarget_, history_.sends,
+            history_.possibleRuns, milliseconds, end == RelayEnd::Delivered ? std::string() : lastProblem_);
         if (!route_ || !parts_.metrics)
             return;
         const TeamId team(service_ ? service_->id.value() : std::string());
