Let the placement owner read the tables for all instances

Ruled out: longer pauses for all (a leaving target has to be known within two seconds). Change: the owner of placement passes what it reads on to its peers; the others read every 2.5 s while the owner tells, five times a second, that its last answer is fresh and they know as much as it does, and at the old pace otherwise. A push names the version after which it holds everything, so that a gap is noticed.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -62,9 +62,16 @@
 struct ControlLimits {
     // A configuration has to be in force two seconds after it was accepted, also when a connection has gone silent.
     static constexpr Duration configurationWait = std::chrono::milliseconds(1500);
+    static constexpr Duration configurationFedWait = std::chrono::seconds(4);
     // Entries of targets change many times a second; a leaving target is known in time when they are read this often.
-    static constexpr Duration targetWait = std::chrono::milliseconds(1000);
+    static constexpr Duration targetWait = std::chrono::milliseconds(400);
     static constexpr Duration targetPause = std::chrono::milliseconds(500);
+    static constexpr Duration targetFedPause = std::chrono::milliseconds(2500);
+    // The owner of placement counts as reading the platform while its last answer is no older than this; with the time
+    // of a read of one's own it keeps the two seconds in which a leaving target has to be known.
+    static constexpr Duration feedAge = std::chrono::milliseconds(1200);
+    // The owner is heard from five times a second.
+    static constexpr Duration feederSilence = std::chrono::milliseconds(500);
     static constexpr Duration status = std::chrono::milliseconds(200);
     static constexpr Duration placement = std::chrono::milliseconds(200);
     // Instances come and go rarely, and each one connects to all others when it starts.
@@ -84,10 +91,16 @@
         , routes_(std::move(routes))
         , relay_(std::move(relay))
         , store_(options_.store)
-        , configurationWatch_(store_, reach_,
-              {Platform::configurationTable, ControlLimits::configurationWait, Duration(0)},
-              [this](const std::vector<StoredRow>& rows) { applyConfiguration(rows); })
-        , targetWatch_(store_, reach_, {Platform::targetTable, ControlLimits::targetWait, ControlLimits::targetPause},
+        , configurationWatch_(
+              store_, reach_,
+              {Platform::configurationTable, ControlLimits::configurationWait, Duration(0),
+                  ControlLimits::configurationFedWait, Duration(0)},
+              [this] { return isFed(); }, [this](const std::vector<StoredRow>& rows) { applyConfiguration(rows); })
+        , targetWatch_(
+              store_, reach_,
+              {Platform::targetTable, ControlLimits::targetWait, ControlLimits::targetPause, ControlLimits::targetWait,
+                  ControlLimits::targetFedPause},
+              [this] { return isFed(); },
               [this](const std::vector<StoredRow>& rows) { targets_.apply(rows, currentTime()); })
         , targets_(reach_, targetHandlers())
         , lease_(store_, options_.self, options_.lease)
@@ -105,6 +118,12 @@
         if (!mesh.ok())
             return mesh.status();
         mesh_ = *std::move(mesh);
+        configurationWatch_.passOn = [this](RowVersion since, const std::vector<StoredRow>& rows) {
+            passOn(Platform::configurationTable, configurationWatch_.replica().version(), since, rows);
+        };
+        targetWatch_.passOn = [this](RowVersion since, const std::vector<StoredRow>& rows) {
+            passOn(Platform::targetTable, targetWatch_.replica().version(), since, rows);
+        };
         duty_.spawn([this] { configurationWatch_.run(); });
         duty_.spawn([this] { targetWatch_.run(); });
         duty_.spawn([this] { lease_.run([this] { tellSurroundings(); }); });
@@ -176,7 +195,7 @@
                 },
             [this](const fleet::TargetRecord& record) {
                 relay_.holdingsChanged(record.id, record.birth, record.holdings);
-                mesh_->broadcast(toMessage(record.id, record.birth, record.holdings, currentTime()));
+                mesh_->broadcast(gateway::toMessage(record.id, record.birth, record.holdings, currentTime()));
             }};
     }
 
@@ -243,7 +262,7 @@
             targets_.tick(now);
             status_ = {};
             relay_.readStatus(status_);
-            status_.readsPlatform = reach_.isReached(now);
+            status_.readsPlatform = reach_.isReached(now) && now - targetWatch_.answeredAt() < readAge();
             status_.configurationRow = configurationWatch_.replica().version();
             status_.targetRows = targetWatch_.replica().version();
             status_.ownsPlacement = owner_.owns();
@@ -290,7 +309,8 @@
         if (!owner_.owns())
             return;
         for (const fleet::TargetRecord& record : owner_.desk().records())
-            mesh_->send(peer, toMessage(record.id, record.birth, record.holdings, currentTime())).IgnoreError();
+            mesh_->send(peer, gateway::toMessage(record.id, record.birth, record.holdings, currentTime()))
+                .IgnoreError();
     }
 
     void lost(const InstanceId& peer)
@@ -327,38 +347,70 @@
             sendRows(peer, status);
     }
 
+    // Instances that are fed read rarely themselves.
+    Duration readAge() const
+    {
+        return isFed() ? ControlLimits::targetFedPause + ControlLimits::feedAge : ControlLimits::feedAge;
+    }
+
+    // Whether the owner of placement reads the platform and passes the changes on to this instance.
+    bool isFed() const
+    {
+        if (owner_.owns())
+            return false;
+        const auto found = peers_.find(lease_.lease().holder());
+        if (found == peers_.end())
+            return false;
+        const PeerState& owner = found->second;
+        return owner.status.readsPlatform && owner.status.ownsPlacement
+            && currentTime() - owner.heardAt < ControlLimits::feederSilence
+            && owner.status.configurationRow <= configurationWatch_.replica().version()
+            && owner.status.targetRows <= targetWatch_.replica().version();
+    }
+
+    // The owner of placement passes changes on, so that not every instance has to read all of them.
+    void passOn(const std::string& table, RowVersion version, RowVersion since, const std::vector<StoredRow>& changed)
+    {
+        if (!changed.empty() && owner_.owns())
+            mesh_->broadcast(MeshRows{table, since, version, toMessage(changed)});
+    }
+
     // A peer that the platform turns away learns the changes from those that it serves.
     void sendRows(const InstanceId& peer, const MeshStatus& status)
     {
-        MeshRows message;
-        message.configurationRow = configurationWatch_.replica().version();
-        message.targetRows = targetWatch_.replica().version();
-        if (status.configurationRow >= message.configurationRow && status.targetRows >= message.targetRows)
+        sendTable(peer, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
+        sendTable(peer, Platform::targetTable, targetWatch_.replica(), status.targetRows);
+    }
+
+    void sendTable(const InstanceId& peer, const std::string& table, const RowReplica& replica, RowVersion since)
+    {
+        if (since >= replica.version())
             return;
-        addRows(message, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
-        addRows(message, Platform::targetTable, targetWatch_.replica(), status.targetRows);
-        const absl::Status sent = mesh_->send(peer, message);
-        controlLog.debug("peer={} rows={} sent={}", peer, message.rows.size(), sent.ok());
+        const absl::Status sent
+            = mesh_->send(peer, MeshRows{table, since, replica.version(), toMessage(replica.changedSince(since))});
+        controlLog.debug("peer={} table={} since={} sent={}", peer, table, since, sent.ok());
     }
 
-    static void addRows(MeshRows& message, const std::string& table, const RowReplica& replica, RowVersion since)
+    static std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows)
     {
-        for (const StoredRow& row : replica.changedSince(since))
-            message.rows.push_back({table, row.key, row.version, row.removed, row.value});
+        std::vector<MeshRow> message;
+        message.reserve(rows.size());
+        for (const StoredRow& row : rows)
+            message.push_back({row.key, row.version, row.removed, row.value});
+        return message;
     }
 
     void take(const InstanceId& peer, const MeshRows& message)
     {
-        RowPage configuration{{}, message.configurationRow};
-        RowPage targets{{}, message.targetRows};
-        for (const MeshRow& row : message.rows) {
-            RowPage& page = row.table == Platform::targetTable ? targets : configuration;
+        RowPage page{{}, message.version};
+        for (const MeshRow& row : message.rows)
             page.rows.push_back({row.key, row.version, row.removed, row.value});
-        }
-        controlLog.info("peer={} rows={} configuration_row={} target_rows={} taken", peer, message.rows.size(),
-            message.configurationRow, message.targetRows);
-        configurationWatch_.takeFromPeer(configuration);
-        targetWatch_.takeFromPeer(targets);
+        controlLog.debug("peer={} table={} rows={} since={} version={} taken", peer, message.table, message.rows.size(),
+            message.since, message.version);
+        if (message.table == Platform::targetTable)
+            targetWatch_.takeFromPeer(message.since, std::move(page));
+        else if (message.table == Platform::configurationTable)
+            configurationWatch_.takeFromPeer(message.since, std::move(page));
     }
 
     void take(const InstanceId& peer, const MeshHoldings& message)
--- a/src/gateway/LeaseKeeper.h
+++ b/src/gateway/LeaseKeeper.h
@@ -50,6 +50,8 @@
 
     fleet::PlacementLease& lease() { return lease_; }
 
+    const fleet::PlacementLease& lease() const { return lease_; }
+
     // Counts suspension of the machine, during which others may take the lease.
     static TimePoint leaseTime() { return Duty::current()->clock()->nowWithSuspension(); }
 
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -71,24 +71,24 @@
     auto fields() { return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, ownsPlacement); }
 };
 
-// A row of the platform's tables, for a peer that cannot read them.
+// A row of the platform's tables.
 struct MeshRow {
-    std::string table;
     std::string key;
     RowVersion version;
     bool removed = false;
     std::string value;
 
-    auto fields() { return std::tie(table, key, version, removed, value); }
+    auto fields() { return std::tie(key, version, removed, value); }
 };
 
+// Rows of one table that have changed after `since`, up to `version`.
 struct MeshRows {
+    std::string table;
+    RowVersion since;
+    RowVersion version;
     std::vector<MeshRow> rows;
-    // The sender knows each table up to this version.
-    RowVersion configurationRow;
-    RowVersion targetRows;
 
-    auto fields() { return std::tie(rows, configurationRow, targetRows); }
+    auto fields() { return std::tie(table, since, version, rows); }
 };
 
 struct MeshHeldModel {
--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -17,16 +17,21 @@
     Duration wait{0};
     // Pause after each answer, so that a table that changes all the time is not read all the time.
     Duration pause{0};
+    // The same while another instance passes the changes on.
+    Duration fedWait{0};
+    Duration fedPause{0};
 };
 
 template <RowStore Store> class TableWatch {
 public:
     using Handler = std::function<void(const std::vector<StoredRow>&)>;
 
-    TableWatch(Store& store, StoreReach& reach, TableWatchOptions options, Handler handler)
+    // `isFed` tells whether another instance passes the changes on.
+    TableWatch(Store& store, StoreReach& reach, TableWatchOptions options, std::function<bool()> isFed, Handler handler)
         : store_(store)
         , reach_(reach)
         , options_(std::move(options))
+        , isFed_(std::move(isFed))
         , handler_(std::move(handler))
     {
     }
@@ -36,9 +41,11 @@
     {
         while (!Duty::current()->isStopping()) {
             const bool first = replica_.version() == RowVersion() || historyLost_;
-            absl::StatusOr<RowPage> page = first ? store_.list(options_.table, currentTime() + answerLimit)
-                                                 : store_.changes(options_.table, replica_.version(), options_.wait,
-                                                     currentTime() + options_.wait + answerLimit);
+            const Duration wait = isFed_() ? options_.fedWait : options_.wait;
+            const RowVersion since = replica_.version();
+            absl::StatusOr<RowPage> page = first
+                ? store_.list(options_.table, currentTime() + answerLimit)
+                : store_.changes(options_.table, since, wait, currentTime() + wait + answerLimit);
             if (!page.ok()) {
                 handleFailure(page.status());
                 continue;
@@ -47,21 +54,34 @@
             const std::vector<StoredRow> changed = first ? replica_.replace(*page) : replica_.applyChanges(*page);
             historyLost_ = false;
             complete_ = true;
+            answeredAt_ = currentTime();
             if (!changed.empty())
                 handler_(changed);
-            sleepFor(options_.pause);
+            if (passOn)
+                passOn(first ? RowVersion() : since, changed);
+            pause();
         }
     }
 
-    // Takes in rows that a peer has read, up to a version.
-    void takeFromPeer(const RowPage& page)
+    // Takes in the rows that a peer has read after the version `since`. The table is known up to page.version only if
+    // nothing is missing between.
+    void takeFromPeer(RowVersion since, RowPage page)
     {
+        if (since > replica_.version())
+            page.version = replica_.version();
+        else
+            complete_ = true;
         const std::vector<StoredRow> changed = replica_.applyChanges(page);
-        complete_ = true;
         if (!changed.empty())
             handler_(changed);
     }
 
+    // When the platform last answered.
+    TimePoint answeredAt() const { return answeredAt_; }
+
+    // Called with what the platform has answered, for peers; may be empty.
+    std::function<void(RowVersion since, const std::vector<StoredRow>&)> passOn;
+
     const RowReplica& replica() const { return replica_; }
 
     // Whether the whole table has been read once.
@@ -75,6 +95,16 @@
     // Pause after a failed call.
     static constexpr Duration failurePause = std::chrono::milliseconds(200);
 
+    // Ends early when the other instance stops passing the changes on.
+    void pause()
+    {
+        const TimePoint begin = currentTime();
+        while (currentTime() - begin < (isFed_() ? options_.fedPause : options_.pause))
+            sleepFor(std::min(options_.pause, pauseStep));
+    }
+
+    static constexpr Duration pauseStep = std::chrono::milliseconds(100);
+
     void handleFailure(const absl::Status& status)
     {
         if (errorOf<CoordinationError>(status) == CoordinationError::VersionStale) {
@@ -89,7 +119,9 @@
     Store& store_;
     StoreReach& reach_;
     TableWatchOptions options_;
+    std::function<bool()> isFed_;
     Handler handler_;
+    TimePoint answeredAt_;
     RowReplica replica_;
     bool historyLost_ = false;
     bool complete_ = false;
