--- /dev/null
+++ b/tests/gateway/OrderDeskTest.cpp
@@ -0,0 +1,285 @@
+#include "gateway/OrderDesk.h"
+
+#include "coordination/CoordinationError.h"
+
+#include <gtest/gtest.h>
+
+namespace lychee::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Engines as the channel shows them. Shared by the test and the channel that the desk makes for itself.
+struct FakeEngines {
+    struct State {
+        fleet::Holdings holdings;
+        // An order of an earlier owner is under way until this time; then its model is held.
+        TimePoint busyUntil;
+        ModelId busyWith;
+        std::size_t adapterPlaces = 2;
+        std::size_t modelPlaces = 2;
+        bool overcommitted = false;
+    };
+
+    std::map<TargetId, State> engines;
+    std::vector<std::string> orders;
+    // The next orders take effect and get no answer.
+    int unanswered = 0;
+    Duration answerTime = 2ms;
+
+    static FakeEngines& instance()
+    {
+        static FakeEngines engines;
+        return engines;
+    }
+
+    void settle(State& state)
+    {
+        if (state.busyWith.empty() || currentTime() < state.busyUntil)
+            return;
+        state.holdings.models.push_back({state.busyWith, 1, {}});
+        state.busyWith = {};
+    }
+};
+
+class FakeChannel {
+public:
+    OrderAnswer send(const fleet::TargetRecord& target, const EngineOrder& order, TimePoint)
+    {
+        FakeEngines& fake = FakeEngines::instance();
+        FakeEngines::State& state = fake.engines[target.id];
+        sleepFor(fake.answerTime);
+        fake.settle(state);
+        fake.orders.push_back(fmt::format("{} {}{}", order.kind == EngineOrderKind::Load ? "load" : "unload",
+            order.model, order.adapter ? "/" + order.adapter->value() : std::string()));
+        const OrderAnswer answer = carryOut(state, order);
+        if (fake.unanswered > 0) {
+            --fake.unanswered;
+            return OrderAnswer::Unanswered;
+        }
+        return answer;
+    }
+
+    absl::StatusOr<fleet::EngineReport> report(const fleet::TargetRecord& target, TimePoint)
+    {
+        FakeEngines& fake = FakeEngines::instance();
+        FakeEngines::State& state = fake.engines[target.id];
+        fake.settle(state);
+        fleet::EngineReport report{target.birth, state.holdings, {}, {}};
+        report.holdings.busy = !state.busyWith.empty();
+        return report;
+    }
+
+private:
+    static OrderAnswer carryOut(FakeEngines::State& state, const EngineOrder& order)
+    {
+        if (order.expected != state.holdings.sequence)
+            return OrderAnswer::Conflict;
+        if (order.adapter)
+            return carryOutAdapter(state, order);
+        if (!state.busyWith.empty())
+            return OrderAnswer::Conflict;
+        state.holdings.sequence = state.holdings.sequence.next();
+        if (order.kind == EngineOrderKind::Unload) {
+            std::erase_if(state.holdings.models, [&](const auto& held) { return held.model == order.model; });
+            return OrderAnswer::Accepted;
+        }
+        state.overcommitted = state.overcommitted || state.holdings.models.size() + 1 > state.modelPlaces;
+        state.busyWith = order.model;
+        state.busyUntil = currentTime() + 20ms;
+        return OrderAnswer::Accepted;
+    }
+
+    static OrderAnswer carryOutAdapter(FakeEngines::State& state, const EngineOrder& order)
+    {
+        for (fleet::HeldModel& held : state.holdings.models) {
+            if (held.model != order.model)
+                continue;
+            state.holdings.sequence = state.holdings.sequence.next();
+            if (order.kind == EngineOrderKind::Unload) {
+                held.adapters.erase(*order.adapter);
+                return OrderAnswer::Done;
+            }
+            held.adapters.insert(*order.adapter);
+            state.overcommitted = state.overcommitted || state.holdings.adapterCount() > state.adapterPlaces;
+            return OrderAnswer::Accepted;
+        }
+        return OrderAnswer::Misdirected;
+    }
+};
+
+static_assert(EngineChannel<FakeChannel>);
+
+class OrderDeskTest : public testing::Test {
+protected:
+    OrderDeskTest()
+    {
+        FakeEngines::instance() = {};
+        addEngine("t0", {"m0"});
+    }
+
+    void addEngine(const std::string& id, const std::vector<std::string>& models)
+    {
+        FakeEngines::State& state = FakeEngines::instance().engines[TargetId(id)];
+        fleet::TargetRecord record;
+        record.id = TargetId(id);
+        record.service = ServiceId("hall");
+        record.birth = fleet::TargetBirth(1);
+        for (const std::string& model : models)
+            state.holdings.models.push_back({ModelId(model), 1, {}});
+        record.holdings = state.holdings;
+        records_.push_back(record);
+    }
+
+    static std::shared_ptr<const fleet::RouteTable> routes()
+    {
+        fleet::Service service;
+        service.id = ServiceId("hall");
+        service.engine.emplace();
+        service.engine->weightMegabytes = 200;
+        service.engine->adapterSlots = 2;
+        for (int i = 0; i < 5; ++i)
+            service.engine->models.push_back({ModelId(fmt::format("m{}", i)), 90, 1, 9, 5s, 1s, 400ms});
+        return fleet::RouteTable::create(ConfigurationVersion(1), {}, {service}, {});
+    }
+
+    // Runs `body` in a fiber with a desk that owns the engines.
+    void run(const std::function<void(OrderDesk<FakeChannel>&)>& body)
+    {
+        const std::unique_ptr<Duty> duty = Duty::start("control", RuntimeClock::createRunning()).value();
+        OrderDesk<FakeChannel> desk(*duty,
+            {[this] {
+                 return OrderAuthority{granted_, InstanceId("a"), FencingNumber(1)};
+             },
+                [this](const fleet::TargetRecord&) { ++changes_; }});
+        duty->run([&] {
+            desk.setRoutes(routes());
+            desk.begin(records_);
+            desk.followUp();
+            sleepFor(20ms);
+            body(desk);
+            desk.end();
+            sleepFor(50ms);
+        });
+    }
+
+    static absl::Status ensure(OrderDesk<FakeChannel>& desk, const std::string& adapter, Duration limit = 500ms)
+    {
+        return desk.ensureAdapter(TargetId("t0"), ModelId("m0"), AdapterId(adapter), currentTime() + limit);
+    }
+
+    static bool overcommitted() { return FakeEngines::instance().engines[TargetId("t0")].overcommitted; }
+
+    std::vector<fleet::TargetRecord> records_;
+    bool granted_ = true;
+    int changes_ = 0;
+};
+
+// Guards against a request that waits for an adapter whose entry leaves the queue meanwhile: the owner crashed on it.
+TEST_F(OrderDeskTest, SeveralRequestsWaitForOneAdapter)
+{
+    run([&](OrderDesk<FakeChannel>& desk) {
+        FakeEngines::instance().answerTime = 20ms;
+        int held = 0;
+        int ended = 0;
+        for (int i = 0; i < 8; ++i) {
+            Duty::current()->spawn([&] {
+                held += ensure(desk, "a1").ok() ? 1 : 0;
+                ++ended;
+            });
+            sleepFor(3ms);
+        }
+        while (ended < 8)
+            sleepFor(5ms);
+        EXPECT_EQ(held, 8);
+    });
+    EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a1"});
+}
+
+// Guards against an adapter that is loaded beyond the places of an engine, and against unloading one in use.
+TEST_F(OrderDeskTest, MakesRoomByTheAdapterThatWasNotUsedForLongest)
+{
+    run([&](OrderDesk<FakeChannel>& desk) {
+        ASSERT_TRUE(ensure(desk, "a1").ok());
+        ASSERT_TRUE(ensure(desk, "a2").ok());
+        EXPECT_FALSE(ensure(desk, "a3").ok()) << "both adapters were used a moment ago";
+        sleepFor(OrderLimits::adapterInUse + 20ms);
+        desk.recordUse(TargetId("t0"), ModelId("m0"), AdapterId("a1"));
+        EXPECT_TRUE(ensure(desk, "a3").ok());
+        EXPECT_TRUE(ensure(desk, "a1").ok());
+    });
+    const std::vector<std::string> expected{"load m0/a1", "load m0/a2", "unload m0/a2", "load m0/a3"};
+    EXPECT_EQ(FakeEngines::instance().orders, expected);
+    EXPECT_FALSE(overcommitted());
+}
+
+// Guards against loads beyond memory after a change of owner: a report of a busy engine does not show the model that
+// the earlier owner ordered.
+TEST_F(OrderDeskTest, OrdersNothingWhileAnOrderOfAnEarlierOwnerIsUnderWay)
+{
+    FakeEngines::State& state = FakeEngines::instance().engines[TargetId("t0")];
+    state.holdings.sequence = fleet::OrderSequence(3);
+    state.busyWith = ModelId("m4");
+    state.busyUntil = TimePoint(600ms);
+    run([&](OrderDesk<FakeChannel>& desk) {
+        const fleet::ModelOrder load{
+            TargetId("t0"), fleet::ModelOrderKind::Load, ModelId("m2"), fleet::PlanReason::Missing, true, 20ms, {}};
+        EXPECT_FALSE(desk.engines(ServiceId("hall"))[0].orderable);
+        desk.carryOut({load});
+        sleepFor(300ms);
+        EXPECT_TRUE(FakeEngines::instance().orders.empty());
+        while (!desk.engines(ServiceId("hall"))[0].orderable) {
+            desk.followUp();
+            sleepFor(50ms);
+        }
+        EXPECT_EQ(desk.engines(ServiceId("hall"))[0].models.size(), 2u);
+        // The plan is stale now; the memory is taken by m4.
+        desk.carryOut({load});
+        sleepFor(100ms);
+    });
+    EXPECT_TRUE(FakeEngines::instance().orders.empty());
+    EXPECT_FALSE(overcommitted());
+}
+
+// Guards against half a second between an unload and the load for which it makes room, while callers wait.
+TEST_F(OrderDeskTest, LoadsRightAfterTheUnloadThatMakesRoom)
+{
+    addEngine("t1", {"m1", "m3"});
+    run([&](OrderDesk<FakeChannel>& desk) {
+        desk.carryOut({{TargetId("t1"), fleet::ModelOrderKind::Unload, ModelId("m3"), fleet::PlanReason::Room, true,
+            20ms, ModelId("m2")}});
+        sleepFor(200ms);
+        const std::vector<std::string> expected{"unload m3", "load m2"};
+        EXPECT_EQ(FakeEngines::instance().orders, expected);
+    });
+    EXPECT_FALSE(FakeEngines::instance().engines[TargetId("t1")].overcommitted);
+}
+
+// Guards against an order whose answer was lost: the state is read anew, and nothing is ordered for a state that may
+// be past.
+TEST_F(OrderDeskTest, ReadsTheStateAnewAfterALostAnswer)
+{
+    run([&](OrderDesk<FakeChannel>& desk) {
+        FakeEngines::instance().unanswered = 1;
+        EXPECT_FALSE(ensure(desk, "a1").ok());
+        sleepFor(OrderLimits::reportInterval * 2);
+        EXPECT_TRUE(ensure(desk, "a1", 2s).ok());
+    });
+    EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a1"});
+}
+
+// Guards against orders of an instance whose lease is not certain.
+TEST_F(OrderDeskTest, SendsNothingWithoutAuthority)
+{
+    run([&](OrderDesk<FakeChannel>& desk) {
+        granted_ = false;
+        EXPECT_FALSE(ensure(desk, "a1").ok());
+        desk.carryOut(
+            {{TargetId("t0"), fleet::ModelOrderKind::Load, ModelId("m2"), fleet::PlanReason::Missing, true, 20ms, {}}});
+        sleepFor(50ms);
+    });
+    EXPECT_TRUE(FakeEngines::instance().orders.empty());
+}
+
+} // namespace
+} // namespace lychee::gateway
--- /dev/null
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -0,0 +1,170 @@
+#include "gateway/GatewaySettings.h"
+#include "platform/Documents.h"
+#include "platform/Headers.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace lychee::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string configuration
+    = R"({"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","kind":"streaming","timeoutMs":6000,)"
+      R"("targetLatencyMs":1000,"priority":2,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+      R"("attempts":2,"sticky":true,"resumable":true,"gapTargetMs":600},{"name":"r2","host":"a.example","prefix":"/y/",)"
+      R"("kind":"non_idempotent","timeoutMs":800,"service":"s2","attempts":1}],"services":[{"name":"s1","engine":{)"
+      R"("slots":64,"kvCapacity":232000,"models":[{"name":"m","weightsMb":65100.5,"loadS":5.0,"adapters":37,)"
+      R"("adapterMb":12.0,"warmS":0.38,"diskLoadS":1.0}],"weightsMb":200000.0,"adapterSlots":5,"loadsPerS":2.1}},)"
+      R"({"name":"s2","healthPath":"/health","maxConnections":96}],"limits":{"headerBytes":16384,)"
+      R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+// Guards against fields of a configuration that are lost or taken for others.
+TEST(PlatformDocuments, ReadsAConfiguration)
+{
+    const auto table = decodeConfiguration(configuration);
+    ASSERT_TRUE(table.ok()) << table.status();
+    EXPECT_EQ((*table)->version(), ConfigurationVersion(7));
+    const fleet::Route* route = (*table)->match("a.example", "/x/1");
+    ASSERT_NE(route, nullptr);
+    EXPECT_TRUE(route->isRepeatable());
+    EXPECT_EQ(route->attempts, 2);
+    EXPECT_EQ(route->pauseObjective, Duration(600ms));
+    EXPECT_EQ(route->services.size(), 2u);
+    EXPECT_FALSE((*table)->match("a.example", "/y/")->isRepeatable());
+    const fleet::Service* service = (*table)->service(ServiceId("s1"));
+    ASSERT_TRUE(service && service->engine);
+    const fleet::Model* model = service->engine->find(ModelId("m"));
+    ASSERT_NE(model, nullptr);
+    EXPECT_EQ(model->memoryLoad, Duration(380ms));
+    EXPECT_EQ(model->storeLoad, Duration(5s));
+    EXPECT_EQ(service->engine->adapterSlots, 5);
+    EXPECT_FALSE((*table)->service(ServiceId("s2"))->engine.has_value());
+    EXPECT_EQ((*table)->limits().idleTimeout, Duration(15s));
+}
+
+// Guards against a kind that is not known and is then repeated.
+TEST(PlatformDocuments, UnknownKindsMustNotBeRepeated)
+{
+    std::string text = configuration;
+    text.replace(text.find("streaming"), 9, "something");
+    const auto table = decodeConfiguration(text);
+    ASSERT_TRUE(table.ok());
+    EXPECT_FALSE((*table)->match("a.example", "/x/1")->isRepeatable());
+}
+
+// Guards against an entry of another writer that ends the process or is taken for a target.
+TEST(PlatformDocuments, RefusesEntriesThatNameNoTarget)
+{
+    const std::string good
+        = R"({"service":"s","address":"10.1.0.9:8080","zone":"a","slots":64,"state":"ready",)"
+          R"("born":1786215518120,"sequence":4,"models":[{"name":"m","version":1,"adapters":["a1"]}],)"
+          R"("available":{"inMemory":["m"],"onDisk":["n"]}})";
+    const auto record = decodeTarget("i-1", good);
+    ASSERT_TRUE(record.ok()) << record.status();
+    EXPECT_EQ(record->birth, fleet::TargetBirth(1786215518120));
+    EXPECT_TRUE(record->holdings.find(ModelId("m"))->adapters.contains(AdapterId("a1")));
+    EXPECT_TRUE(record->weightsOnDisk.contains(ModelId("n")));
+    for (const std::string bad : {"", "no json", "[]", "{}", R"({"service":7})",
+             R"({"service":"s","address":"nowhere","zone":"a","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"10.1.0.9:0","zone":"a","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"10.1.0.9:80","zone":"a","slots":"many","state":"ready"})",
+             R"({"service":"s","address":"10.1.0.9:80","zone":"a","slots":64,"state":"sleeping"})",
+             R"({"service":"s","address":"10.1.0.9:80","zone":"a","slots":64,"state":"ready","models":3})"})
+        EXPECT_FALSE(decodeTarget("i-1", bad).ok()) << bad;
+    std::mt19937 random(7);
+    for (int i = 0; i < 3000; ++i) {
+        std::string mutated = i % 2 == 0 ? good : configuration;
+        for (std::uint32_t edits = random() % 4 + 1; edits > 0; --edits)
+            mutated[random() % mutated.size()] = static_cast<char>(random() % 256);
+        static_cast<void>(decodeTarget("i-1", mutated).ok());
+        static_cast<void>(decodeConfiguration(mutated).ok());
+        static_cast<void>(decodeReport(mutated).ok());
+    }
+}
+
+HttpRequest callersRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/x/1?q=2";
+    request.headers
+        = {{"Host", "a.example"}, {"X-Attempt-Id", "id-1"}, {"X-Model", "m/a3"}, {"X-Token-Count", "1460,80"},
+            {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}, {"X-Deadline-Ms", "6000"}, {"Last-Event-Id", "12"},
+            {"X-Hold", "stolen"}, {"X-Pin-Ms", "4000"}, {"Kv-From", "10.0.0.1:1/h"}, {"X-Target-Instance", "other"},
+            {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-Other", "a"}, {"X-Other", "b"}};
+    request.body = "body";
+    return request;
+}
+
+// Guards against headers by which a caller could steer a target, and against headers of one connection that go on.
+TEST(PlatformHeaders, PassesOnOnlyWhatIsTheCallers)
+{
+    const fleet::CallerRequest caller = CallerDialect::readRequest(callersRequest());
+    EXPECT_EQ(caller.attempt, RequestId("id-1"));
+    EXPECT_EQ(caller.patience, Duration(6s));
+    EXPECT_EQ(caller.resumeAfter, 12u);
+    ASSERT_TRUE(caller.generation.has_value());
+    EXPECT_EQ(caller.generation->adapter, AdapterId("a3"));
+    EXPECT_EQ(caller.generation->parts.size(), 2u);
+    EXPECT_EQ(caller.generation->maxOutputTokens, TokenCount(80));
+    const HttpRequest sent = CallerDialect::targetRequest(callersRequest(), {TargetId("i-1"), 1500ms, 2, {}});
+    EXPECT_EQ(sent.headers.find("X-Target-Instance"), "i-1");
+    EXPECT_EQ(sent.headers.find("X-Deadline-Ms"), "1500");
+    EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
+    EXPECT_EQ(sent.headers.find("Host"), "a.example");
+    for (const char* name : {"X-Hold", "X-Pin-Ms", "Kv-From", "Connection", "X-Hop"})
+        EXPECT_FALSE(sent.headers.find(name).has_value()) << name;
+    const auto others = std::count_if(sent.headers.fields().begin(), sent.headers.fields().end(),
+        [](const HttpHeaders::Field& field) { return field.name == "X-Other"; });
+    EXPECT_EQ(others, 2);
+    EXPECT_EQ(sent.target, "/x/1?q=2");
+    EXPECT_EQ(sent.body, "body");
+}
+
+// Guards against an answer without proof that is taken for that of a target, and against a refusal that is not seen.
+TEST(PlatformHeaders, TellsGenuineAnswersFromOthers)
+{
+    EXPECT_TRUE(CallerDialect::readAnswer(200, {{"X-Response-Seal", "s"}}).genuine);
+    EXPECT_FALSE(CallerDialect::readAnswer(200, {}).genuine);
+    EXPECT_FALSE(CallerDialect::readAnswer(200, {{"X-Response-Seal", "s"}, {"Content-Encoding", "gzip"}}).genuine);
+    EXPECT_TRUE(CallerDialect::readAnswer(503, {{"X-Not-Executed", "1"}}).notRun);
+    EXPECT_FALSE(CallerDialect::readAnswer(503, {}).notRun);
+    EXPECT_TRUE(CallerDialect::readAnswer(421, {}).notRun);
+    EXPECT_TRUE(CallerDialect::belongs({{"X-Attempt-Id", "id-1"}}, RequestId("id-1")));
+    EXPECT_FALSE(CallerDialect::belongs({{"X-Attempt-Id", "id-0"}}, RequestId("id-1")));
+}
+
+// Guards against an instance that does not start with the settings that the platform's template renders.
+TEST(GatewaySettings, ReadsWhatTheTemplateRenders)
+{
+    const std::string text = "[instance]\nid = front-bahir-a-1\ndata_centre = bahir-a\nregion = amhara\n"
+                             "[callers]\nendpoint = 10.1.0.38:8149\n[readiness]\nendpoint = 10.1.0.38:8141\n"
+                             "[peers]\naddress = 10.1.0.38\nport = 7380\n[metrics]\nport = 7395\n"
+                             "[platform]\nendpoint = 10.200.1.7:8142\n"
+                             "[retries]\npart = 0.2\nslack = 52\nwindow_s = 10\n"
+                             "[placement]\nlease_ms = 3000\n[stop]\ngrace_s = 8\n";
+    const auto loaded = gateway::GatewaySettings::parse(text, "settings");
+    ASSERT_TRUE(loaded.ok()) << loaded.errors.front();
+    EXPECT_EQ(loaded.settings->callers.endpoint().port, 8149);
+    EXPECT_EQ(loaded.settings->retries.slack(), 52);
+    EXPECT_EQ(loaded.settings->placement.lease(), 3s);
+}
+
+// Guards against a start with settings that cannot be meant, and against errors that come one at a time.
+TEST(GatewaySettings, TellsEveryErrorAtOnce)
+{
+    const auto loaded = gateway::GatewaySettings::parse("[instance]\nid = a\ncolour = red\n[callers]\nendpoint = here\n"
+                                                        "[retries]\npart = 7\n[nonsense]\nx = 1\n",
+        "settings");
+    ASSERT_FALSE(loaded.ok());
+    EXPECT_GE(loaded.errors.size(), 6u);
+    const std::string all = fmt::format("{}", fmt::join(loaded.errors, "\n"));
+    for (const char* part : {"colour", "endpoint", "part", "nonsense", "data_centre"})
+        EXPECT_NE(all.find(part), std::string::npos) << part << "\n" << all;
+}
+
+} // namespace
+} // namespace lychee::platform
--- /dev/null
+++ b/tests/gateway/RelayTest.cpp
@@ -0,0 +1,348 @@
+#include "gateway/RequestRelay.h"
+
+#include "platform/Headers.h"
+#include "tests/support/TestHttpClient.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace lychee::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId hall("hall");
+const ServiceId desk("desk");
+
+// A target whose answers the test writes.
+struct ScriptedTarget {
+    std::unique_ptr<HttpServer> server;
+    std::vector<HttpRequest> requests;
+    std::atomic<int> cancelled{0};
+};
+
+// A relay between a caller and scripted targets, all in one process.
+class RelayTest : public testing::Test {
+protected:
+    using Script = std::function<void(ScriptedTarget&, HttpExchange&)>;
+
+    ~RelayTest() override
+    {
+        callers_.reset();
+        for (auto& target : targets_)
+            target->server.reset();
+        std::this_thread::sleep_for(50ms);
+    }
+
+    void addTarget(const ServiceId& service, const Script& script)
+    {
+        targets_.push_back(std::make_unique<ScriptedTarget>());
+        ScriptedTarget& target = *targets_.back();
+        target.server
+            = HttpServer::listen(*targetDuty_, {"127.0.0.1", 0}, {}, [&target, script](HttpExchange& exchange) {
+                  target.requests.push_back(exchange.request());
+                  script(target, exchange);
+              }).value();
+        fleet::TargetRecord record;
+        record.id = TargetId(fmt::format("t{}", targets_.size() - 1));
+        record.service = service;
+        record.endpoint = {"127.0.0.1", target.server->port()};
+        record.birth = fleet::TargetBirth(1);
+        record.slots = 8;
+        record.holdings.models.push_back({ModelId("m"), 1, {}});
+        relayDuty_->run([&] { parts_.board.update(record); });
+    }
+
+    void start()
+    {
+        std::vector<fleet::Route> routes(3);
+        routes[0] = {fleet::RouteId("stream"), "a", "/stream/", fleet::RequestKind::Streaming, 3s, 300ms, 100ms, 0,
+            {{hall, 1}}, 2, true};
+        routes[1] = {fleet::RouteId("safe"), "a", "/safe/", fleet::RequestKind::Idempotent, 2s, 300ms, 1s, 0,
+            {{desk, 1}}, 2, false};
+        routes[2] = {fleet::RouteId("unsafe"), "a", "/unsafe/", fleet::RequestKind::NonIdempotent, 1s, 300ms, 1s, 0,
+            {{desk, 1}}, 2, false};
+        std::vector<fleet::Service> services(2);
+        services[0].id = hall;
+        services[0].engine.emplace();
+        services[0].engine->cacheTokens = 1000000;
+        services[0].engine->models.push_back({ModelId("m"), 1, 1, 3, 5s, 1s, 1s});
+        services[1].id = desk;
+        parts_.routes = std::make_shared<Published<fleet::RouteTable>>(
+            fleet::RouteTable::create(ConfigurationVersion(1), routes, services, {}));
+        parts_.resends.setOptions({0.2, 50, 10s});
+        callers_ = HttpServer::listen(*relayDuty_, {"127.0.0.1", 0}, {}, [this](HttpExchange& exchange) {
+            RelayedRequest<platform::CallerDialect>(parts_, exchange).run();
+        }).value();
+    }
+
+    test::TestHttpClient client() { return {{"127.0.0.1", callers_->port()}, 5000ms}; }
+
+    static HttpRequest request(const std::string& path)
+    {
+        return {"POST", path,
+            {{"Host", "a"}, {"X-Attempt-Id", "id-1"}, {"X-Model", "m"}, {"X-Token-Count", "100,40"},
+                {"X-Deadline-Ms", "3000"}},
+            "the body"};
+    }
+
+    static HttpHeaders sealed(const HttpRequest& request)
+    {
+        return {{"X-Attempt-Id", std::string(request.headers.find("X-Attempt-Id").value_or(""))},
+            {"X-Response-Seal", "seal"}};
+    }
+
+    static void answerWhole(ScriptedTarget&, HttpExchange& exchange)
+    {
+        exchange.respond({200, sealed(exchange.request()), "answer to " + exchange.request().body}).IgnoreError();
+    }
+
+    // Sends events from the one after Last-Event-Id; breaks the stream off before event `breakBefore`.
+    static Script events(int count, int breakBefore = 0, bool cutInsideEvent = false)
+    {
+        return [=](ScriptedTarget& target, HttpExchange& exchange) {
+            const int after = std::stoi(std::string(exchange.request().headers.find("Last-Event-Id").value_or("0")));
+            exchange.beginStream(200, sealed(exchange.request())).IgnoreError();
+            for (int id = after + 1; id <= count; ++id) {
+                if (id == breakBefore) {
+                    if (cutInsideEvent)
+                        exchange.write(fmt::format("id: {}\nda", id)).IgnoreError();
+                    sleepFor(10ms);
+                    exchange.abort();
+                    return;
+                }
+                sleepFor(5ms);
+                if (!exchange.write(fmt::format("id: {}\ndata: e{}\n\n", id, id)).ok() || exchange.isPeerGone()) {
+                    ++target.cancelled;
+                    return;
+                }
+            }
+            exchange.endStream().IgnoreError();
+        };
+    }
+
+    static std::string expectedEvents(int count)
+    {
+        std::string text;
+        for (int id = 1; id <= count; ++id)
+            text += fmt::format("id: {}\ndata: e{}\n\n", id, id);
+        return text;
+    }
+
+    std::size_t requestsAtTargets() const
+    {
+        std::size_t count = 0;
+        for (const auto& target : targets_)
+            count += target->requests.size();
+        return count;
+    }
+
+    std::shared_ptr<RuntimeClock> clock_ = RuntimeClock::createRunning();
+    std::unique_ptr<Duty> relayDuty_ = Duty::start("relay", clock_).value();
+    std::unique_ptr<Duty> targetDuty_ = Duty::start("targets", clock_).value();
+    RelayParts parts_;
+    std::vector<std::unique_ptr<ScriptedTarget>> targets_;
+    std::unique_ptr<HttpServer> callers_;
+};
+
+// Guards against a changed request or answer, and against more time for the target than the caller has.
+TEST_F(RelayTest, PassesRequestAndAnswerUnchanged)
+{
+    addTarget(desk, answerWhole);
+    start();
+    const auto answer = client().send(request("/unsafe/x?q=1"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "answer to the body");
+    EXPECT_EQ(answer->headers.find("X-Response-Seal"), "seal");
+    ASSERT_EQ(requestsAtTargets(), 1u);
+    const HttpRequest& sent = targets_[0]->requests[0];
+    EXPECT_EQ(sent.target, "/unsafe/x?q=1");
+    EXPECT_EQ(sent.headers.find("X-Target-Instance"), "t0");
+    EXPECT_LE(std::stoi(std::string(*sent.headers.find("X-Deadline-Ms"))), 1000);
+}
+
+// Guards against a booking that runs twice, and against one that is called "not run" after it was sent.
+TEST_F(RelayTest, NonIdempotentRequestIsSentOnceWhateverHappens)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(desk, [](ScriptedTarget&, HttpExchange& exchange) { exchange.abort(); });
+    start();
+    const auto answer = client().send(request("/unsafe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_EQ(requestsAtTargets(), 1u);
+}
+
+// Guards against a booking that is given up although the target proves that it did not run it.
+TEST_F(RelayTest, NonIdempotentRequestGoesOnAfterProofThatItDidNotRun)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(desk, [](ScriptedTarget& target, HttpExchange& exchange) {
+            // The first target that is asked is full.
+            static int asked = 0;
+            if (++asked == 1)
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+            else
+                answerWhole(target, exchange);
+        });
+    start();
+    const auto answer = client().send(request("/unsafe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(requestsAtTargets(), 2u);
+}
+
+// Guards against a refusal without the time to come back, and against waiting for the deadline when all are full.
+TEST_F(RelayTest, RefusesAtOnceWhenAllTargetsAreFull)
+{
+    addTarget(desk, [](ScriptedTarget&, HttpExchange& exchange) {
+        exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+    });
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = client().send(request("/unsafe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->headers.find("Retry-After").has_value());
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 500ms);
+}
+
+// Guards against an idempotent request that fails with its first target although another one could answer.
+TEST_F(RelayTest, IdempotentRequestGoesToASecondTarget)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(desk, [](ScriptedTarget& target, HttpExchange& exchange) {
+            static int asked = 0;
+            if (++asked == 1)
+                exchange.abort();
+            else
+                answerWhole(target, exchange);
+        });
+    start();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+}
+
+// Guards against an answer without the target's proof, which may be spoiled, reaching a caller as a success.
+TEST_F(RelayTest, AnswerWithoutProofIsNoSuccess)
+{
+    addTarget(desk, [](ScriptedTarget&, HttpExchange& exchange) {
+        exchange.respond({200, {}, "spoiled"}).IgnoreError();
+    });
+    start();
+    const auto answer = client().send(request("/unsafe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 502);
+}
+
+// Guards against a stream that loses, repeats or joins pieces when its target breaks it off, also inside an event.
+TEST_F(RelayTest, BrokenStreamContinuesElsewhereWithoutLossOrRepeat)
+{
+    for (const bool cutInsideEvent : {false, true}) {
+        targets_.clear();
+        parts_.board = {};
+        for (int i = 0; i < 2; ++i) {
+            const auto asked = std::make_shared<int>(0);
+            addTarget(hall, [=, this](ScriptedTarget& target, HttpExchange& exchange) {
+                const bool first = requestsAtTargets() == 1;
+                events(12, first ? 7 : 0, cutInsideEvent)(target, exchange);
+            });
+        }
+        start();
+        const auto stream = client().open(request("/stream/x"));
+        ASSERT_TRUE(stream.ok()) << stream.status();
+        const auto body = (*stream)->readBody();
+        ASSERT_TRUE(body.ok()) << body.status();
+        EXPECT_EQ(*body, expectedEvents(12));
+        EXPECT_EQ(requestsAtTargets(), 2u);
+        callers_.reset();
+    }
+}
+
+// Guards against a stream that is continued nowhere and ends as if it were complete.
+TEST_F(RelayTest, StreamThatCannotContinueEndsBroken)
+{
+    addTarget(hall, events(12, 7));
+    start();
+    const auto stream = client().open(request("/stream/x"));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_FALSE((*stream)->readBody().ok());
+}
+
+// Guards against work for callers that have left.
+TEST_F(RelayTest, TargetStopsWhenTheCallerLeaves)
+{
+    addTarget(hall, events(1000));
+    start();
+    {
+        const auto stream = client().open(request("/stream/x"));
+        ASSERT_TRUE(stream.ok()) << stream.status();
+        ASSERT_TRUE((*stream)->next().ok());
+    }
+    const auto limit = std::chrono::steady_clock::now() + 500ms;
+    while (targets_[0]->cancelled == 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(10ms);
+    EXPECT_EQ(targets_[0]->cancelled, 1);
+}
+
+// Guards against a request that is held beyond the time that the operator allows.
+TEST_F(RelayTest, EndsAtTheTimeLimitOfTheRoute)
+{
+    addTarget(desk, [](ScriptedTarget&, HttpExchange& exchange) {
+        sleepFor(1500ms);
+        exchange.abort();
+    });
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = client().send(request("/unsafe/x"));
+    const auto took = std::chrono::steady_clock::now() - begin;
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 504);
+    EXPECT_GE(took, 950ms);
+    EXPECT_LT(took, 1400ms);
+}
+
+// Guards against the answer to an earlier request that a faulty target sends once more on the same connection.
+TEST_F(RelayTest, SkipsTheAnswerToAnotherRequest)
+{
+    addTarget(desk, [](ScriptedTarget& target, HttpExchange& exchange) {
+        if (target.requests.size() == 2) {
+            HttpHeaders other{{"X-Attempt-Id", "id-0"}, {"X-Response-Seal", "seal"}};
+            exchange.respond({200, other, "answer to another"}).IgnoreError();
+        }
+        answerWhole(target, exchange);
+    });
+    start();
+    test::TestHttpClient caller = client();
+    for (int i = 1; i <= 3; ++i) {
+        HttpRequest next = request("/safe/x");
+        next.headers.set("X-Attempt-Id", fmt::format("id-{}", i));
+        next.body = fmt::format("body {}", i);
+        const auto answer = caller.send(next);
+        ASSERT_TRUE(answer.ok()) << answer.status();
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, fmt::format("answer to body {}", i));
+    }
+}
+
+// Guards against requests that no route allows, and against 404 before any configuration is known.
+TEST_F(RelayTest, TellsWhatIsUnknownFromWhatIsNotYetKnown)
+{
+    addTarget(desk, answerWhole);
+    start();
+    EXPECT_EQ(client().send(request("/elsewhere/x"))->status, 404);
+    HttpRequest without = request("/safe/x");
+    without.headers.remove("X-Attempt-Id");
+    EXPECT_EQ(client().send(without)->status, 400);
+    parts_.routes->publish(nullptr);
+    const auto answer = client().send(request("/safe/x"));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->headers.find("Retry-After").has_value());
+    EXPECT_EQ(requestsAtTargets(), 0u);
+}
+
+} // namespace
+} // namespace lychee::gateway
--- /dev/null
+++ b/tests/gateway/TargetListTest.cpp
@@ -0,0 +1,124 @@
+#include "gateway/TargetList.h"
+#include "gateway/RowReplica.h"
+
+#include "protocol/ProtocolError.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace lychee::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+TimePoint at(Duration time) { return TimePoint(time); }
+
+StoredRow row(std::string key, std::uint64_t version, bool removed = false, std::string value = "ready")
+{
+    return {std::move(key), RowVersion(version), removed, std::move(value)};
+}
+
+class TargetListTest : public testing::Test {
+protected:
+    static absl::StatusOr<fleet::TargetRecord> decode(const std::string& key, std::string_view value)
+    {
+        if (value == "broken")
+            return makeError(ProtocolError::Malformed, "broken");
+        fleet::TargetRecord record;
+        record.id = TargetId(key);
+        record.draining = value == "draining";
+        return record;
+    }
+
+    StoreReach reach_;
+    int listed_ = 0;
+    std::vector<std::string> gone_;
+    TargetList list_{reach_,
+        {decode, [this](const fleet::TargetRecord&) { ++listed_; },
+            [this](const TargetId& id) { gone_.push_back(id.value()); }}};
+};
+
+// Guards against new work for a target whose entry was removed while the store works.
+TEST_F(TargetListTest, RemovedEntryMeansGoneAtOnce)
+{
+    reach_.succeeded(at(1s));
+    list_.apply({row("a", 1), row("b", 2)}, at(1s));
+    list_.apply({row("a", 3, true)}, at(2s));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+    EXPECT_EQ(list_.targets().size(), 1u);
+}
+
+// Guards against an outage of the store that takes all targets away although they live, and against one that keeps a
+// dead target for ever.
+TEST_F(TargetListTest, EntriesThatLapsedInAnOutageHaveTimeToComeBack)
+{
+    reach_.succeeded(at(1s));
+    list_.apply({row("a", 1), row("b", 2)}, at(1s));
+    reach_.failed(at(2s), "no answer");
+    reach_.succeeded(at(6s));
+    list_.apply({row("a", 3, true), row("b", 3, true)}, at(6s));
+    EXPECT_TRUE(gone_.empty());
+    list_.apply({row("b", 4)}, at(7s));
+    list_.tick(at(8s));
+    EXPECT_TRUE(gone_.empty());
+    list_.tick(at(8500ms));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+    EXPECT_TRUE(list_.targets().contains(TargetId("b")));
+}
+
+// Guards against an entry of another writer that is taken for a target, or that takes the others down with it.
+TEST_F(TargetListTest, EntryThatCannotBeReadNamesNoTarget)
+{
+    list_.apply({row("a", 1), row("x", 2, false, "broken")}, at(1s));
+    EXPECT_EQ(list_.targets().size(), 1u);
+    list_.apply({row("a", 3, false, "broken")}, at(1s));
+    EXPECT_TRUE(list_.targets().empty());
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+}
+
+// Guards against work for every beat of a target that says nothing new.
+TEST_F(TargetListTest, UnchangedEntriesAreNotTold)
+{
+    list_.apply({row("a", 1)}, at(1s));
+    list_.apply({row("a", 2)}, at(2s));
+    EXPECT_EQ(listed_, 1);
+    list_.apply({row("a", 3, false, "draining")}, at(3s));
+    EXPECT_EQ(listed_, 2);
+}
+
+// Guards against rows that go back in time when they come from the platform and from peers in any order.
+TEST(RowReplica, TheNewestRowWinsInAnyOrder)
+{
+    const std::vector<StoredRow> history{row("a", 1), row("b", 2), row("a", 3, false, "new"), row("b", 4, true),
+        row("c", 5), row("c", 6, true), row("c", 7, false, "again")};
+    for (std::uint32_t seed = 0; seed < 50; ++seed) {
+        std::vector<StoredRow> shuffled = history;
+        std::shuffle(shuffled.begin(), shuffled.end(), std::mt19937(seed));
+        RowReplica replica;
+        for (const StoredRow& entry : shuffled)
+            replica.apply(entry);
+        ASSERT_NE(replica.find("a"), nullptr);
+        EXPECT_EQ(replica.find("a")->value, "new");
+        EXPECT_EQ(replica.find("b"), nullptr);
+        EXPECT_EQ(replica.find("c")->value, "again");
+    }
+}
+
+// Guards against rows that were removed while the history was lost and stay for ever, and against newer rows that an
+// older list takes away.
+TEST(RowReplica, ListReplacesWhatItDoesNotName)
+{
+    RowReplica replica;
+    replica.replace({{row("a", 1), row("b", 2)}, RowVersion(2)});
+    replica.apply(row("d", 9));
+    const auto changed = replica.replace({{row("b", 2), row("c", 4)}, RowVersion(5)});
+    EXPECT_EQ(changed.size(), 2u);
+    EXPECT_EQ(replica.find("a"), nullptr);
+    EXPECT_NE(replica.find("c"), nullptr);
+    EXPECT_NE(replica.find("d"), nullptr);
+    EXPECT_EQ(replica.changedSince(RowVersion(4)).size(), 2u);
+}
+
+} // namespace
+} // namespace lychee::gateway
--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -269,7 +269,9 @@
     return std::make_shared<TcpListener>(address, port);
 }
 
-std::optional<int> httpGet(const std::string& address, std::uint16_t port, const std::string& target)
+namespace {
+
+std::optional<int> exchange(const std::string& address, std::uint16_t port, http::request<http::string_body> request)
 {
     asio::io_context context;
     Tcp::socket socket(context);
@@ -277,9 +279,9 @@
     socket.connect(Tcp::endpoint(asio::ip::make_address(address, error), port), error);
     if (error)
         return std::nullopt;
-    http::request<http::empty_body> request{http::verb::get, target, http11};
     request.set(http::field::host, address);
     request.keep_alive(false);
+    request.prepare_payload();
     http::write(socket, request, error);
     if (error)
         return std::nullopt;
@@ -291,4 +293,17 @@
     return static_cast<int>(response.result_int());
 }
 
+} // namespace
+
+std::optional<int> httpGet(const std::string& address, std::uint16_t port, const std::string& target)
+{
+    return exchange(address, port, {http::verb::get, target, http11});
+}
+
+std::optional<int> httpPost(
+    const std::string& address, std::uint16_t port, const std::string& target, const std::string& body)
+{
+    return exchange(address, port, {http::verb::post, target, http11, body});
+}
+
 } // namespace lychee::standin
--- a/tests/standins/common/Http.h
+++ b/tests/standins/common/Http.h
@@ -97,4 +97,8 @@
 // The status of a GET, or nothing when the server cannot be reached or breaks the connection.
 std::optional<int> httpGet(const std::string& address, std::uint16_t port, const std::string& target);
 
+// The status of a POST, or nothing when the server cannot be reached or breaks the connection.
+std::optional<int> httpPost(
+    const std::string& address, std::uint16_t port, const std::string& target, const std::string& body);
+
 } // namespace lychee::standin
--- a/tests/standins/common/Standin.h
+++ b/tests/standins/common/Standin.h
@@ -17,6 +17,9 @@
     // The body of `GET /stats`.
     virtual nlohmann::json stats() = 0;
 
+    // Called once with the port of the service before it is announced.
+    virtual void begin(std::uint16_t) { }
+
     // Called for `IgnoreFencing` and `HonourFencing`, which are modes rather than faults of a request.
     virtual void setFencingFault(FaultKind) { }
 
--- /dev/null
+++ b/tests/standins/fleet_worker_standin/Main.cpp
@@ -0,0 +1,34 @@
+// Entry point of fleet_worker_standin.
+#include "tests/standins/fleet_worker_standin/Worker.h"
+
+#include <absl/flags/flag.h>
+#include <absl/strings/str_split.h>
+
+ABSL_FLAG(std::string, id, "worker-1", "Id under which the worker registers itself.");
+ABSL_FLAG(std::string, service, "hall", "Service of the worker.");
+ABSL_FLAG(std::string, zone, "a", "Zone of the worker.");
+ABSL_FLAG(std::uint16_t, store_port, 0, "Port of the store on the loopback address.");
+ABSL_FLAG(std::string, models, "", "Models held at the start, separated by commas; a plain worker has none.");
+ABSL_FLAG(int, events, 10, "Events of a stream.");
+ABSL_FLAG(int, event_ms, 20, "Time between two events.");
+
+int main(int argc, char** argv)
+{
+    using namespace lychee::standin;
+    parseFlags(argc, argv);
+    WorkerOptions options;
+    options.id = absl::GetFlag(FLAGS_id);
+    options.service = absl::GetFlag(FLAGS_service);
+    options.zone = absl::GetFlag(FLAGS_zone);
+    options.storeAddress = "127.0.0.1";
+    options.storePort = absl::GetFlag(FLAGS_store_port);
+    const std::string models = absl::GetFlag(FLAGS_models);
+    if (!models.empty()) {
+        for (const auto& model : absl::StrSplit(models, ','))
+            options.models.emplace(model);
+    }
+    options.events = absl::GetFlag(FLAGS_events);
+    options.eventTime = std::chrono::milliseconds(absl::GetFlag(FLAGS_event_ms));
+    Worker worker(std::move(options));
+    return runStandin(worker);
+}
--- /dev/null
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -0,0 +1,203 @@
+#include "tests/standins/fleet_worker_standin/Worker.h"
+
+#include <absl/strings/escaping.h>
+
+#include <fmt/format.h>
+
+namespace lychee::standin {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int streamPiecesAtOnce = 1;
+
+// The proof of an answer; only its presence matters to the gateway.
+std::string sealOf(const std::string& id, const std::string& attempt) { return id + "." + attempt; }
+
+} // namespace
+
+Worker::Worker(WorkerOptions options)
+    : options_(std::move(options))
+    , engine_(!options_.models.empty())
+    , born_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                .count())
+{
+    for (const std::string& model : options_.models)
+        models_[model];
+}
+
+void Worker::begin(std::uint16_t port)
+{
+    std::thread([this, port] { beatLoop(port); }).detach();
+}
+
+void Worker::handle(const Request& request, Connection& connection)
+{
+    const std::string path = request.path();
+    const auto addressed = request.header("X-Target-Instance");
+    if (addressed && *addressed != options_.id) {
+        connection.write(Response::json(421, {{"error", "another instance"}}, {{"X-Not-Executed", "1"}}));
+        return;
+    }
+    if (path == "/v1/report") {
+        connection.write(Response::json(200, state()));
+        return;
+    }
+    if (request.method == "POST" && path == "/v1/order")
+        return order(request, connection);
+    if (isEngine() && !holds(request)) {
+        connection.write(Response::json(421, {{"error", "not held"}}, {{"X-Not-Executed", "1"}}));
+        return;
+    }
+    serve(request, connection);
+}
+
+json Worker::stats()
+{
+    const std::lock_guard lock(mutex_);
+    completeLoad();
+    json models = json::object();
+    for (const auto& [model, adapters] : models_)
+        models[model] = adapters;
+    return {{"executions", executions_}, {"models", models}, {"overcommits", overcommits_}, {"sequence", sequence_},
+        {"holders", holders_}, {"running", running_}, {"cancelled", cancelled_}};
+}
+
+bool Worker::holds(const Request& request)
+{
+    const std::string name = request.header("X-Model").value_or("");
+    const std::size_t slash = name.find('/');
+    const std::lock_guard lock(mutex_);
+    completeLoad();
+    const auto found = models_.find(name.substr(0, slash));
+    if (found == models_.end())
+        return false;
+    return slash == std::string::npos || found->second.contains(name.substr(slash + 1));
+}
+
+void Worker::serve(const Request& request, Connection& connection)
+{
+    const std::string attempt = request.header("X-Attempt-Id").value_or("");
+    {
+        const std::lock_guard lock(mutex_);
+        ++executions_[attempt];
+        ++running_;
+    }
+    if (isEngine())
+        stream(request, connection, attempt);
+    else
+        connection.write(Response::json(200, {{"body", request.body}, {"target", request.target}},
+            {{"X-Attempt-Id", attempt}, {"X-Response-Seal", sealOf(options_.id, attempt)}}));
+    const std::lock_guard lock(mutex_);
+    --running_;
+}
+
+void Worker::stream(const Request& request, Connection& connection, const std::string& attempt)
+{
+    const std::string after = request.header("Last-Event-Id").value_or("0");
+    connection.beginStream({{"Content-Type", "text/event-stream"}, {"X-Attempt-Id", attempt},
+        {"X-Response-Seal", sealOf(options_.id, attempt)}});
+    for (int id = std::stoi(after) + streamPiecesAtOnce; id <= options_.events; ++id) {
+        std::this_thread::sleep_for(options_.eventTime);
+        if (connection.isPeerClosed() || !connection.writeEvent(fmt::format("id: {}\ndata: token-{}\n\n", id, id))) {
+            const std::lock_guard lock(mutex_);
+            ++cancelled_;
+            return;
+        }
+    }
+    connection.endStream();
+}
+
+void Worker::order(const Request& request, Connection& connection)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("holder") || !body.contains("fence")) {
+        connection.write(Response::json(400, {{"error", "malformed"}}));
+        return;
+    }
+    connection.write(carryOut(body));
+}
+
+Response Worker::carryOut(const json& order)
+{
+    const std::lock_guard lock(mutex_);
+    completeLoad();
+    ++holders_[order["holder"].get<std::string>()];
+    const std::string model = order.value("model", "");
+    const std::string adapter = order.value("adapter", "");
+    const bool load = order.value("operation", "") == "model_load";
+    if (order.contains("expected") && order["expected"] != sequence_)
+        return Response::json(409, {{"error", "sequence"}});
+    if (adapter.empty() && !loading_.empty())
+        return Response::json(409, {{"error", "busy"}});
+    if (!adapter.empty()) {
+        const auto found = models_.find(model);
+        if (found == models_.end())
+            return Response::json(421, {{"error", "model not held"}});
+        ++sequence_;
+        if (load)
+            found->second.insert(adapter);
+        else
+            found->second.erase(adapter);
+        std::size_t adapters = 0;
+        for (const auto& [held, names] : models_)
+            adapters += names.size();
+        overcommits_ += adapters > options_.adapterPlaces ? 1 : 0;
+        return Response::json(load ? 202 : 200, json::object());
+    }
+    if (load == models_.contains(model))
+        return Response::json(200, json::object());
+    ++sequence_;
+    if (!load) {
+        models_.erase(model);
+        return Response::json(202, json::object());
+    }
+    loading_ = model;
+    loadedAt_ = std::chrono::steady_clock::now() + options_.loadTime;
+    overcommits_ += models_.size() + 1 > options_.modelPlaces ? 1 : 0;
+    return Response::json(202, json::object());
+}
+
+void Worker::completeLoad()
+{
+    if (loading_.empty() || std::chrono::steady_clock::now() < loadedAt_)
+        return;
+    models_[loading_];
+    loading_.clear();
+}
+
+json Worker::state()
+{
+    const std::lock_guard lock(mutex_);
+    completeLoad();
+    json models = json::array();
+    for (const auto& [model, adapters] : models_)
+        models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+    return {{"stage", "colocated"}, {"models", models}, {"busy", !loading_.empty()}, {"sequence", sequence_},
+        {"born", born_}, {"queued", 0}, {"active", running_}};
+}
+
+void Worker::beatLoop(std::uint16_t port)
+{
+    while (true) {
+        json entry = state();
+        entry["service"] = options_.service;
+        entry["address"] = fmt::format("127.0.0.1:{}", port);
+        entry["zone"] = options_.zone;
+        entry["version"] = "v1";
+        entry["slots"] = 16;
+        entry["state"] = "ready";
+        entry["coldLeftMs"] = 0;
+        const std::string text = entry.dump();
+        const json body{{"expected", json::array()},
+            {"setKeys",
+                {{{"table", "servers"}, {"part", ""}, {"key", options_.id},
+                    {"value", absl::Base64Escape(absl::string_view(text.data(), text.size()))}}}},
+            {"remove", json::array()}};
+        httpPost(options_.storeAddress, options_.storePort, "/v1/rows-tx", body.dump());
+        std::this_thread::sleep_for(options_.beat);
+    }
+}
+
+} // namespace lychee::standin
--- /dev/null
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -0,0 +1,70 @@
+// A worker of the users' platform: registers itself in the store, serves requests and, as an engine, takes orders.
+#pragma once
+
+#include "tests/standins/common/Standin.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace lychee::standin {
+
+struct WorkerOptions {
+    std::string id;
+    std::string service;
+    std::string zone;
+    // Of the store.
+    std::string storeAddress;
+    std::uint16_t storePort = 0;
+    // Models that are held at the start; a worker without any is a plain one.
+    std::set<std::string> models;
+    std::size_t modelPlaces = 2;
+    std::size_t adapterPlaces = 2;
+    // Events of a stream, and the time between two.
+    int events = 10;
+    std::chrono::milliseconds eventTime{20};
+    std::chrono::milliseconds loadTime{200};
+    std::chrono::milliseconds beat{300};
+};
+
+class Worker final : public Application {
+public:
+    explicit Worker(WorkerOptions options);
+
+    // Starts to register itself; `port` is where it serves.
+    void begin(std::uint16_t port) override;
+
+    void handle(const Request& request, Connection& connection) override;
+
+    nlohmann::json stats() override;
+
+private:
+    bool isEngine() const { return engine_; }
+
+    void order(const Request& request, Connection& connection);
+    void serve(const Request& request, Connection& connection);
+    void stream(const Request& request, Connection& connection, const std::string& attempt);
+    // Whether what the request needs is held.
+    bool holds(const Request& request);
+    Response carryOut(const nlohmann::json& order);
+    void completeLoad();
+    nlohmann::json state();
+    void beatLoop(std::uint16_t port);
+
+    const WorkerOptions options_;
+    const bool engine_;
+    std::mutex mutex_;
+    std::map<std::string, std::set<std::string>> models_;
+    std::string loading_;
+    std::chrono::steady_clock::time_point loadedAt_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t overcommits_ = 0;
+    std::int64_t born_ = 0;
+    std::map<std::string, int> executions_;
+    std::map<std::string, std::uint64_t> holders_;
+    std::uint64_t running_ = 0;
+    std::uint64_t cancelled_ = 0;
+};
+
+} // namespace lychee::standin
--- a/tests/support/Standins.cpp
+++ b/tests/support/Standins.cpp
@@ -76,6 +76,16 @@
 {
 }
 
+Standin& Standins::startFleetStore(std::vector<std::string> flags)
+{
+    return start("fleet_store_standin", std::move(flags));
+}
+
+Standin& Standins::startFleetWorker(std::vector<std::string> flags)
+{
+    return start("fleet_worker_standin", std::move(flags));
+}
+
 Standin& Standins::startPlatform(std::vector<std::string> flags) { return start("platform_standin", std::move(flags)); }
 
 Standin& Standins::startEngine(std::vector<std::string> flags) { return start("engine_standin", std::move(flags)); }
--- a/tests/support/Standins.h
+++ b/tests/support/Standins.h
@@ -61,6 +61,8 @@
     Standin& startPlatform(std::vector<std::string> flags = {});
     Standin& startEngine(std::vector<std::string> flags = {});
     Standin& startService(std::vector<std::string> flags = {});
+    Standin& startFleetStore(std::vector<std::string> flags = {});
+    Standin& startFleetWorker(std::vector<std::string> flags = {});
 
     const TemporaryDirectory& directory() const { return directory_; }
 
