Reset given-up calls and read the lease before taking it

Cause, cloud calls: each follower tried to take the lease every two seconds although it heard from the holder, because the condition looked at a version that it had read long before. Cause 2, cloud calls: the owner's pushes were left out when no row had changed, so the others counted as not fed whenever its version had moved on. Change: HttpClient ends a call without a whole answer by a reset, which drops what is on its way; the lease is taken only when reads have shown it unchanged for the whole time, and not while its holder says that it renews it; pushes without rows tell the version. Rows are told on only when their content differs, and larger deployments tell their work less often. Result: HttpTest.GivenUpCallIsReset fails before and passes after.

--- a/src/fleet/PlacementLease.cpp
+++ b/src/fleet/PlacementLease.cpp
@@ -16,22 +16,27 @@
     }
     if (releasing_)
         return LeaseStep::Wait;
-    if (mayTake(now))
-        return sinceStep >= options_.takeDelay || !stepFailed_ ? LeaseStep::Write : LeaseStep::Wait;
-    const bool hears = heardAt_ != TimePoint() && now - heardAt_ < options_.actWindow;
+    const bool hears = hearsFromHolder(now);
+    if (!hears && mayTake())
+        return LeaseStep::Write;
     const Duration interval = hears ? options_.idleReadInterval : options_.urgentReadInterval;
     return sinceStep >= interval ? LeaseStep::Read : LeaseStep::Wait;
 }
 
-bool PlacementLease::mayTake(TimePoint now) const
+bool PlacementLease::hearsFromHolder(TimePoint now) const
+{
+    return heardAt_ != TimePoint() && now - heardAt_ < options_.actWindow;
+}
+
+// Judged by what a read has confirmed, so that no write is made whose condition has long failed.
+bool PlacementLease::mayTake() const
 {
     if (!holder_)
         return true;
+    const Duration unchanged = confirmedAt_ - seenAt_;
     if (holder_->holder.empty())
-        return now - seenAt_ >= options_.takeDelay;
-    // The holder acts for actWindow after a renewal that came before the row was seen. A holder that is heard from
-    // lives, even when its renewals are not seen.
-    return now - seenAt_ >= options_.actWindow + options_.renewInterval + options_.takeDelay;
+        return unchanged >= options_.takeDelay;
+    return unchanged >= options_.actWindow + options_.renewInterval + options_.takeDelay;
 }
 
 LeaseRow PlacementLease::row() const
@@ -53,6 +58,7 @@
     const bool wasHolder = isHolder();
     if (version != version_ || seenAt_ == TimePoint())
         seenAt_ = answeredAt;
+    confirmedAt_ = answeredAt;
     known_ = true;
     holder_ = row;
     version_ = version;
--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -29,7 +29,7 @@
     // The holder renews this often, so that one lost renewal does not stop it.
     Duration renewInterval = std::chrono::milliseconds(500);
     // How often others read the row while they hear from the holder, and while they do not.
-    Duration idleReadInterval = std::chrono::seconds(3);
+    Duration idleReadInterval = std::chrono::seconds(15);
     Duration urgentReadInterval = std::chrono::milliseconds(500);
     // Additional wait of this instance before it takes the row, so that not all write at once.
     Duration takeDelay{0};
@@ -69,7 +69,7 @@
     // A read or write got no answer. A write may still take effect.
     void failed(TimePoint now);
 
-    // The holder has been heard from, through a peer connection, at this time.
+    // The holder has said, through a peer connection, that it may act. Not called for a holder that cannot renew.
     void heardFromHolder(TimePoint now) { heardAt_ = now; }
 
     // The connection to the holder has broken, which is a sign that its process has ended.
@@ -78,6 +78,9 @@
     // Whether this instance is the holder and may send an order now.
     bool mayAct(TimePoint now) const;
 
+    // Whether this instance is the holder and its last confirmed renewal is recent.
+    bool isRenewing(TimePoint now) const { return isHolder() && !releasing_ && now < actUntil_; }
+
     bool isHolder() const { return holder_ && holder_->holder == self_; }
 
     // The holder as far as known; empty when there is none.
@@ -92,15 +95,17 @@
     bool isReleased() const { return !isHolder(); }
 
 private:
-    bool mayTake(TimePoint now) const;
+    bool mayTake() const;
+    bool hearsFromHolder(TimePoint now) const;
 
     InstanceId self_;
     PlacementLeaseOptions options_;
     bool known_ = false;
     std::optional<LeaseRow> holder_;
     RowVersion version_;
-    // When this version was first seen.
+    // When this version was first seen, and when it was last found unchanged.
     TimePoint seenAt_;
+    TimePoint confirmedAt_;
     TimePoint lastStepAt_;
     TimePoint heardAt_;
     TimePoint actFrom_;
--- a/src/fleet/TargetBoard.cpp
+++ b/src/fleet/TargetBoard.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Work told by a peer is left out after this time; five times the interval at which peers tell it.
-constexpr Duration peerWorkAge = std::chrono::seconds(1);
+// Work told by a peer is left out after this time; twice the longest interval at which peers tell it.
+constexpr Duration peerWorkAge = std::chrono::seconds(2);
 
 // After this time a prompt part counts as evicted. An engine of 232,000 tokens that reads 9,000-token prompts 1.5
 // times a second turns over its memory in about 17 s.
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -62,20 +62,24 @@
 struct ControlLimits {
     // A configuration has to be in force two seconds after it was accepted, also when a connection has gone silent.
     static constexpr Duration configurationWait = std::chrono::milliseconds(1500);
-    static constexpr Duration configurationFedWait = std::chrono::seconds(4);
+    static constexpr Duration configurationFedWait = std::chrono::seconds(12);
     // Entries of targets change many times a second; a leaving target is known in time when they are read this often.
     static constexpr Duration targetWait = std::chrono::milliseconds(400);
     static constexpr Duration targetPause = std::chrono::milliseconds(500);
-    static constexpr Duration targetFedPause = std::chrono::milliseconds(2500);
+    static constexpr Duration targetFedPause = std::chrono::seconds(10);
     // The owner of placement counts as reading the platform while its last answer is no older than this; with the time
     // of a read of one's own it keeps the two seconds in which a leaving target has to be known.
     static constexpr Duration feedAge = std::chrono::milliseconds(1200);
     // The owner is heard from five times a second.
     static constexpr Duration feederSilence = std::chrono::milliseconds(500);
     static constexpr Duration status = std::chrono::milliseconds(200);
+    // In a larger deployment than this, instances other than the owner of placement tell their status less often, so
+    // that the messages of each instance stay the same in number. Each still does so within `longestStatus`.
+    static constexpr std::size_t statusPeers = 12;
+    static constexpr Duration longestStatus = std::chrono::seconds(1);
     static constexpr Duration placement = std::chrono::milliseconds(200);
     // Instances come and go rarely, and each one connects to all others when it starts.
-    static constexpr Duration instances = std::chrono::seconds(10);
+    static constexpr Duration instances = std::chrono::seconds(20);
     static constexpr Duration instancesRetry = std::chrono::milliseconds(500);
     static constexpr Duration answer = std::chrono::milliseconds(900);
     // Demand of a peer that was not heard from for this time is left out.
@@ -266,15 +270,24 @@
             status_.configurationRow = configurationWatch_.replica().version();
             status_.targetRows = targetWatch_.replica().version();
             status_.ownsPlacement = owner_.owns();
+            status_.holdsLease = lease_.isRenewing();
             for (const MeshUse& use : status_.uses)
                 owner_.desk().recordUse(use.target, use.model, use.adapter);
             mesh_->broadcast(status_);
             ready_.store(routes_->read() != nullptr && targetWatch_.isComplete());
             tellSurroundings();
-            sleepFor(ControlLimits::status);
+            sleepFor(statusInterval());
         }
     }
 
+    Duration statusInterval() const
+    {
+        if (owner_.owns())
+            return ControlLimits::status;
+        const auto factor = static_cast<std::int64_t>(1 + mesh_->peerCount() / ControlLimits::statusPeers);
+        return std::min(ControlLimits::status * factor, ControlLimits::longestStatus);
+    }
+
     void tellSurroundings()
     {
         const InstanceId holder = lease_.lease().holder();
@@ -339,7 +352,7 @@
         const TimePoint now = currentTime();
         peers_[peer] = {status, now};
         relay_.peerWork(peer, fromMessage(status.work));
-        if (peer == lease_.lease().holder())
+        if (peer == lease_.lease().holder() && status.holdsLease)
             lease_.lease().heardFromHolder(LeaseKeeper<typename Platform::Store>::leaseTime());
         for (const MeshUse& use : status.uses)
             owner_.desk().recordUse(use.target, use.model, use.adapter);
@@ -371,7 +384,8 @@
     // The owner of placement passes changes on, so that not every instance has to read all of them.
     void passOn(const std::string& table, RowVersion version, RowVersion since, const std::vector<StoredRow>& changed)
     {
-        if (!changed.empty() && owner_.owns())
+        // Sent without rows too: it tells up to which version the receiver misses nothing.
+        if (version > since && owner_.owns())
             mesh_->broadcast(MeshRows{table, since, version, toMessage(changed)});
     }
 
--- a/src/gateway/LeaseKeeper.h
+++ b/src/gateway/LeaseKeeper.h
@@ -48,6 +48,9 @@
 
     bool mayAct() const { return lease_.mayAct(leaseTime()); }
 
+    // Whether this instance is the holder and has renewed lately.
+    bool isRenewing() const { return lease_.isRenewing(leaseTime()); }
+
     fleet::PlacementLease& lease() { return lease_; }
 
     const fleet::PlacementLease& lease() const { return lease_; }
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -13,9 +13,9 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 constexpr Duration helloTimeout = std::chrono::seconds(1);
 
-// A peer sends its status five times a second; a connection that is silent for longer than this is closed and opened
+// A peer sends its status every second at least; a connection that is silent for longer than this is closed and opened
 // anew, because it may have been forgotten on the way.
-constexpr Duration silenceLimit = std::chrono::milliseconds(1500);
+constexpr Duration silenceLimit = std::chrono::milliseconds(2200);
 
 // How often missing connections are looked for, and how long one to an instance that does not answer is put off.
 constexpr Duration connectInterval = std::chrono::milliseconds(200);
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -65,10 +65,15 @@
     bool readsPlatform = false;
     RowVersion configurationRow;
     RowVersion targetRows;
-    // The sender holds the placement lease.
+    // The sender holds the placement lease and may give orders.
     bool ownsPlacement = false;
+    // The sender holds the lease and renews it, but may not give orders yet.
+    bool holdsLease = false;
 
-    auto fields() { return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, ownsPlacement); }
+    auto fields()
+    {
+        return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, ownsPlacement, holdsLease);
+    }
 };
 
 // A row of the platform's tables.
--- a/src/gateway/RowReplica.cpp
+++ b/src/gateway/RowReplica.cpp
@@ -9,8 +9,9 @@
         return true;
     if (row.version <= found->second.version)
         return false;
+    const bool differs = row.removed != found->second.removed || row.value != found->second.value;
     found->second = row;
-    return true;
+    return differs;
 }
 
 std::vector<StoredRow> RowReplica::replace(const RowPage& page)
--- a/src/gateway/RowReplica.h
+++ b/src/gateway/RowReplica.h
@@ -9,7 +9,7 @@
 
 class RowReplica {
 public:
-    // Takes in a row. Returns whether it was newer than the one known.
+    // Takes in a row. Returns whether its content differs from what was known; a target's beat often only renews it.
     bool apply(const StoredRow& row);
 
     // Takes in a whole table as of `page.version`. Returns the rows that are new, have changed or are gone.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -74,6 +74,15 @@
         return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    // Closes without delivering what is still on its way. After a plain close the system goes on sending, and a request
+    // that was held up by a cut would reach its peer long after it was given up.
+    void reset()
+    {
+        error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
     bool isUsable(Duration maxIdle) const
     {
         return poolTime() - idleSince_ <= std::min({maxIdle, maxIdleAge, announcedIdle_});
@@ -151,6 +160,8 @@
     {
         if (limits_.cancellation)
             limits_.cancellation->setAbort(nullptr);
+        if (connection_ && !(parser_ && parser_->is_done()))
+            connection_->reset();
     }
 
     // Sends the request. A peer may answer and stop reading before it has the whole body, so a failed write is not
@@ -248,7 +259,7 @@
 
     absl::Status cancelled()
     {
-        connection_->socket_.close();
+        connection_->reset();
         return makeError(TransportError::Stopped, "the call was cancelled");
     }
 
@@ -256,7 +267,7 @@
 
     absl::Status failure(const error_code& error, std::string_view doing)
     {
-        connection_->socket_.close();
+        connection_->reset();
         // Connections that went silent together are not tried one after another.
         if (error == boost::asio::error::timed_out)
             pool_->forget(endpoint_);
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -1,6 +1,7 @@
 #include "transport/FrameConnection.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
+#include "transport/SocketOperation.h"
 #include "transport/TransportError.h"
 
 #include <gtest/gtest.h>
@@ -9,6 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
 
 const Endpoint anyPort{"127.0.0.1", 0};
 
@@ -144,5 +146,57 @@
         std::this_thread::yield();
 }
 
+// Guards against a request that was given up and reaches its peer later, when a cut on the way has healed: the
+// connection ends by a reset, which drops what is still on its way.
+TEST_F(HttpTest, GivenUpCallIsReset)
+{
+    std::atomic<bool> reset{false};
+    std::atomic<bool> accepted{false};
+    serverDuty_->run([&] { endpoint_ = {"127.0.0.1", 0}; });
+    tcp::acceptor acceptor(serverDuty_->io(), tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    endpoint_.port = acceptor.local_endpoint().port();
+    serverDuty_->spawn([&] {
+        boost::system::error_code error;
+        tcp::socket socket(serverDuty_->io());
+        acceptor.async_accept(socket, FiberToken{error});
+        std::array<char, 4096> bytes{};
+        while (!error)
+            socket.async_read_some(boost::asio::buffer(bytes), FiberToken{error});
+        reset = error == boost::asio::error::connection_reset;
+        accepted = true;
+    });
+    onClient([&](HttpClient& client) {
+        HttpCallLimits limits;
+        limits.deadline = currentTime() + 50ms;
+        EXPECT_FALSE(client.call(endpoint_, {"POST", "/", {}, "body"}, limits).status.ok());
+    });
+    while (!accepted)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(reset);
+}
+
+// Guards against a caller's leaving that is noticed only when the answer is written.
+TEST_F(HttpTest, TellsWhenThePeerHasGone)
+{
+    std::atomic<bool> gone{false};
+    listen({}, [&](HttpExchange& exchange) {
+        FiberEvent event;
+        exchange.onPeerGone([&] {
+            gone = true;
+            event.notify();
+        });
+        event.waitUntil(Duty::current()->timers(), currentTime() + 2s);
+    });
+    onClient([&](HttpClient& client) {
+        HttpCallLimits limits;
+        limits.deadline = currentTime() + 50ms;
+        EXPECT_FALSE(client.call(endpoint_, {}, limits).status.ok());
+    });
+    const auto end = std::chrono::steady_clock::now() + 1s;
+    while (!gone && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(gone);
+}
+
 } // namespace
 } // namespace lychee
