Believe the placement owner before an entry of the same sequence

Ruled out: a lost message (the next adapter of the same order pair was known). Change: what the owner has told stays until an entry has a higher sequence; a request that gets 421 for an adapter asks the owner once to load it. The line at the end of a request names the model (its values were one place off since the model was added).

--- a/src/fleet/TargetBoard.cpp
+++ b/src/fleet/TargetBoard.cpp
@@ -88,12 +88,12 @@
     const bool moved = state->record.service != record.service;
     state->record = record;
     // Entries lag behind what the placement owner has told.
-    if (known.sequence > record.holdings.sequence)
+    const bool keep = known.sequence > record.holdings.sequence
+        || (known.sequence == record.holdings.sequence && state->holdingsTold);
+    if (keep)
         state->record.holdings = std::move(known);
-    else if (known.sequence == record.holdings.sequence) {
-        state->record.holdings.arriving = std::move(known.arriving);
-        state->record.holdings.loading = std::move(known.loading);
-    }
+    else
+        state->holdingsTold = false;
     if (moved)
         rebuildServices();
 }
@@ -110,8 +110,10 @@
     if (found == targets_.end() || found->second->record.birth != birth)
         return;
     Holdings& known = found->second->record.holdings;
-    if (holdings.sequence >= known.sequence)
-        known = holdings;
+    if (holdings.sequence < known.sequence)
+        return;
+    known = holdings;
+    found->second->holdingsTold = true;
 }
 
 void TargetBoard::recordPeerWork(const InstanceId& peer, std::span<const WorkShare> shares, TimePoint now)
--- a/src/fleet/TargetBoard.h
+++ b/src/fleet/TargetBoard.h
@@ -55,6 +55,8 @@
     TargetRecord record;
     TargetWork own;
     std::unordered_map<InstanceId, std::pair<TargetWork, TimePoint>> peers;
+    // The holdings were told by the placement owner, who knows them better than an entry of the same sequence.
+    bool holdingsTold = false;
     // Share of recent sends that failed, 0 to 1.
     double failureShare = 0;
     TimePoint failureShareAt;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -71,7 +71,7 @@
     // of a read of one's own it keeps the two seconds in which a leaving target has to be known.
     static constexpr Duration feedAge = std::chrono::milliseconds(1200);
     // The owner is heard from five times a second.
-    static constexpr Duration feederSilence = std::chrono::milliseconds(500);
+    static constexpr Duration feederSilence = std::chrono::milliseconds(900);
     static constexpr Duration status = std::chrono::milliseconds(200);
     // In a larger deployment than this, instances other than the owner of placement tell their status less often, so
     // that the messages of each instance stay the same in number. Each still does so within `longestStatus`.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -311,8 +311,11 @@
             attempt, answer.misdirected || adapterArriving ? fleet::SendOutcome::Declined : fleet::SendOutcome::Full);
         if (status == 400)
             return reject(400, "the target rejected the request");
-        if (answer.misdirected && caller_.generation && !adapterArriving)
+        if (answer.misdirected && caller_.generation && !adapterArriving) {
             parts_.board.noteMissing(attempt.target.target, *caller_.generation);
+            if (caller_.generation->adapter && !adapterLoadedAt_ && mayAskAgain())
+                return;
+        }
         if (adapterArriving) {
             ++adapterPauses_;
             sleepFor(RelayLimits::adapterPause);
@@ -324,6 +327,19 @@
         proceed(attempt, fleet::SendResult::NotRun, fmt::format("status {}", status));
     }
 
+    // An adapter that was just unloaded can be loaded on the same target again.
+    bool mayAskAgain()
+    {
+        const TimePoint now = currentTime();
+        if (!parts_.resends.isAvailable(service_->id, now))
+            return false;
+        parts_.resends.take(service_->id, now);
+        history_.add(fleet::SendResult::NotRun);
+        // Counts as loaded, so that this happens once.
+        adapterLoadedAt_ = now;
+        return true;
+    }
+
     // Reads what is left of an answer, so that its connection can be used again.
     void readRest(Attempt& attempt)
     {
@@ -520,8 +536,8 @@
         const TimePoint now = currentTime();
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt_).count();
         const RelayEnd end = end_.value_or(RelayEnd::CallerLeft);
-        relayLog.info(
-            "request={} route={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} reason=\"{}\"",
+        relayLog.info("request={} route={} model={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} "
+                      "reason=\"{}\"",
             caller_.attempt, route_ ? route_->id.value() : std::string("-"), modelName(),
             table_ ? table_->version().value() : 0, nameOf(end), answerStatus_, lastTarget_, history_.sends,
             history_.possibleRuns, milliseconds, end == RelayEnd::Delivered ? std::string() : lastProblem_);
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -328,6 +328,33 @@
     }
 }
 
+// Guards against a request that is refused because the adapter it was sent for had just been unloaded.
+TEST_F(RelayTest, AsksForAnAdapterThatTheTargetNoLongerHolds)
+{
+    const auto loaded = std::make_shared<bool>(false);
+    addTarget(hall, [=](ScriptedTarget& target, HttpExchange& exchange) {
+        if (*loaded)
+            events(3)(target, exchange);
+        else
+            exchange.respond({421, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+    });
+    start();
+    parts_.placementReached = true;
+    parts_.ensureAdapter = [=](const TargetId&, const ModelId&, const AdapterId&, TimePoint) {
+        *loaded = true;
+        return absl::OkStatus();
+    };
+    fleet::Holdings holdings;
+    holdings.models.push_back({ModelId("m"), 1, {AdapterId("a1")}});
+    relayDuty_->run([&] { parts_.board.updateHoldings(TargetId("t0"), fleet::TargetBirth(1), holdings); });
+    HttpRequest adapted = request("/stream/x");
+    adapted.headers.set("X-Model", "m/a1");
+    const auto stream = client().open(adapted);
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_EQ((*stream)->status(), 200);
+    EXPECT_EQ((*stream)->readBody().value(), expectedEvents(3));
+}
+
 // Guards against requests that no route allows, and against 404 before any configuration is known.
 TEST_F(RelayTest, TellsWhatIsUnknownFromWhatIsNotYetKnown)
 {
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -287,6 +287,11 @@
     board.updateHoldings(TargetId("t0"), TargetBirth(1), told);
     board.update(record(0));
     EXPECT_TRUE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
+    // An entry of the same sequence may still list an adapter that the owner has unloaded since.
+    TargetRecord same = record(0);
+    same.holdings.sequence = OrderSequence(5);
+    board.update(same);
+    EXPECT_TRUE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
     board.updateHoldings(TargetId("t0"), TargetBirth(9), {});
     EXPECT_TRUE(board.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
     TargetRecord later = record(0);
