--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 build=$1
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
-mapfile -t headers < <(git ls-files -co --exclude-standard 'src/*.h' 'tests/*.h' 'bench/*.h')
+mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
+mapfile -t headers < <(git ls-files -co --exclude-standard 'src/*.h' 'platform/*.h' 'tests/*.h' 'bench/*.h')
 clang-format --dry-run -Werror "${sources[@]}" "${headers[@]}"
 # The work list is shuffled by hash so that slow files do not end up behind one another.
 export build
@@ -15,7 +15,7 @@
     local source=$1 key
     local config
     config=$(cat .clang-tidy)
-    key=$( { echo "$source" "$config"; cat "$source"; g++ -std=c++20 -Isrc -I. -MM "$source" | tr ' \\' '\n\n' | grep -E '^(src|tests|bench)/' | sort -u | xargs cat; } | sha256sum | cut -d' ' -f1)
+    key=$( { echo "$source" "$config"; cat "$source"; g++ -std=c++20 -Isrc -I. -MM "$source" | tr ' \\' '\n\n' | grep -E '^(src|platform|tests|bench)/' | sort -u | xargs cat; } | sha256sum | cut -d' ' -f1)
     [ -e "$marks/$key" ] && return 0
     clang-tidy -p "$build" --quiet "$source" 2>/dev/null && touch "$marks/$key"
 }
