--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -114,7 +114,8 @@
         std::map<ModelId, double> work;
         for (const fleet::ModelDemand& entry : demand)
             work[entry.model] += entry.work;
-        for (const auto& [model, amount] : work) {
+        for (const auto& entry : work) {
+            const ModelId& model = entry.first;
             std::size_t holders = 0;
             std::size_t arriving = 0;
             for (const fleet::PlannedEngine& engine : engines) {
@@ -122,7 +123,7 @@
                     [&](const fleet::HeldModel& held) { return held.model == model; });
                 arriving += engine.arriving == model ? 1 : 0;
             }
-            placementLog.info("model={} work={:.3f} holders={} arriving={}", model, amount, holders, arriving);
+            placementLog.info("model={} work={:.3f} holders={} arriving={}", model, entry.second, holders, arriving);
         }
     }
 
--- a/tests/demo/Demo.cpp
+++ b/tests/demo/Demo.cpp
@@ -1,5 +1,6 @@
 // Runs the main job with real processes and checks every answer.
 #include "tests/support/Deployment.h"
+#include "tests/support/GatewayDeployment.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -31,7 +32,8 @@
 class Demo {
 public:
     explicit Demo(const std::filesystem::path& buildDirectory)
-        : deployment_(buildDirectory, options())
+        : buildDirectory_(buildDirectory)
+        , deployment_(buildDirectory, options())
     {
     }
 
@@ -47,10 +49,26 @@
         checkInstancesLeaving();
         check("no accelerator memory overcommitted", deployment_.overcommits() == 0,
             fmt::format("{} overcommitments counted by the engines", deployment_.overcommits()));
+        checkPlatform();
         return print();
     }
 
 private:
+    // The same daemon on the users' platform: its store, two engines and a plain worker are stand-ins.
+    void checkPlatform()
+    {
+        GatewayDeployment platform(buildDirectory_);
+        const bool stream = platform.send(0, "/stream/x", "demo-stream").body == GatewayDeployment::expectedEvents();
+        check("platform: streamed answer is whole", stream, "2 instances, 3 workers");
+        const bool once
+            = platform.send(1, "/unsafe/x", "demo-order").status == 200 && platform.executions("demo-order") == 1;
+        check("platform: order runs once", once, "1 execution");
+        const bool loaded = GatewayDeployment::eventually(
+            [&] { return platform.send(0, "/stream/x", "demo-rare", "m2").status == 200; });
+        check("platform: model that nobody held is loaded", loaded && platform.overcommits() == 0,
+            "0 loads beyond memory");
+    }
+
     static DeploymentOptions options()
     {
         DeploymentOptions options;
@@ -170,6 +188,7 @@
         return passed;
     }
 
+    std::filesystem::path buildDirectory_;
     Deployment deployment_;
     std::vector<Row> rows_;
     std::array<std::atomic<int>, 8> cutByInstance_{};
--- /dev/null
+++ b/tests/support/GatewayDeployment.cpp
@@ -0,0 +1,178 @@
+#include "tests/support/GatewayDeployment.h"
+
+#include "transport/HttpServer.h"
+
+#include <absl/strings/escaping.h>
+
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace lychee::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds limit{10000};
+constexpr std::chrono::milliseconds pollInterval{50};
+constexpr int instanceCount = 2;
+constexpr int eventCount = 20;
+
+// Listening and closing tells a port that is free now.
+std::uint16_t freePort()
+{
+    const auto duty = Duty::start("port", RuntimeClock::createRunning()).value();
+    const auto server = HttpServer::listen(*duty, {"127.0.0.1", 0}, {}, [](HttpExchange&) {}).value();
+    return server->port();
+}
+
+HttpRequest request(const std::string& target, const std::string& attempt, const std::string& model)
+{
+    return {"POST", target,
+        {{"Host", "a"}, {"X-Attempt-Id", attempt}, {"X-Model", model}, {"X-Token-Count", "100,40"},
+            {"X-Deadline-Ms", "5000"}},
+        "body"};
+}
+
+} // namespace
+
+GatewayDeployment::GatewayDeployment(std::filesystem::path buildDirectory)
+    : buildDirectory_(buildDirectory)
+    , standins_(std::move(buildDirectory))
+{
+    store_ = &standins_.startFleetStore();
+    addWorker("e0", "hall", "m0,m1");
+    addWorker("e1", "hall", "m0");
+    addWorker("d0", "desk", "");
+    writeConfiguration(1, {"/stream/", "/safe/", "/unsafe/"});
+    for (int i = 0; i < instanceCount; ++i)
+        startInstance(i);
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        const bool serves = eventually(
+            [&] { return statusOf(instances_[i].readiness, "/") == 200 && send(i, "/safe/x", "first").status == 200; });
+        if (!serves)
+            throw std::runtime_error("an instance does not serve");
+    }
+}
+
+bool GatewayDeployment::eventually(const std::function<bool()>& condition, std::chrono::milliseconds within)
+{
+    const auto end = std::chrono::steady_clock::now() + within;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+void GatewayDeployment::addWorker(const std::string& id, const std::string& service, const std::string& models)
+{
+    workers_[id] = &standins_.startFleetWorker({"--id=" + id, "--service=" + service, "--models=" + models,
+        fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", eventCount),
+        "--event-ms=20"});
+}
+
+void GatewayDeployment::writeRow(const std::string& table, const std::string& key, const std::string& value)
+{
+    HttpRequest write;
+    write.method = "POST";
+    write.target = "/v1/rows-tx";
+    const std::string encoded = absl::Base64Escape(absl::string_view(value.data(), value.size()));
+    const json body{{"expected", json::array()},
+        {"setKeys", {{{"table", table}, {"part", ""}, {"key", key}, {"value", encoded}}}}, {"remove", json::array()}};
+    write.body = body.dump();
+    const auto answer = store_->client().send(write);
+    if (!answer.ok() || answer->status != 200)
+        throw std::runtime_error("the store did not take a row");
+}
+
+void GatewayDeployment::writeConfiguration(int version, const std::vector<std::string>& prefixes)
+{
+    json routes = json::array();
+    for (const std::string& prefix : prefixes) {
+        const bool stream = prefix == "/stream/";
+        routes.push_back({{"name", "r" + std::to_string(routes.size())}, {"host", "a"}, {"prefix", prefix},
+            {"kind",
+                stream                     ? "streaming"
+                    : prefix == "/unsafe/" ? "non_idempotent"
+                                           : "idempotent"},
+            {"timeoutMs", 5000}, {"targetLatencyMs", 500}, {"priority", 1}, {"service", stream ? "hall" : "desk"},
+            {"attempts", 2}, {"resumable", stream}, {"gapTargetMs", 600}});
+    }
+    json models = json::array();
+    for (const char* model : {"m0", "m1", "m2"})
+        models.push_back({{"name", model}, {"weightsMb", 90}, {"loadS", 0.2}, {"adapters", 3}, {"adapterMb", 1}});
+    const json document{{"version", version}, {"routes", routes},
+        {"services",
+            {{{"name", "hall"},
+                 {"engine",
+                     {{"slots", 16}, {"kvCapacity", 100000}, {"models", models}, {"weightsMb", 200},
+                         {"adapterSlots", 2}, {"loadsPerS", 5}}}},
+                {{"name", "desk"}}}}};
+    writeRow("op", "config", document.dump());
+}
+
+void GatewayDeployment::startInstance(int index)
+{
+    GatewayInstance instance;
+    instance.callers = {"127.0.0.1", freePort()};
+    instance.readiness = {"127.0.0.1", freePort()};
+    instance.metrics = {"127.0.0.1", freePort()};
+    const auto settings = standins_.directory().file(fmt::format("instance-{}.ini", index));
+    std::ofstream(settings) << fmt::format(
+        "[instance]\nid = front-{0}\ndata_centre = a\n[callers]\nendpoint = {1}\n[readiness]\nendpoint = {2}\n"
+        "[peers]\naddress = 127.0.0.1\nport = {3}\n[metrics]\nport = {4}\n[platform]\nendpoint = 127.0.0.1:{5}\n"
+        "[placement]\nlease_ms = 500\n[stop]\ngrace_s = 8\n",
+        index, instance.callers.toString(), instance.readiness.toString(), freePort(), instance.metrics.port,
+        store_->endpoint().port);
+    auto process = ChildProcess::start(buildDirectory_ / "lycheecoursed",
+        {"--interface=platform", "--settings=" + settings.string()},
+        standins_.directory().file(fmt::format("instance-{}.log", index)));
+    if (!process.ok())
+        throw std::runtime_error("the daemon cannot be started");
+    instance.process = std::move(*process);
+    instances_.push_back(std::move(instance));
+}
+
+int GatewayDeployment::statusOf(const Endpoint& endpoint, const std::string& target)
+{
+    HttpRequest get;
+    get.target = target;
+    const auto answer = TestHttpClient(endpoint, std::chrono::milliseconds(1000)).send(get);
+    return answer.ok() ? answer->status : 0;
+}
+
+HttpResponse GatewayDeployment::send(
+    std::size_t instance, const std::string& target, const std::string& attempt, const std::string& model)
+{
+    const auto answer = TestHttpClient(instances_[instance].callers, limit).send(request(target, attempt, model));
+    return answer.ok() ? *answer : HttpResponse{0, {}, std::string(answer.status().message())};
+}
+
+int GatewayDeployment::executions(const std::string& attempt)
+{
+    int count = 0;
+    for (const auto& [id, worker] : workers_)
+        count += worker->stats()["executions"].value(attempt, 0);
+    return count;
+}
+
+std::uint64_t GatewayDeployment::overcommits()
+{
+    std::uint64_t count = 0;
+    for (const auto& [id, worker] : workers_)
+        count += worker->stats()["overcommits"].get<std::uint64_t>();
+    return count;
+}
+
+std::string GatewayDeployment::expectedEvents()
+{
+    std::string text;
+    for (int id = 1; id <= eventCount; ++id)
+        text += fmt::format("id: {}\ndata: token-{}\n\n", id, id);
+    return text;
+}
+
+} // namespace lychee::test
