--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -23,6 +23,8 @@
     std::function<void(const InstanceId&, std::vector<fleet::WorkShare>)> peerWork;
     // Whether the placement owner is reached, and how many instances share the retry budget.
     std::function<void(bool placementReached, std::size_t instances)> surroundings;
+    // A configuration has come into force.
+    std::function<void(const fleet::RouteTable&)> configurationChanged;
     // Suspends the fiber; fills in the work, the demand and the uses of this instance.
     std::function<void(MeshStatus&)> readStatus;
 };
@@ -220,8 +222,7 @@
             controlLog.info("configuration version={} row={} routes={} services={} in force", (*table)->version(),
                 row.version, (*table)->routes().size(), (*table)->services().size());
             routes_->publish(*table);
-            if (configurationChanged)
-                configurationChanged(**table);
+            relay_.configurationChanged(**table);
         }
     }
 
@@ -462,11 +463,6 @@
 
     static constexpr const char* instanceTable = "instances";
 
-public:
-    // Called on the control duty when a configuration has come into force.
-    std::function<void(const fleet::RouteTable&)> configurationChanged;
-
-private:
     Duty& duty_;
     ControlOptions options_;
     std::shared_ptr<Published<fleet::RouteTable>> routes_;
--- /dev/null
+++ b/src/gateway/EngineSlot.h
@@ -0,0 +1,46 @@
+// The state of one engine at the placement owner.
+#pragma once
+
+#include "fleet/PlacementPlan.h"
+#include "fleet/TargetRecord.h"
+#include "transport/FiberEvent.h"
+
+#include <absl/status/status.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace lychee::gateway {
+
+// A request that waits for an adapter.
+struct AdapterWish {
+    ModelId model;
+    AdapterId adapter;
+    TimePoint deadline;
+    bool done = false;
+    absl::Status status;
+    std::vector<FiberEvent*> waiting;
+};
+
+// What the placement owner knows of one engine, and what it has to do there.
+struct EngineSlot {
+    fleet::TargetRecord record;
+    // The holdings are those after `holdings.sequence` orders.
+    bool synced = false;
+    bool running = false;
+    // A model order is under way.
+    bool ordering = false;
+    std::map<ModelId, TimePoint> loadedAt;
+    std::optional<fleet::ModelOrder> planned;
+    std::optional<ModelId> arriving;
+    std::optional<ModelId> leaving;
+    // An order of an earlier owner is being carried out, so the holdings are not those after `sequence` orders yet.
+    bool unsettled = false;
+    std::deque<std::shared_ptr<AdapterWish>> wishes;
+    std::map<std::pair<ModelId, AdapterId>, TimePoint> lastUse;
+    TimePoint nextReport;
+    TimePoint pausedUntil;
+};
+
+} // namespace lychee::gateway
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -98,7 +98,6 @@
             settings_->instance.dataCentre(), settings_->callers.endpoint().toString(), settings_->peers.address(),
             settings_->peers.port(), settings_->platform.endpoint().toString());
         control_ = std::make_unique<ControlPlane<Platform>>(*controlDuty_, controlOptions(), routes_, relayPort());
-        control_->configurationChanged = [this](const fleet::RouteTable& table) { applyLimits(table.limits()); };
         auto callers = HttpServer::listen(*relayDuty_, settings_->callers.endpoint(), serverOptions({}),
             [this](HttpExchange& exchange) { RelayedRequest<typename Platform::Dialect>(parts_, exchange).run(); });
         if (!callers.ok())
@@ -164,6 +163,7 @@
                 setBudget(*settings, std::max(instances, assumedInstances));
             });
         };
+        port.configurationChanged = [this](const fleet::RouteTable& table) { applyLimits(table.limits()); };
         port.readStatus = [this](MeshStatus& status) {
             const auto read = callOn(*relayInbox_, [this] { return readRelay(); });
             if (read.ok())
--- a/src/gateway/OrderDesk.h
+++ b/src/gateway/OrderDesk.h
@@ -5,45 +5,19 @@
 #include "fleet/LoadAllowance.h"
 #include "fleet/PlacementPlan.h"
 #include "gateway/EngineOrder.h"
+#include "gateway/EngineSlot.h"
+#include "gateway/OrderLimits.h"
 #include "transport/Duty.h"
 #include "transport/FiberEvent.h"
 #include "transport/Log.h"
 #include "transport/TransportError.h"
 
-#include <array>
-#include <deque>
 #include <map>
 
 namespace lychee::gateway {
 
 inline constexpr LogChannel orderLog("orders");
 
-// Limits of ordering.
-struct OrderLimits {
-    // An engine answers an order within milliseconds; later its outcome counts as unknown.
-    static constexpr Duration answer = std::chrono::milliseconds(800);
-    static constexpr Duration report = std::chrono::milliseconds(800);
-    // Reports show the state of some hundred milliseconds ago.
-    static constexpr Duration reportInterval = std::chrono::milliseconds(250);
-    // A copy stays for at least this long, so that models do not take turns.
-    static constexpr Duration freshCopy = std::chrono::seconds(5);
-    // Adapters take 5 to 10 ms.
-    static constexpr Duration adapterLoad = std::chrono::milliseconds(10);
-    // An adapter that was used this recently may still be in use; instances tell its uses five times a second.
-    static constexpr Duration adapterInUse = std::chrono::milliseconds(400);
-    // Time beyond that of the load itself until instances know that a model is there.
-    static constexpr Duration loadMargin = std::chrono::milliseconds(300);
-    // Waits before each try to load after an unload, which takes as long as the last request of the model.
-    static constexpr std::array<Duration, 5> unloadPauses{std::chrono::milliseconds(25), std::chrono::milliseconds(50),
-        std::chrono::milliseconds(100), std::chrono::milliseconds(200), std::chrono::milliseconds(400)};
-    // Adapters that may be on their way to one engine.
-    static constexpr std::size_t adaptersArriving = 4;
-    // An engine that did not answer is left alone for this time.
-    static constexpr Duration failurePause = std::chrono::milliseconds(500);
-    // Requests for adapters that may wait at one engine.
-    static constexpr std::size_t waiting = 256;
-};
-
 // Whether this instance may send an order now, and as whom.
 struct OrderAuthority {
     bool granted = false;
@@ -194,33 +168,8 @@
     void setRoutes(std::shared_ptr<const fleet::RouteTable> routes) { routes_ = std::move(routes); }
 
 private:
-    struct Wish {
-        ModelId model;
-        AdapterId adapter;
-        TimePoint deadline;
-        bool done = false;
-        absl::Status status;
-        std::vector<FiberEvent*> waiting;
-    };
-
-    struct Slot {
-        fleet::TargetRecord record;
-        // The holdings are those after `holdings.sequence` orders.
-        bool synced = false;
-        bool running = false;
-        // A model order is under way.
-        bool ordering = false;
-        std::map<ModelId, TimePoint> loadedAt;
-        std::optional<fleet::ModelOrder> planned;
-        std::optional<ModelId> arriving;
-        std::optional<ModelId> leaving;
-        // An order of an earlier owner is being carried out, so the holdings are not those after `sequence` orders yet.
-        bool unsettled = false;
-        std::deque<std::shared_ptr<Wish>> wishes;
-        std::map<std::pair<ModelId, AdapterId>, TimePoint> lastUse;
-        TimePoint nextReport;
-        TimePoint pausedUntil;
-    };
+    using Wish = AdapterWish;
+    using Slot = EngineSlot;
 
     static bool holds(const Slot& slot, const ModelId& model, const AdapterId& adapter)
     {
--- a/src/gateway/RelayParts.h
+++ b/src/gateway/RelayParts.h
@@ -53,4 +53,23 @@
 
 std::string_view nameOf(RelayEnd end);
 
+// What is known of a request at its end. Pointers may be null, except `caller`.
+struct RelayRecord {
+    const fleet::CallerRequest* caller = nullptr;
+    const fleet::Route* route = nullptr;
+    const fleet::Service* service = nullptr;
+    ConfigurationVersion configuration;
+    RelayEnd end = RelayEnd::CallerLeft;
+    int status = 0;
+    TargetId target;
+    int sends = 0;
+    int possibleRuns = 0;
+    Duration total{0};
+    std::optional<Duration> firstEvent;
+    std::string_view problem;
+};
+
+// Writes the line at the end of a request and counts it; `metrics` may be null.
+void recordEnd(const RelayRecord& record, MetricsSink* metrics);
+
 } // namespace lychee::gateway
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "fleet/ResendRule.h"
+#include "gateway/AdapterUse.h"
 #include "gateway/RelayDialect.h"
+#include "gateway/RelayLimits.h"
 #include "gateway/RelayParts.h"
 #include "protocol/EventSplitter.h"
 #include "transport/Log.h"
@@ -12,32 +14,6 @@
 
 inline constexpr LogChannel relayLog("relay");
 
-// Limits of relaying, each with its unit in the type.
-struct RelayLimits {
-    // Opening a connection to a target a few milliseconds away.
-    static constexpr Duration connect = std::chrono::milliseconds(250);
-    // A request that must not run twice goes only to a connection that was used this recently; an older one may have
-    // been forgotten on the way, and then nobody knows whether the request ran.
-    static constexpr Duration freshIdle = std::chrono::milliseconds(800);
-    // Other requests use connections up to this age.
-    static constexpr Duration idle = std::chrono::seconds(5);
-    // Loading an adapter takes 5 to 10 ms beside the way to the placement owner and a queue there.
-    static constexpr Duration ensureAdapter = std::chrono::milliseconds(400);
-    // An engine that was told to load an adapter turns requests away until it is there.
-    static constexpr Duration adapterPause = std::chrono::milliseconds(15);
-    static constexpr int adapterPauses = 3;
-    // How often a request that waits for a model looks for it.
-    static constexpr Duration modelPause = std::chrono::milliseconds(50);
-    // A stream that has begun waits this long between tries to continue it elsewhere.
-    static constexpr Duration resumePause = std::chrono::milliseconds(100);
-    // Callers abandon a stream after a gap of two seconds or more.
-    static constexpr Duration resumeLimit = std::chrono::milliseconds(1800);
-    // A send that may be repeated elsewhere waits for the answer at least this long.
-    static constexpr Duration shortestPatience = std::chrono::milliseconds(300);
-    // A request without a configuration is told to return after this time; a new instance reads it in less.
-    static constexpr Duration noConfigurationRetry = std::chrono::milliseconds(500);
-};
-
 // The life of one request.
 template <RelayDialect Dialect> class RelayedRequest {
 public:
@@ -68,33 +44,6 @@
         bool sent = false;
     };
 
-    // Keeps the adapter of a request known as used while the request runs.
-    class AdapterUse {
-    public:
-        AdapterUse(RelayParts& parts, const TargetId& target, const std::optional<fleet::GenerationNeed>& need)
-            : parts_(parts)
-        {
-            if (!need || !need->adapter)
-                return;
-            entry_.emplace(target, need->model, *need->adapter);
-            ++parts_.adaptersInUse[*entry_];
-            parts_.adaptersUsed.insert(*entry_);
-        }
-
-        ~AdapterUse()
-        {
-            if (entry_ && --parts_.adaptersInUse[*entry_] == 0)
-                parts_.adaptersInUse.erase(*entry_);
-        }
-
-        AdapterUse(const AdapterUse&) = delete;
-        AdapterUse& operator=(const AdapterUse&) = delete;
-
-    private:
-        RelayParts& parts_;
-        std::optional<RelayParts::AdapterOnTarget> entry_;
-    };
-
     bool accept()
     {
         if (!table_) {
@@ -523,33 +472,23 @@
         end_ = exchange_.respond(Dialect::ownAnswer(own)).ok() ? end : RelayEnd::CallerLeft;
     }
 
-    std::string modelName() const
-    {
-        if (!caller_.generation)
-            return "-";
-        const auto& adapter = caller_.generation->adapter;
-        return caller_.generation->model.value() + (adapter ? "/" + adapter->value() : std::string());
-    }
-
     void record()
     {
-        const TimePoint now = currentTime();
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt_).count();
-        const RelayEnd end = end_.value_or(RelayEnd::CallerLeft);
-        relayLog.info("request={} route={} model={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} "
-                      "reason=\"{}\"",
-            caller_.attempt, route_ ? route_->id.value() : std::string("-"), modelName(),
-            table_ ? table_->version().value() : 0, nameOf(end), answerStatus_, lastTarget_, history_.sends,
-            history_.possibleRuns, milliseconds, end == RelayEnd::Delivered ? std::string() : lastProblem_);
-        if (!route_ || !parts_.metrics)
-            return;
-        const TeamId team(service_ ? service_->id.value() : std::string());
-        const CallerClassId callerClass(route_->id.value());
-        parts_.metrics->count(Counter::Requests, team, std::string(nameOf(end)));
+        RelayRecord record;
+        record.caller = &caller_;
+        record.route = route_;
+        record.service = service_;
+        record.configuration = table_ ? table_->version() : ConfigurationVersion();
+        record.end = end_.value_or(RelayEnd::CallerLeft);
+        record.status = answerStatus_;
+        record.target = lastTarget_;
+        record.sends = history_.sends;
+        record.possibleRuns = history_.possibleRuns;
+        record.total = currentTime() - startedAt_;
         if (firstEventAt_ != TimePoint())
-            parts_.metrics->latency(LatencyKind::FirstToken, team, callerClass, firstEventAt_ - startedAt_);
-        if (end == RelayEnd::Delivered)
-            parts_.metrics->latency(LatencyKind::WholeAnswer, team, callerClass, now - startedAt_);
+            record.firstEvent = firstEventAt_ - startedAt_;
+        record.problem = lastProblem_;
+        recordEnd(record, parts_.metrics);
     }
 
     RelayParts& parts_;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -168,8 +168,10 @@
     // the end of the call.
     error_code write(const http::request<http::string_body>& message)
     {
-        return runBefore(connection_->socket_, nextDeadline(),
+        const error_code error = runBefore(connection_->socket_, nextDeadline(),
             [&](error_code& result) { http::async_write(connection_->socket_, message, FiberToken{result}); });
+        wholeRequestSent_ = !error;
+        return error;
     }
 
     // Reads the header of the answer that belongs to the request.
@@ -304,14 +306,11 @@
         return std::chrono::seconds(seconds) - announcedIdleMargin;
     }
 
-public:
-    bool wholeRequestSent_ = false;
-
-private:
     std::shared_ptr<Pool> pool_;
     Endpoint endpoint_;
     std::unique_ptr<Connection> connection_;
     HttpCallLimits limits_;
+    bool wholeRequestSent_ = false;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     HttpHeaders headers_;
     std::array<char, readBufferBytes> chunk_;
@@ -353,7 +352,6 @@
         return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
     auto stream = std::make_unique<Stream>(pool_, endpoint, std::move(connection), limits);
     const error_code error = stream->write(message);
-    stream->wholeRequestSent_ = !error;
     if (error && error != boost::asio::error::broken_pipe && error != boost::asio::error::connection_reset)
         return {socketError(error, "write request"), true, nullptr};
     // After a failed write an early answer may still wait in the receive buffer.
