Findings of the linter in the stand-ins and a test

Cause: a new hook of the stand-ins had the name of a function of one of them. Change: the hook is called listening(); a vector reserves its size.

--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -219,7 +219,7 @@
     }
     requests->serve([&server](const auto& connection) { server.serveRequests(connection); });
     faults->serve([&server](const auto& connection) { server.serveFaults(connection); });
-    application.begin(requests->port());
+    application.listening(requests->port());
     fmt::print(stderr, "standin: port {}, fault port {}\n", requests->port(), faults->port());
     const std::string portsFile = absl::GetFlag(FLAGS_ports_file);
     if (!portsFile.empty() && !writePortsFile(portsFile, requests->port(), faults->port())) {
--- a/tests/standins/common/Standin.h
+++ b/tests/standins/common/Standin.h
@@ -18,7 +18,7 @@
     virtual nlohmann::json stats() = 0;
 
     // Called once with the port of the service before it is announced.
-    virtual void begin(std::uint16_t) { }
+    virtual void listening(std::uint16_t) { }
 
     // Called for `IgnoreFencing` and `HonourFencing`, which are modes rather than faults of a request.
     virtual void setFencingFault(FaultKind) { }
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -27,7 +27,7 @@
         models_[model];
 }
 
-void Worker::begin(std::uint16_t port)
+void Worker::listening(std::uint16_t port)
 {
     std::thread([this, port] { beatLoop(port); }).detach();
 }
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -33,7 +33,7 @@
     explicit Worker(WorkerOptions options);
 
     // Starts to register itself; `port` is where it serves.
-    void begin(std::uint16_t port) override;
+    void listening(std::uint16_t port) override;
 
     void handle(const Request& request, Connection& connection) override;
 
--- a/tests/unit/PlacementPlanTest.cpp
+++ b/tests/unit/PlacementPlanTest.cpp
@@ -83,6 +83,7 @@
 {
     const Engine engine = engineWith(10, 66000);
     std::vector<PlannedEngine> engines;
+    engines.reserve(8);
     for (int i = 0; i < 8; ++i)
         engines.push_back(target(i, {fmt::format("m{}", i % 10), fmt::format("m{}", (i + 5) % 10)}));
     const std::vector<ModelDemand> demand{{ModelId("m0"), 1.2}, {ModelId("m1"), 0.7}, {ModelId("m2"), 0.3}};
