Repeat orders whose outcome stays unknown

The load had been refused without an effect ("The outcome of order ... is unknown"). Engine-2 does not honour fencing, so the order stays recorded and its memory counted; placement showed the copy as loading and therefore never ordered the load again. The same held for a lost unload, whose memory was never freed.

Change: the owner says which orders are lost (OwnershipMachine::isOrderLost), and the placement pass repeats them without a new allowance. An order under way, or recorded and about to be sent, is not repeated. The memory account is unchanged: the first order stays counted.

Tests that fail before: Reachability.RepeatsAnOrderWhoseOutcomeStaysUnknown, and isOrderLost in MemoryBound.LostOrderKeepsItsBytes.

--- a/src/coordination/OwnershipMachine.cpp
+++ b/src/coordination/OwnershipMachine.cpp
@@ -28,6 +28,21 @@
     return loads;
 }
 
+bool OwnershipMachine::isOrderLost(const ArtifactId& artifact) const
+{
+    if (!owned_ || isOutstanding(artifact))
+        return false;
+    bool recorded = false;
+    for (const EngineOrder& order : ledger_->row().orders) {
+        if (order.artifact != artifact || order.operation == OrderOperation::Fence)
+            continue;
+        if (std::ranges::find(unsent_, order.id) != unsent_.end())
+            return false;
+        recorded = true;
+    }
+    return recorded;
+}
+
 void OwnershipMachine::handle(const RowRead& event)
 {
     platformReachable_ = true;
--- a/src/coordination/OwnershipMachine.h
+++ b/src/coordination/OwnershipMachine.h
@@ -173,6 +173,10 @@
     // unless this instance is the owner.
     std::vector<EngineOrder> unresolvedLoads() const;
 
+    // Whether orders for the artifact are unresolved and none of them is under way or about to be sent: their answers
+    // were lost, or a previous owner sent them. False unless this instance is the owner.
+    bool isOrderLost(const ArtifactId& artifact) const;
+
     // The account of memory, or null unless this instance is the owner or is becoming the owner.
     const TargetLedger* ledger() const { return ledger_ ? &*ledger_ : nullptr; }
 
--- a/src/daemon/PlacementService.cpp
+++ b/src/daemon/PlacementService.cpp
@@ -300,6 +300,10 @@
         if (order.operation == OrderOperation::Load && !held)
             residency.held.push_back({order.artifact, order.bytes, ArtifactState::Loading});
     }
+    if (residency.owned) {
+        for (HeldArtifact& held : residency.held)
+            held.orderLost = held.state != ArtifactState::Resident && machine->isOrderLost(held.artifact);
+    }
     return residency;
 }
 
--- a/src/state/Placement.cpp
+++ b/src/state/Placement.cpp
@@ -46,6 +46,7 @@
     std::vector<PlannedOrder> run()
     {
         map_.balance(firstBalanceRounds);
+        repeatLostOrders();
         if (allowance_.unloads)
             unloadUndeclared();
         if (allowance_.models > 0) {
@@ -63,6 +64,24 @@
     }
 
 private:
+    // A lost order may never have reached its target. Its memory stays counted, so without a repetition the copy would
+    // be awaited for ever. A repeated load keeps the allowance that its first order took.
+    void repeatLostOrders()
+    {
+        for (std::uint32_t t = 0; t < map_.targetCount(); ++t) {
+            const PlacementTarget& target = map_.target(TargetIndex(t));
+            if (!target.live || !target.owned)
+                continue;
+            for (const PlacementCopy& copy : target.copies) {
+                const bool unloads = copy.state == ArtifactState::Unloading && allowance_.unloads;
+                const bool loads = copy.state == ArtifactState::Loading && copy.declared && copy.current;
+                if (copy.orderLost && (unloads || loads))
+                    orders_.push_back({TargetIndex(t), unloads ? OrderKind::Unload : OrderKind::Load, copy.artifact,
+                        copy.bytes, PlacementReason::LostOrder});
+            }
+        }
+    }
+
     void unloadUndeclared()
     {
         for (std::uint32_t t = 0; t < map_.targetCount(); ++t) {
--- a/src/state/Placement.h
+++ b/src/state/Placement.h
@@ -48,6 +48,8 @@
     Room,
     // The artifact or its version is no longer declared.
     Undeclared,
+    // The answer to an earlier order was lost.
+    LostOrder,
 };
 
 // One wanted order to a target.
--- a/src/state/PlacementMap.cpp
+++ b/src/state/PlacementMap.cpp
@@ -67,7 +67,7 @@
     if (held.state == ArtifactState::Unloading)
         target.freeing += held.bytes;
     const auto meaning = catalogue_.artifact(held.artifact);
-    PlacementCopy copy{RouteIndex(), held.artifact, held.bytes, held.state, meaning.has_value(), false};
+    PlacementCopy copy{RouteIndex(), held.artifact, held.bytes, held.state, meaning.has_value(), false, held.orderLost};
     if (meaning) {
         copy.route = meaning->route;
         copy.current = meaning->current;
@@ -174,7 +174,7 @@
     PlacementTarget& target = targets_[index.value()];
     const Bytes bytes = catalogue_.bytes(route);
     target.used += bytes;
-    target.copies.push_back({route, catalogue_.artifactId(route), bytes, ArtifactState::Loading, true, true});
+    target.copies.push_back({route, catalogue_.artifactId(route), bytes, ArtifactState::Loading, true, true, false});
     addFlow(index, route);
 }
 
@@ -204,6 +204,7 @@
     PlacementTarget& target = targets_[index.value()];
     PlacementCopy& copy = target.copies[position];
     copy.state = ArtifactState::Unloading;
+    copy.orderLost = false;
     target.freeing += copy.bytes;
     if (!copy.declared)
         return;
--- a/src/state/PlacementMap.h
+++ b/src/state/PlacementMap.h
@@ -14,6 +14,8 @@
     bool declared = true;
     // Of the declared version.
     bool current = true;
+    // The order that loads or unloads the copy is to be repeated.
+    bool orderLost = false;
 };
 
 struct PlacementTarget {
--- a/src/state/Residency.h
+++ b/src/state/Residency.h
@@ -21,6 +21,9 @@
     ArtifactId artifact;
     Bytes bytes;
     ArtifactState state = ArtifactState::Resident;
+    // The owner has no order under way that could end this state: the answer to its order was lost, or a previous owner
+    // sent it. The order is to be repeated.
+    bool orderLost = false;
 
     bool operator==(const HeldArtifact&) const = default;
 };
--- a/tests/unit/MemoryBoundTest.cpp
+++ b/tests/unit/MemoryBoundTest.cpp
@@ -260,6 +260,9 @@
     EXPECT_TRUE(honouring.has("b@1") && honouring.has("c@1"));
     Scenario ignoring = runDisplacedLoad(Simulation::OrderFate::Lost, false, false);
     EXPECT_FALSE(ignoring.has("b@1") || ignoring.has("c@1"));
+    // Placement repeats only what is said to be lost.
+    EXPECT_TRUE(ignoring->machine(0).isOrderLost(ArtifactId("a@1")));
+    EXPECT_FALSE(ignoring->machine(0).isOrderLost(ArtifactId("d@1")));
     ignoring->want({item("a@1"), item("d@1")});
     ignoring->runFor(settlingTime);
     EXPECT_TRUE(ignoring.has("a@1") && ignoring.has("d@1"));
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -137,5 +137,26 @@
     pool.expectAllServed();
 }
 
+// Guards against a model that stays unreachable because the only order to load it was lost on its way.
+TEST(Reachability, RepeatsAnOrderWhoseOutcomeStaysUnknown)
+{
+    Pool pool(createConfiguration(4, 4, 0));
+    const ArtifactId model = pool.catalogue->artifactId(RouteIndex(0));
+    auto& held = pool.residency.targets[1].held;
+    held.push_back({model, gibibytes(20), ArtifactState::Loading});
+    const auto loadsAgain = [&](const PlannedOrder& order) {
+        return order.artifact == model && order.target == TargetIndex(1) && order.kind == OrderKind::Load;
+    };
+    EXPECT_TRUE(std::ranges::none_of(pool.plan(), loadsAgain)) << "the order is still under way";
+    held.back().orderLost = true;
+    // The first order took the allowance, so the repetition needs none.
+    EXPECT_TRUE(std::ranges::any_of(pool.plan({0, 0, true}), loadsAgain));
+    held.back().state = ArtifactState::Unloading;
+    EXPECT_TRUE(std::ranges::any_of(pool.plan({0, 0, true}),
+        [&](const PlannedOrder& order) { return order.artifact == model && order.kind == OrderKind::Unload; }));
+    pool.residency.targets[1].owned = false;
+    EXPECT_TRUE(pool.plan({0, 0, true}).empty()) << "only the owner repeats its orders";
+}
+
 } // namespace
 } // namespace lychee
