Tell holdings only where they are news, and read the store less while fed

A log of every call showed that followers are fed as designed and make 0.57 calls a second each; when the owner of placement is cut off from the store at 20.7 s, its successor begins by reading every engine and tells each report to all 80 peers. Meanwhile nobody is fed, and all instances read the store themselves.

Change: - ToldHoldings remembers what owners told; unchanged holdings are not told again. A new owner sends only differences. - The holder of the lease passes changes on while it still waits for the orders of its predecessor; MeshStatus loses ownsPlacement, the mesh protocol is version 2. A renewing holder tells its status five times a second, because peers take one that they hear once a second for silent every now and then. - While fed, the targets are read every 30 s, the configuration's wait is 30 s, the lease row is read every 60 s and the list of instances every 60 s.

--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -29,7 +29,7 @@
     // The holder renews this often, so that one lost renewal does not stop it.
     Duration renewInterval = std::chrono::milliseconds(500);
     // How often others read the row while they hear from the holder, and while they do not.
-    Duration idleReadInterval = std::chrono::seconds(15);
+    Duration idleReadInterval = std::chrono::seconds(60);
     Duration urgentReadInterval = std::chrono::milliseconds(500);
     // Additional wait of this instance before it takes the row, so that not all write at once.
     Duration takeDelay{0};
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "gateway/PlacementOwner.h"
 #include "gateway/TableWatch.h"
 #include "gateway/TargetList.h"
+#include "gateway/ToldHoldings.h"
 #include "transport/Published.h"
 
 #include <atomic>
@@ -64,11 +65,13 @@
 struct ControlLimits {
     // A configuration has to be in force two seconds after it was accepted, also when a connection has gone silent.
     static constexpr Duration configurationWait = std::chrono::milliseconds(1500);
-    static constexpr Duration configurationFedWait = std::chrono::seconds(12);
+    // While the owner of placement passes changes on, a read of one's own is a second source only. The longest wait
+    // that the platform takes: calls to it are priced, and in a large deployment most come from idle reads.
+    static constexpr Duration configurationFedWait = std::chrono::seconds(30);
     // Entries of targets change many times a second; a leaving target is known in time when they are read this often.
     static constexpr Duration targetWait = std::chrono::milliseconds(400);
     static constexpr Duration targetPause = std::chrono::milliseconds(500);
-    static constexpr Duration targetFedPause = std::chrono::seconds(10);
+    static constexpr Duration targetFedPause = std::chrono::seconds(30);
     // The owner of placement counts as reading the platform while its last answer is no older than this; with the time
     // of a read of one's own it keeps the two seconds in which a leaving target has to be known.
     static constexpr Duration feedAge = std::chrono::milliseconds(1200);
@@ -80,8 +83,9 @@
     static constexpr std::size_t statusPeers = 12;
     static constexpr Duration longestStatus = std::chrono::seconds(1);
     static constexpr Duration placement = std::chrono::milliseconds(200);
-    // Instances come and go rarely, and each one connects to all others when it starts.
-    static constexpr Duration instances = std::chrono::seconds(20);
+    // Each instance connects to all others when it starts, so the list only serves to find those whose connection broke
+    // while both sides were cut off.
+    static constexpr Duration instances = std::chrono::seconds(60);
     static constexpr Duration instancesRetry = std::chrono::milliseconds(500);
     static constexpr Duration answer = std::chrono::milliseconds(900);
     // Demand of a peer that was not heard from for this time is left out.
@@ -189,6 +193,7 @@
                 owner_.listed(record);
             },
             [this](const TargetId& target) {
+                told_.forget(target);
                 relay_.gone(target);
                 owner_.gone(target);
             }};
@@ -201,10 +206,19 @@
                 },
             [this](const fleet::TargetRecord& record) {
                 relay_.holdingsChanged(record.id, record.birth, record.holdings);
-                mesh_->broadcast(gateway::toMessage(record.id, record.birth, record.holdings, currentTime()));
+                tellHoldings(record);
             }};
     }
 
+    void tellHoldings(const fleet::TargetRecord& record)
+    {
+        const auto listed = targets_.targets().find(record.id);
+        if (!told_.isNews(record, listed == targets_.targets().end() ? nullptr : &listed->second))
+            return;
+        told_.record(record.id, record.birth, record.holdings);
+        mesh_->broadcast(gateway::toMessage(record.id, record.birth, record.holdings, currentTime()));
+    }
+
     void applyConfiguration(const std::vector<StoredRow>& rows)
     {
         for (const StoredRow& row : rows) {
@@ -270,7 +284,6 @@
             status_.readsPlatform = reach_.isReached(now) && now - targetWatch_.answeredAt() < readAge();
             status_.configurationRow = configurationWatch_.replica().version();
             status_.targetRows = targetWatch_.replica().version();
-            status_.ownsPlacement = owner_.owns();
             status_.holdsLease = lease_.isRenewing();
             for (const MeshUse& use : status_.uses)
                 owner_.desk().recordUse(use.target, use.model, use.adapter);
@@ -283,7 +296,8 @@
 
     Duration statusInterval() const
     {
-        if (owner_.owns())
+        // A holder of the lease that may not give orders yet is not heard in time by peers that hear it once a second.
+        if (owner_.owns() || lease_.isRenewing())
             return ControlLimits::status;
         const auto factor = static_cast<std::int64_t>(1 + mesh_->peerCount() / ControlLimits::statusPeers);
         return std::min(ControlLimits::status * factor, ControlLimits::longestStatus);
@@ -367,26 +381,27 @@
         return isFed() ? ControlLimits::targetFedPause + ControlLimits::feedAge : ControlLimits::feedAge;
     }
 
-    // Whether the owner of placement reads the platform and passes the changes on to this instance.
+    // Whether the holder of the lease reads the platform and passes the changes on to this instance. It does so before
+    // it may give orders, so that the others do not all read while an earlier owner's orders are waited for.
     bool isFed() const
     {
-        if (owner_.owns())
+        if (lease_.lease().isHolder())
             return false;
         const auto found = peers_.find(lease_.lease().holder());
         if (found == peers_.end())
             return false;
         const PeerState& owner = found->second;
-        return owner.status.readsPlatform && owner.status.ownsPlacement
+        return owner.status.readsPlatform && owner.status.holdsLease
             && currentTime() - owner.heardAt < ControlLimits::feederSilence
             && owner.status.configurationRow <= configurationWatch_.replica().version()
             && owner.status.targetRows <= targetWatch_.replica().version();
     }
 
-    // The owner of placement passes changes on, so that not every instance has to read all of them.
+    // The holder of the lease passes changes on, so that not every instance has to read all of them.
     void passOn(const std::string& table, RowVersion version, RowVersion since, const std::vector<StoredRow>& changed)
     {
         // Sent without rows too: it tells up to which version the receiver misses nothing.
-        if (version > since && owner_.owns())
+        if (version > since && lease_.isRenewing())
             mesh_->broadcast(MeshRows{table, since, version, toMessage(changed)});
     }
 
@@ -430,8 +445,11 @@
 
     void take(const InstanceId& peer, const MeshHoldings& message)
     {
-        if (peer == lease_.lease().holder())
-            relay_.holdingsChanged(message.target, message.birth, fromMessage(message, currentTime()));
+        if (peer != lease_.lease().holder())
+            return;
+        const fleet::Holdings holdings = fromMessage(message, currentTime());
+        told_.record(message.target, message.birth, holdings);
+        relay_.holdingsChanged(message.target, message.birth, holdings);
     }
 
     void take(const InstanceId& peer, const MeshEnsureAdapter& message)
@@ -472,6 +490,7 @@
     TableWatch<typename Platform::Store> configurationWatch_;
     TableWatch<typename Platform::Store> targetWatch_;
     TargetList targets_;
+    ToldHoldings told_;
     LeaseKeeper<typename Platform::Store> lease_;
     PlacementOwner<typename Platform::Channel> owner_;
     std::unique_ptr<Mesh> mesh_;
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -15,7 +15,7 @@
 namespace lychee::gateway {
 
 // Version of the protocol; a peer with another version is refused.
-inline constexpr std::uint64_t meshProtocolVersion = 1;
+inline constexpr std::uint64_t meshProtocolVersion = 2;
 
 // First message on a connection, from both sides.
 struct MeshHello {
@@ -65,15 +65,10 @@
     bool readsPlatform = false;
     RowVersion configurationRow;
     RowVersion targetRows;
-    // The sender holds the placement lease and may give orders.
-    bool ownsPlacement = false;
-    // The sender holds the lease and renews it, but may not give orders yet.
+    // The sender holds the placement lease and renews it. It may not give orders yet if it took the lease lately.
     bool holdsLease = false;
 
-    auto fields()
-    {
-        return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, ownsPlacement, holdsLease);
-    }
+    auto fields() { return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, holdsLease); }
 };
 
 // A row of the platform's tables.
