Look again at once for a store whose last call failed, also while fed

At 13.3 s the feed brought the removal of the target, and both instances took it for an entry that had lapsed in an outage, which is given 2.2 s to come back.

Change: TableWatch rests only while fed and while the last call to the store did not fail.

Tests that fail before: TableWatchTest.FedInstanceLooksAtOnceWhetherALostStoreHasReturned and AsksForTheConfigurationWithAShortWaitAfterAFailure.

--- a/src/gateway/StoreReach.h
+++ b/src/gateway/StoreReach.h
@@ -14,6 +14,9 @@
 
     void failed(TimePoint now, std::string_view reason);
 
+    // Whether the last call failed.
+    bool isFailing() const { return failingSince_.has_value(); }
+
     // Whether calls are answered. A single failed call does not count as an outage.
     bool isReached(TimePoint now) const;
 
--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -41,7 +41,7 @@
     {
         while (!Duty::current()->isStopping()) {
             const bool first = replica_.version() == RowVersion() || historyLost_;
-            const Duration wait = isFed_() ? options_.fedWait : options_.wait;
+            const Duration wait = mayRest() ? options_.fedWait : options_.wait;
             const RowVersion since = replica_.version();
             absl::StatusOr<RowPage> page = first
                 ? store_.list(options_.table, currentTime() + answerLimit)
@@ -95,11 +95,15 @@
     // Pause after a failed call.
     static constexpr Duration failurePause = std::chrono::milliseconds(200);
 
-    // Ends early when the other instance stops passing the changes on.
+    // A store whose last call failed is asked often, also by a fed instance: while it counts as away, a removed target
+    // is taken for one whose entry lapsed in the outage.
+    bool mayRest() const { return isFed_() && !reach_.isFailing(); }
+
+    // Ends early when the other instance stops passing the changes on, or a call fails.
     void pause()
     {
         const TimePoint begin = currentTime();
-        while (currentTime() - begin < (isFed_() ? options_.fedPause : options_.pause))
+        while (currentTime() - begin < (mayRest() ? options_.fedPause : options_.pause))
             sleepFor(std::min(options_.pause, pauseStep));
     }
 
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -22,6 +22,11 @@
     absl::StatusOr<RowPage> changes(const std::string&, RowVersion, Duration wait, TimePoint)
     {
         ++calls;
+        lastWait = wait;
+        if (failing > 0) {
+            --failing;
+            return makeError(CoordinationError::PlatformUnreachable, "connection reset");
+        }
         sleepFor(wait);
         return RowPage{{}, RowVersion(1)};
     }
@@ -29,6 +34,9 @@
     RowWrite write(const std::string&, const std::string&, RowVersion, const std::string&, TimePoint) { return {}; }
 
     int calls = 0;
+    Duration lastWait{0};
+    // The next waits for changes that fail.
+    int failing = 0;
 };
 
 class TableWatchTest : public testing::Test {
@@ -106,5 +114,31 @@
     EXPECT_GE(callsDuring(10s), 10);
 }
 
+// Guards against a store that counts as lost long after it has returned: a fed instance whose one call was reset took a
+// removed target for one that lapsed in an outage, and sent it requests for longer than the two seconds allowed.
+TEST_F(TableWatchTest, FedInstanceLooksAtOnceWhetherALostStoreHasReturned)
+{
+    start(ControlLimits::targetWait, ControlLimits::targetPause, ControlLimits::targetWait,
+        ControlLimits::targetFedPause);
+    callsDuring(3s);
+    duty_->run([this] { reach_.failed(currentTime(), "connection reset"); });
+    EXPECT_GE(callsDuring(1s), 1);
+    bool reached = false;
+    duty_->run([&] { reached = !reach_.isFailing(); });
+    EXPECT_TRUE(reached);
+    EXPECT_EQ(callsDuring(20s), 0) << "rests again once the store is back";
+}
+
+// Guards against the same through the wait for a configuration, which an idle store answers only at its end.
+TEST_F(TableWatchTest, AsksForTheConfigurationWithAShortWaitAfterAFailure)
+{
+    store_.failing = 1;
+    start(ControlLimits::configurationWait, 0ms, ControlLimits::configurationFedWait, 0ms);
+    callsDuring(1s);
+    EXPECT_EQ(store_.lastWait, ControlLimits::configurationWait);
+    callsDuring(2s);
+    EXPECT_EQ(store_.lastWait, ControlLimits::configurationFedWait) << "the store has answered";
+}
+
 } // namespace
 } // namespace lychee::gateway
