Refuse bodies in an unknown encoding; test hostile input on the platform's path

Cause: a request with "Transfer-Encoding: xchunked" was read as one without a body. It ran, and the bytes of its body were read as the next request, so a request could be hidden in another one. Beast reads a body only for "chunked" and for a length; nothing checked for other encodings. Both interfaces share the server, so both were open to it.

Ruled out: both lengths, two lengths, negative, huge and malformed lengths, a bad chunk, no host, two hosts, folded and malformed headers. All of these were refused before, and each is a case of the test now.

Change: a request whose encoding is not exactly "chunked" is answered 400 and its connection is closed; the check comes before the body is read.

The test, CallerInputTest, also covers the bounds of the configuration (431, 413, 408 and the idle time, none of which had a test on this path), 50 senders of a byte now and then, and 600 mutated requests.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -64,6 +64,14 @@
     return message.version() < 11 || message.count(http::field::host) == 1;
 }
 
+// A body in an encoding that is not known here has an unknown end, so what follows could be taken for another request.
+bool hasKnownLength(const http::request<http::string_body>& message)
+{
+    const auto encodings = message.count(http::field::transfer_encoding);
+    return encodings == 0
+        || (encodings == 1 && boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+}
+
 } // namespace
 
 // Shared by the server object, the accepting fiber and the connections, so that each may end first.
@@ -251,12 +259,12 @@
         startedAt_ = currentTime();
         error_code error = runBefore(socket_, currentTime() + state_->options_.headerTimeout,
             [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
+        if (!error && (!hasValidHost(parser.get()) || !hasKnownLength(parser.get())))
+            error = http::error::bad_field;
         if (!error && !parser.is_done()) {
             error = runBefore(socket_, currentTime() + state_->options_.readTimeout,
                 [&](error_code& result) { http::async_read(socket_, buffer_, parser, FiberToken{result}); });
         }
-        if (!error && !hasValidHost(parser.get()))
-            error = http::error::bad_field;
         if (error) {
             if (!isClosed(error))
                 rejectRequest(faultOf(error));
--- /dev/null
+++ b/tests/gateway/CallerInputTest.cpp
@@ -0,0 +1,184 @@
+// What the daemon on the users' platform does with input that nobody should send.
+#include "tests/support/GatewayDeployment.h"
+#include "tests/support/RawConnection.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <random>
+#include <thread>
+
+namespace lychee::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int headerBytes = 2048;
+constexpr int bodyBytes = 4000;
+constexpr auto headerTime = 500ms;
+constexpr auto idleTime = 1500ms;
+
+// The deployment of all tests here; it must survive every one of them.
+GatewayDeployment& deployment()
+{
+    static const std::unique_ptr<GatewayDeployment> started = [] {
+        auto created = std::make_unique<GatewayDeployment>(LYCHEE_BUILD_DIR);
+        created->setCallerLimits({{"headerBytes", headerBytes}, {"maxBodyBytes", bodyBytes},
+            {"headerTimeoutMs", headerTime.count()}, {"idleTimeoutMs", idleTime.count()}});
+        created->writeConfiguration(7, {"/stream/", "/safe/", "/unsafe/", "/limited/"});
+        const bool known = GatewayDeployment::eventually(
+            [&] { return created->send(0, "/limited/x", "limits-known").status == 200; });
+        if (!known)
+            throw std::runtime_error("the configuration with the limits is not in force");
+        return created;
+    }();
+    return *started;
+}
+
+const Endpoint& callers() { return deployment().instance(0).callers; }
+
+void expectServing()
+{
+    static int number = 0;
+    ASSERT_TRUE(deployment().instance(0).process->isRunning()) << deployment().instance(0).process->logText();
+    EXPECT_EQ(deployment().send(0, "/unsafe/x", fmt::format("serving-{}", ++number)).status, 200);
+}
+
+std::string head(std::string_view attempt, std::string_view more)
+{
+    return fmt::format("POST /unsafe/x HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: {}\r\n{}\r\n", attempt, more);
+}
+
+// The answer to some bytes; nothing when the connection stays open.
+std::optional<std::string> answerTo(std::string_view bytes)
+{
+    RawConnection connection(callers());
+    connection.write(bytes);
+    return connection.readUntilClosed();
+}
+
+// Guards against bounds of the configuration that are read and not enforced, and against a request that ran all the
+// same.
+TEST(CallerInput, BoundsOfTheConfigurationAreEnforced)
+{
+    const std::string longHeader = fmt::format("Long: {}\r\n", std::string(headerBytes, 'a'));
+    const auto tooLongHeader = answerTo(head("long-header", longHeader + "Content-Length: 0\r\n"));
+    ASSERT_TRUE(tooLongHeader.has_value());
+    EXPECT_TRUE(tooLongHeader->starts_with("HTTP/1.1 431")) << *tooLongHeader;
+    const auto tooLongBody
+        = answerTo(head("long-body", fmt::format("Content-Length: {}\r\n", bodyBytes + 1)) + std::string(100, 'b'));
+    ASSERT_TRUE(tooLongBody.has_value());
+    EXPECT_TRUE(tooLongBody->starts_with("HTTP/1.1 413")) << *tooLongBody;
+    std::string chunks;
+    for (int i = 0; i < 10; ++i)
+        chunks += fmt::format("{:x}\r\n{}\r\n", bodyBytes / 5, std::string(bodyBytes / 5, 'c'));
+    const auto tooManyChunks = answerTo(head("long-chunks", "Transfer-Encoding: chunked\r\n") + chunks + "0\r\n\r\n");
+    ASSERT_TRUE(tooManyChunks.has_value());
+    EXPECT_TRUE(tooManyChunks->starts_with("HTTP/1.1 413")) << *tooManyChunks;
+    for (const char* attempt : {"long-header", "long-body", "long-chunks"})
+        EXPECT_EQ(deployment().executions(attempt), 0) << attempt;
+    const auto whole = answerTo(head("whole", fmt::format("Connection: close\r\nContent-Length: {}\r\n", bodyBytes))
+        + std::string(bodyBytes, 'w'));
+    ASSERT_TRUE(whole.has_value());
+    EXPECT_TRUE(whole->starts_with("HTTP/1.1 200")) << *whole;
+    expectServing();
+}
+
+// Guards against connections that a sender holds by a byte now and then, which keeps each single wait short.
+TEST(CallerInput, SlowHeadersEndInTime)
+{
+    std::deque<RawConnection> connections;
+    constexpr int count = 50;
+    for (int i = 0; i < count; ++i)
+        connections.emplace_back(callers());
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string bytes = head("slow", "");
+    for (std::size_t byte = 0; std::chrono::steady_clock::now() - begin < headerTime + 300ms; ++byte) {
+        for (RawConnection& connection : connections)
+            connection.write(bytes.substr(byte % bytes.size(), 1));
+        std::this_thread::sleep_for(50ms);
+    }
+    for (RawConnection& connection : connections) {
+        const auto answer = connection.readUntilClosed();
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_TRUE(answer->empty() || answer->starts_with("HTTP/1.1 408")) << *answer;
+    }
+    EXPECT_EQ(deployment().executions("slow"), 0);
+    expectServing();
+}
+
+// Guards against idle connections that are kept for ever, and against a new one that never sends anything.
+TEST(CallerInput, IdleConnectionsAreClosed)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto silent = answerTo("");
+    ASSERT_TRUE(silent.has_value());
+    EXPECT_TRUE(silent->empty()) << *silent;
+    const auto used = answerTo(head("idle", "Content-Length: 0\r\n"));
+    ASSERT_TRUE(used.has_value());
+    EXPECT_TRUE(used->starts_with("HTTP/1.1 200")) << *used;
+    EXPECT_GE(std::chrono::steady_clock::now() - begin, 2 * idleTime - 100ms);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2 * idleTime + 2s);
+}
+
+struct HostileInput {
+    std::string name;
+    std::string bytes;
+};
+
+// Guards against requests that two parsers read differently, by which one request hides in another, and against input
+// that is no request.
+TEST(CallerInput, AmbiguousAndMalformedRequestsAreRefused)
+{
+    const std::string hidden = head("hidden", "Content-Length: 0\r\n");
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<HostileInput> inputs{
+        {"both lengths", head("h0", chunked + "Content-Length: 4\r\n") + "0\r\n\r\n" + hidden},
+        {"two lengths", head("h1", "Content-Length: 0\r\nContent-Length: 5\r\n") + hidden},
+        {"negative length", head("h2", "Content-Length: -1\r\n") + hidden},
+        {"huge length", head("h3", "Content-Length: 99999999999999999999999\r\n") + hidden},
+        {"length that is no number", head("h4", "Content-Length: 0x10\r\n") + hidden},
+        {"unknown encoding", head("h5", "Transfer-Encoding: xchunked\r\n") + "0\r\n\r\n" + hidden},
+        {"bad chunk", head("h6", chunked) + "zz\r\n\r\n" + hidden},
+        {"no host", "POST /unsafe/x HTTP/1.1\r\nX-Attempt-Id: h7\r\nContent-Length: 0\r\n\r\n" + hidden},
+        {"two hosts", head("h8", "Host: b\r\nContent-Length: 0\r\n") + hidden},
+        {"header without a colon", head("h9", "no colon\r\nContent-Length: 0\r\n") + hidden},
+        {"space before the colon", head("h10", "Content-Length : 0\r\n") + hidden},
+        {"folded header", head("h11", "Folded: a\r\n b\r\nContent-Length : 0\r\n") + hidden},
+        {"no HTTP", "\x16\x03\x01\x02 hello\r\n\r\n" + hidden},
+        {"unknown version", "GET /safe/x HTTP/9.9\r\nHost: a\r\n\r\n" + hidden}};
+    for (const HostileInput& input : inputs) {
+        const auto answer = answerTo(input.bytes);
+        ASSERT_TRUE(answer.has_value()) << input.name << ": the connection stays open";
+        EXPECT_TRUE(answer->starts_with("HTTP/1.1 400")) << input.name << ": " << *answer;
+        EXPECT_EQ(answer->find("HTTP/1.1", 1), std::string::npos) << input.name << ": " << *answer;
+    }
+    EXPECT_EQ(deployment().executions("hidden"), 0);
+    for (int i = 0; i < 12; ++i)
+        EXPECT_EQ(deployment().executions(fmt::format("h{}", i)), 0) << i;
+    expectServing();
+}
+
+// Guards against a crash or a hang on requests with a few bytes changed, and against one that runs under another id.
+TEST(CallerInput, MutatedRequestsHarmNothing)
+{
+    const std::string whole = head("mutated",
+                                  "Connection: close\r\nX-Model: m0\r\nX-Token-Count: 100,40\r\n"
+                                  "X-Prompt-Prefix: 5c:80,9f:20\r\nContent-Length: 4\r\n")
+        + "body";
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 600; ++round) {
+        std::string bytes = whole;
+        const std::size_t changes = 1 + random() % 4;
+        for (std::size_t i = 0; i < changes; ++i)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        RawConnection connection(callers());
+        connection.write(bytes);
+        connection.finishSending();
+        EXPECT_TRUE(connection.readUntilClosed().has_value()) << "round " << round << ": the connection stays open";
+    }
+    expectServing();
+}
+
+} // namespace
+} // namespace lychee::test
--- a/tests/standins/fleet_worker_standin/Main.cpp
+++ b/tests/standins/fleet_worker_standin/Main.cpp
@@ -8,6 +8,8 @@
 ABSL_FLAG(std::string, service, "hall", "Service of the worker.");
 ABSL_FLAG(std::string, zone, "a", "Zone of the worker.");
 ABSL_FLAG(std::uint16_t, store_port, 0, "Port of the store on the loopback address.");
+ABSL_FLAG(std::uint16_t, advertise_port, 0, "Port that the entry in the store names; 0 for the worker's own.");
+ABSL_FLAG(std::string, record, "", "File to which runs and orders are appended.");
 ABSL_FLAG(std::string, models, "", "Models held at the start, separated by commas; a plain worker has none.");
 ABSL_FLAG(int, events, 10, "Events of a stream.");
 ABSL_FLAG(int, event_ms, 20, "Time between two events.");
@@ -22,6 +24,8 @@
     options.zone = absl::GetFlag(FLAGS_zone);
     options.storeAddress = "127.0.0.1";
     options.storePort = absl::GetFlag(FLAGS_store_port);
+    options.advertisedPort = absl::GetFlag(FLAGS_advertise_port);
+    options.record = absl::GetFlag(FLAGS_record);
     const std::string models = absl::GetFlag(FLAGS_models);
     if (!models.empty()) {
         for (const auto& model : absl::StrSplit(models, ','))
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -23,6 +23,8 @@
 {
     for (const std::string& model : options_.models)
         models_[model];
+    if (!options_.record.empty())
+        record_.open(options_.record, std::ios::app);
 }
 
 void Worker::listening(std::uint16_t port)
@@ -81,6 +83,7 @@
         const std::lock_guard lock(mutex_);
         ++executions_[attempt];
         ++running_;
+        note("run " + attempt);
     }
     if (isEngine())
         stream(request, connection, attempt);
@@ -121,7 +124,11 @@
 {
     const std::lock_guard lock(mutex_);
     completeLoad();
-    ++holders_[order["holder"].get<std::string>()];
+    const std::string holder = order["holder"];
+    ++holders_[holder];
+    const auto time
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
+    note(fmt::format("order {} {} {}", time.count(), holder, order["fence"].get<std::uint64_t>()));
     const std::string model = order.value("model", "");
     const std::string adapter = order.value("adapter", "");
     const bool load = order.value("operation", "") == "model_load";
@@ -141,7 +148,7 @@
         std::size_t adapters = 0;
         for (const auto& [held, names] : models_)
             adapters += names.size();
-        overcommits_ += adapters > options_.adapterPlaces ? 1 : 0;
+        checkPlaces(adapters, options_.adapterPlaces);
         return Response::json(load ? 202 : 200, json::object());
     }
     if (load == models_.contains(model))
@@ -153,10 +160,24 @@
     }
     loading_ = model;
     loadedAt_ = std::chrono::steady_clock::now() + options_.loadTime;
-    overcommits_ += models_.size() + 1 > options_.modelPlaces ? 1 : 0;
+    checkPlaces(models_.size() + 1, options_.modelPlaces);
     return Response::json(202, json::object());
 }
 
+void Worker::checkPlaces(std::size_t wanted, std::size_t places)
+{
+    if (wanted <= places)
+        return;
+    ++overcommits_;
+    note("overcommit");
+}
+
+void Worker::note(const std::string& line)
+{
+    if (record_.is_open())
+        record_ << line << std::endl;
+}
+
 void Worker::completeLoad()
 {
     if (loading_.empty() || std::chrono::steady_clock::now() < loadedAt_)
@@ -181,7 +202,7 @@
     while (true) {
         json entry = state();
         entry["service"] = options_.service;
-        entry["address"] = fmt::format("127.0.0.1:{}", port);
+        entry["address"] = fmt::format("127.0.0.1:{}", options_.advertisedPort > 0 ? options_.advertisedPort : port);
         entry["zone"] = options_.zone;
         entry["version"] = "v1";
         entry["slots"] = 16;
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -3,6 +3,7 @@
 
 #include "tests/standins/common/Standin.h"
 
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <set>
@@ -17,6 +18,10 @@
     // Of the store.
     std::string storeAddress;
     std::uint16_t storePort = 0;
+    // Port that the entry in the store names; 0 for the port where the worker serves.
+    std::uint16_t advertisedPort = 0;
+    // File to which each run and each order is appended as it begins, so that they outlast the process; may be empty.
+    std::string record;
     // Models that are held at the start; a worker without any is a plain one.
     std::set<std::string> models;
     std::size_t modelPlaces = 2;
@@ -51,6 +56,10 @@
     void completeLoad();
     nlohmann::json state();
     void beatLoop(std::uint16_t port);
+    // Counts a load beyond the places of the worker.
+    void checkPlaces(std::size_t wanted, std::size_t places);
+    // Appends one line to the record; the caller holds the lock.
+    void note(const std::string& line);
 
     const WorkerOptions options_;
     const bool engine_;
@@ -61,6 +70,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t overcommits_ = 0;
     std::int64_t born_ = 0;
+    std::ofstream record_;
     std::map<std::string, int> executions_;
     std::map<std::string, std::uint64_t> holders_;
     std::uint64_t running_ = 0;
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::chrono::milliseconds limit{10000};
 constexpr std::chrono::milliseconds pollInterval{50};
-constexpr int instanceCount = 2;
 constexpr int eventCount = 20;
 
 // Listening and closing tells a port that is free now.
@@ -27,26 +26,20 @@
     return server->port();
 }
 
-HttpRequest request(const std::string& target, const std::string& attempt, const std::string& model)
-{
-    return {"POST", target,
-        {{"Host", "a"}, {"X-Attempt-Id", attempt}, {"X-Model", model}, {"X-Token-Count", "100,40"},
-            {"X-Deadline-Ms", "5000"}},
-        "body"};
-}
-
 } // namespace
 
-GatewayDeployment::GatewayDeployment(std::filesystem::path buildDirectory)
+GatewayDeployment::GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options)
     : buildDirectory_(buildDirectory)
+    , options_(options)
     , standins_(std::move(buildDirectory))
 {
     store_ = &standins_.startFleetStore();
     addWorker("e0", "hall", "m0,m1");
     addWorker("e1", "hall", "m0");
-    addWorker("d0", "desk", "");
+    for (int i = 0; i < options_.plainWorkers; ++i)
+        addWorker(fmt::format("d{}", i), "desk", "");
     writeConfiguration(1, {"/stream/", "/safe/", "/unsafe/"});
-    for (int i = 0; i < instanceCount; ++i)
+    for (int i = 0; i < options_.instances; ++i)
         startInstance(i);
     for (std::size_t i = 0; i < instances_.size(); ++i) {
         const bool serves = eventually(
@@ -69,9 +62,39 @@
 
 void GatewayDeployment::addWorker(const std::string& id, const std::string& service, const std::string& models)
 {
-    workers_[id] = &standins_.startFleetWorker({"--id=" + id, "--service=" + service, "--models=" + models,
+    std::vector<std::string> flags{"--id=" + id, "--service=" + service, "--models=" + models,
         fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", eventCount),
-        "--event-ms=20"});
+        "--event-ms=20", "--record=" + recordPath(id).string()};
+    if (!options_.proxies) {
+        workers_[id] = &standins_.startFleetWorker(std::move(flags));
+        return;
+    }
+    auto& link = workerLinks_[id] = std::make_unique<FaultProxy>();
+    flags.push_back(fmt::format("--advertise-port={}", link->endpoint().port));
+    workers_[id] = &standins_.startFleetWorker(std::move(flags));
+    link->setTarget(workers_[id]->endpoint());
+}
+
+std::filesystem::path GatewayDeployment::recordPath(const std::string& worker) const
+{
+    return standins_.directory().file(worker + ".record");
+}
+
+std::vector<std::string> GatewayDeployment::recordOf(const std::string& worker) const
+{
+    std::vector<std::string> lines;
+    std::ifstream file(recordPath(worker));
+    for (std::string line; std::getline(file, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+std::vector<std::string> GatewayDeployment::workerIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, worker] : workers_)
+        ids.push_back(id);
+    return ids;
 }
 
 void GatewayDeployment::writeRow(const std::string& table, const std::string& key, const std::string& value)
@@ -104,7 +127,7 @@
     json models = json::array();
     for (const char* model : {"m0", "m1", "m2"})
         models.push_back({{"name", model}, {"weightsMb", 90}, {"loadS", 0.2}, {"adapters", 3}, {"adapterMb", 1}});
-    const json document{{"version", version}, {"routes", routes},
+    const json document{{"version", version}, {"routes", routes}, {"limits", callerLimits_},
         {"services",
             {{{"name", "hall"},
                  {"engine",
@@ -120,20 +143,32 @@
     instance.callers = {"127.0.0.1", freePort()};
     instance.readiness = {"127.0.0.1", freePort()};
     instance.metrics = {"127.0.0.1", freePort()};
+    Endpoint store = store_->endpoint();
+    if (options_.proxies) {
+        instance.storeLink = std::make_unique<FaultProxy>();
+        instance.storeLink->setTarget(store);
+        store = instance.storeLink->endpoint();
+    }
     const auto settings = standins_.directory().file(fmt::format("instance-{}.ini", index));
     std::ofstream(settings) << fmt::format(
         "[instance]\nid = front-{0}\ndata_centre = a\n[callers]\nendpoint = {1}\n[readiness]\nendpoint = {2}\n"
-        "[peers]\naddress = 127.0.0.1\nport = {3}\n[metrics]\nport = {4}\n[platform]\nendpoint = 127.0.0.1:{5}\n"
+        "[peers]\naddress = 127.0.0.1\nport = {3}\n[metrics]\nport = {4}\n[platform]\nendpoint = {5}\n"
         "[placement]\nlease_ms = 500\n[stop]\ngrace_s = 8\n",
         index, instance.callers.toString(), instance.readiness.toString(), freePort(), instance.metrics.port,
-        store_->endpoint().port);
+        store.toString());
+    instances_.push_back(std::move(instance));
+    launchInstance(instances_.size() - 1);
+}
+
+void GatewayDeployment::launchInstance(std::size_t index)
+{
+    const auto settings = standins_.directory().file(fmt::format("instance-{}.ini", index));
     auto process = ChildProcess::start(buildDirectory_ / "lycheecoursed",
         {"--interface=platform", "--settings=" + settings.string()},
         standins_.directory().file(fmt::format("instance-{}.log", index)));
     if (!process.ok())
         throw std::runtime_error("the daemon cannot be started");
-    instance.process = std::move(*process);
-    instances_.push_back(std::move(instance));
+    instances_[index].process = std::move(*process);
 }
 
 int GatewayDeployment::statusOf(const Endpoint& endpoint, const std::string& target)
@@ -144,6 +179,14 @@
     return answer.ok() ? answer->status : 0;
 }
 
+HttpRequest GatewayDeployment::request(const std::string& target, const std::string& attempt, const std::string& model)
+{
+    return {"POST", target,
+        {{"Host", "a"}, {"X-Attempt-Id", attempt}, {"X-Model", model}, {"X-Token-Count", "100,40"},
+            {"X-Deadline-Ms", "5000"}},
+        "body"};
+}
+
 HttpResponse GatewayDeployment::send(
     std::size_t instance, const std::string& target, const std::string& attempt, const std::string& model)
 {
