Let requests choose between two agreed targets, so instances do not follow stale news

Cause: every instance chose among all targets that hold the model, by the work that its peers had told up to a second before. 80 instances therefore turned to the target that was idle in the last report, and read shared prompts on one engine after another.

Change: requests with the same adapter, or else the same shared prompt, choose between the first two targets of an order on which all instances agree, and look at the next two only when both would answer later than two latency objectives. Prompts that wait at a peer count for less as its report ages.

Failed try: learning the pace of each model and engine from the times to the first event, for the estimate and for the demand.

--- a/src/fleet/TargetBoard.cpp
+++ b/src/fleet/TargetBoard.cpp
@@ -11,6 +11,10 @@
 // Work told by a peer is left out after this time; twice the longest interval at which peers tell it.
 constexpr Duration peerWorkAge = std::chrono::seconds(2);
 
+// Time in which most of the prompts that wait at a peer's report have been read: two long ones. Without it all
+// instances would avoid a target because of work that is done by then.
+constexpr double queueLifeSeconds = 0.4;
+
 // After this time a prompt part counts as evicted. An engine of 232,000 tokens that reads 9,000-token prompts 1.5
 // times a second turns over its memory in about 17 s.
 constexpr Duration promptPartAge = std::chrono::seconds(15);
@@ -52,8 +56,12 @@
 {
     TargetWork total = own;
     for (const auto& [peer, share] : peers) {
-        if (now - share.second <= peerWorkAge)
-            total += share.first;
+        const auto& [work, toldAt] = share;
+        if (now - toldAt > peerWorkAge)
+            continue;
+        total += work;
+        const double seconds = std::chrono::duration<double>(now - toldAt).count();
+        total.prefillTokens -= work.prefillTokens * (1 - std::exp(-seconds / queueLifeSeconds));
     }
     return total;
 }
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -59,6 +59,14 @@
 constexpr double outputTokensHeldUp = 150;
 constexpr double longestHoldUp = 2;
 
+// Targets between which requests for the same adapter or shared prompt choose. Two are nearly as good as all when the
+// work of the others is known at once, and far better when it is known a second late; a third costs cached prompts.
+constexpr std::size_t targetsInGroup = 2;
+
+// Further targets are looked at when those of the group would answer later than this many latency objectives. Leaving
+// the group reads the shared prompt anew, which makes an overload worse.
+constexpr int objectivesBeforeWidening = 2;
+
 // Shortest time after which a refused caller is told to return.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(200);
 
@@ -87,17 +95,7 @@
         if (input_.need && input_.service.engine
             && static_cast<double>(input_.need->promptTokens.value()) > input_.service.engine->cacheTokens)
             return NoTarget{NoTargetReason::TooLarge, shortestRetryAfter};
-        findPreferred();
-        std::optional<Candidate> best;
-        for (const TargetState* state : targets_) {
-            if (!isEligible(*state))
-                continue;
-            const Candidate candidate = evaluate(*state);
-            if (candidate.adapterMissing && !input_.placementReached)
-                continue;
-            if (!best || candidate.cost < best->cost)
-                best = candidate;
-        }
+        const std::optional<Candidate> best = findBest();
         const Duration admitted(
             static_cast<Duration::rep>(static_cast<double>(input_.remaining.count()) * admittedPart));
         if (!best)
@@ -126,22 +124,71 @@
             && std::find(input_.excluded.begin(), input_.excluded.end(), state.record.id) == input_.excluded.end();
     }
 
-    // All instances prefer the same target for a prompt with the same shared parts, so that it is read only once.
-    void findPreferred()
+    // What the requests have in common that go to the same targets: an adapter, which costs a load and a place on each
+    // of them, or else the shared prompt, or the session.
+    std::optional<std::string> affinityKey() const
     {
-        if (!input_.need || partHashes_.size() < 2)
-            return;
-        const std::string key = fmt::format("{:x}", partHashes_[partHashes_.size() - 2]);
-        std::uint64_t highest = 0;
+        if (!input_.need)
+            return std::nullopt;
+        if (input_.need->adapter)
+            return fmt::format("{}/{}", input_.need->model, *input_.need->adapter);
+        if (partHashes_.empty())
+            return std::nullopt;
+        return fmt::format("{:x}", partHashes_[partHashes_.size() > 1 ? partHashes_.size() - 2 : 0]);
+    }
+
+    // The targets in the order in which requests like this one prefer them, equal for all instances.
+    std::vector<const TargetState*> rankedTargets(const std::string& key) const
+    {
+        std::vector<std::pair<std::uint64_t, const TargetState*>> weighted;
         for (const TargetState* state : targets_) {
-            if (state->record.draining || !holdsModel(*state))
-                continue;
-            const std::uint64_t weight = rendezvousWeight(state->record.id.value(), key);
-            if (!preferred_ || weight > highest) {
-                preferred_ = state;
-                highest = weight;
+            if (!state->record.draining && holdsModel(*state))
+                weighted.emplace_back(rendezvousWeight(state->record.id.value(), key), state);
+        }
+        std::sort(weighted.begin(), weighted.end(), [](const auto& left, const auto& right) {
+            return std::tie(left.first, right.second->record.id) > std::tie(right.first, left.second->record.id);
+        });
+        std::vector<const TargetState*> ranked;
+        ranked.reserve(weighted.size());
+        for (const auto& [weight, state] : weighted)
+            ranked.push_back(state);
+        return ranked;
+    }
+
+    std::optional<Candidate> findBest()
+    {
+        const std::optional<std::string> key = affinityKey();
+        if (!key)
+            return bestOf(targets_, targets_.size());
+        const std::vector<const TargetState*> ranked = rankedTargets(*key);
+        if (!ranked.empty() && partHashes_.size() > 1)
+            preferred_ = ranked.front();
+        return bestOf(ranked, targetsInGroup);
+    }
+
+    // The best target of the first group that has one in time, or of all.
+    template <typename Targets> std::optional<Candidate> bestOf(const Targets& targets, std::size_t groupSize) const
+    {
+        const double limit
+            = std::chrono::duration<double, std::milli>(input_.latencyObjective).count() * objectivesBeforeWidening;
+        std::optional<Candidate> best;
+        std::size_t inGroup = 0;
+        for (const TargetState* state : targets) {
+            if (inGroup == groupSize) {
+                if (best->cost < limit)
+                    break;
+                inGroup = 0;
             }
+            if (!isEligible(*state))
+                continue;
+            const Candidate candidate = evaluate(*state);
+            if (candidate.adapterMissing && !input_.placementReached)
+                continue;
+            ++inGroup;
+            if (!best || candidate.cost < best->cost)
+                best = candidate;
         }
+        return best;
     }
 
     double promptTokensToRead(const TargetState& state) const
@@ -164,11 +211,12 @@
         candidate.milliseconds = excess / slots * slotMilliseconds;
         double against = static_cast<double>(work.running) / slots;
         if (input_.need) {
-            candidate.milliseconds += work.prefillTokens / prefillTokensPerMillisecond;
+            const double queued = work.prefillTokens / prefillTokensPerMillisecond;
+            candidate.milliseconds += queued;
             candidate.milliseconds += promptTokensToRead(state) / prefillTokensPerMillisecond;
             candidate.milliseconds += memoryWait(work);
             against = static_cast<double>(work.running) * batchMilliseconds;
-            against += work.prefillTokens / prefillTokensPerMillisecond * holdUp();
+            against += queued * holdUp();
             evaluateAdapter(state, candidate, against);
         } else {
             against *= slotMilliseconds;
@@ -260,6 +308,7 @@
     const ChoiceInput& input_;
     std::span<TargetState* const> targets_;
     std::vector<std::uint64_t> partHashes_;
+    // Where the shared prompt is probably cached; null for requests without one.
     const TargetState* preferred_ = nullptr;
 };
 
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -1,5 +1,7 @@
 // Chooses the target of one send, or says why none can take it. Answers the load of many instances before shared
-// targets: each sees its own work at once and that of the others a little late.
+// targets: each sees its own work at once and that of the others a little late, so that all would turn to the same
+// target that was idle a moment ago. Requests for the same adapter or shared prompt therefore choose between two
+// targets on which all instances agree without talk, and look at further ones only when both would be late.
 #pragma once
 
 #include "fleet/RouteTable.h"
@@ -18,6 +20,8 @@
     TimePoint now;
     // Time until the answer has to be there.
     Duration remaining{0};
+    // Time within which the answer has its full value.
+    Duration latencyObjective = std::chrono::seconds(1);
     // Targets that were tried for this request.
     std::span<const TargetId> excluded;
     // Whether the placement owner is reached, so that missing models and adapters are loaded.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -111,7 +111,7 @@
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, parts_.dataCentre, now,
-            deadline_ - now, excluded_, parts_.placementReached, modelWait_};
+            deadline_ - now, route_->latencyObjective, excluded_, parts_.placementReached, modelWait_};
         return fleet::chooseTarget(parts_.board, input);
     }
 
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -54,7 +54,7 @@
     TargetDecision choose(const TargetBoard& board, const GenerationNeed* wanted, Duration remaining = 6s) const
     {
         return chooseTarget(
-            board, {service_, wanted, DataCentreId("a"), now_, remaining, excluded_, placementReached_, waited_});
+            board, {service_, wanted, DataCentreId("a"), now_, remaining, 1s, excluded_, placementReached_, waited_});
     }
 
     std::string chosen(const TargetBoard& board, const GenerationNeed* wanted) const
