Take the ports of test processes from below the range of outgoing connections

Cause: tests took any free port, from the range in which the system also takes the ports of outgoing connections. Between the choice and the bind, or while a killed process restarts on its port, a connection can take it; the process then ends.

A deployment that does not come up tells the log of its instance, so the next failure shows its cause. It also removes what was suspected behind the known red WholeAnswerTest, which stays listed until it has passed beside load for longer.

--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -1,6 +1,6 @@
 #include "tests/support/GatewayDeployment.h"
 
-#include "transport/HttpServer.h"
+#include "tests/support/FreePort.h"
 
 #include <absl/strings/escaping.h>
 
@@ -18,14 +18,6 @@
 constexpr std::chrono::milliseconds pollInterval{50};
 constexpr int eventCount = 20;
 
-// Listening and closing tells a port that is free now.
-std::uint16_t freePort()
-{
-    const auto duty = Duty::start("port", RuntimeClock::createRunning()).value();
-    const auto server = HttpServer::listen(*duty, {"127.0.0.1", 0}, {}, [](HttpExchange&) {}).value();
-    return server->port();
-}
-
 } // namespace
 
 GatewayDeployment::GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options)
@@ -45,7 +37,7 @@
         const bool serves = eventually(
             [&] { return statusOf(instances_[i].readiness, "/") == 200 && send(i, "/safe/x", "first").status == 200; });
         if (!serves)
-            throw std::runtime_error("an instance does not serve");
+            throw std::runtime_error("an instance does not serve:\n" + instances_[i].process->logText());
     }
 }
 
--- a/tests/support/Standins.cpp
+++ b/tests/support/Standins.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/Standins.h"
 
+#include "tests/support/FreePort.h"
 #include "tests/support/PortsFile.h"
 
 #include <stdexcept>
@@ -18,8 +19,8 @@
     , flags_(std::move(flags))
     , directory_(std::move(directory))
     , name_(std::move(name))
-    , endpoint_{loopback, 0}
-    , faultEndpoint_{loopback, 0}
+    , endpoint_{loopback, freePort()}
+    , faultEndpoint_{loopback, freePort()}
 {
     launch();
 }
