Add a randomized fault soak; watch for signals before taking connections

Cause: an instance listened for callers before it watched for SIGTERM, so a stop that came between ended it at once, with the requests that it had just taken. Ruled out: a stop of the soak that came too early itself; the process had accepted connections. Change: signals are watched before the first port is bound, and a stop waits until all parts exist.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,11 @@
 export CCACHE_NOHASHDIR := true
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
 
-.PHONY: all packages demo test bench lint bench-capacity format clean
+# Runs of `make soak`, and the seed of the first one.
+SEEDS ?= 50
+FIRST_SEED ?= 1
+
+.PHONY: all packages demo test soak bench lint bench-capacity format clean
 
 all: $(BUILD)/build.ninja
 	cmake --build $(BUILD)
@@ -30,6 +34,12 @@
 	scripts/run-tests.sh $(BUILD)
 	scripts/run-tests.sh $(SANITIZED)
 
+soak: $(BUILD)/build.ninja
+	cmake --build $(BUILD) --target soak lycheecoursed standins
+	mkdir -p $(BUILD)/soak-logs
+	$(BUILD)/soak --build_dir=$(BUILD) --seeds=$(SEEDS) --first_seed=$(FIRST_SEED) \
+		--seed_file=tests/soak/regressions.txt --log_dir=$(BUILD)/soak-logs
+
 bench: $(BUILD)/build.ninja
 	cmake --build $(BUILD)
 	scripts/bench.sh $(BUILD)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -97,6 +97,8 @@
         gatewayLog.info("instance={} data_centre={} callers={} peers={}:{} store={} starting", self_,
             settings_->instance.dataCentre(), settings_->callers.endpoint().toString(), settings_->peers.address(),
             settings_->peers.port(), settings_->platform.endpoint().toString());
+        // From here on a signal that stops the instance finds requests that have to be answered first.
+        controlDuty_->run([this] { watchSignals(); });
         control_ = std::make_unique<ControlPlane<Platform>>(*controlDuty_, controlOptions(), routes_, relayPort());
         auto callers = HttpServer::listen(*relayDuty_, settings_->callers.endpoint(), serverOptions({}),
             [this](HttpExchange& exchange) { RelayedRequest<typename Platform::Dialect>(parts_, exchange).run(); });
@@ -118,7 +120,7 @@
         if (!metrics.ok())
             return metrics.status();
         metrics_ = *std::move(metrics);
-        controlDuty_->run([this] { watchSignals(); });
+        listening_ = true;
         return absl::OkStatus();
     }
 
@@ -296,6 +298,8 @@
     void stop()
     {
         const TimePoint began = currentTime();
+        while (!listening_.load())
+            sleepFor(GatewayLimits::drainCheck);
         const auto grace
             = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(settings_->stop.graceSeconds()));
         const TimePoint limit = began + grace - GatewayLimits::closingTime;
@@ -334,6 +338,8 @@
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> metrics_;
+    // All parts exist.
+    std::atomic<bool> listening_{false};
     std::unique_ptr<boost::asio::signal_set> signals_;
     bool placementReached_ = false;
     std::atomic<std::size_t> instances_{0};
--- a/tests/gateway/GatewayProcessTest.cpp
+++ b/tests/gateway/GatewayProcessTest.cpp
@@ -85,6 +85,28 @@
         [&] { return deployment_.send(1, "/stream/x", "moved", "m0/a3").status == 200; }));
 }
 
+// Guards against a stop that finds an instance between its first connection and the watch for signals, and so cuts off
+// what it has just taken.
+TEST_F(GatewayProcessTest, StopsInOrderAsSoonAsItTakesConnections)
+{
+    constexpr int rounds = 5;
+    for (int i = 0; i < rounds; ++i) {
+        GatewayInstance& instance = deployment_.instance(0);
+        instance.process->kill();
+        deployment_.launchInstance(0);
+        const auto isListening = [&] {
+            TestHttpClient client(instance.callers, 1000ms);
+            return client.sendOnly({"GET", "/", {}, ""}).ok();
+        };
+        while (!isListening())
+            std::this_thread::sleep_for(100us);
+        const auto exit = instance.process->stop(9000ms);
+        ASSERT_TRUE(exit.ok());
+        EXPECT_EQ(exit->code, 0) << "signal " << exit->signal;
+    }
+    deployment_.launchInstance(0);
+}
+
 // Guards against an instance that needs the store to serve what it knows.
 TEST_F(GatewayProcessTest, ServesWhileTheStoreIsAway)
 {
--- /dev/null
+++ b/tests/soak/Callers.h
@@ -0,0 +1,55 @@
+// Callers that keep using their connections, each in a thread of its own.
+#pragma once
+
+#include "tests/soak/CallRecord.h"
+#include "tests/support/GatewayDeployment.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace lychee::test {
+
+// The clock of one run.
+class RunClock {
+public:
+    Millis now() const { return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - begin_); }
+
+    // Time of the steady clock at the begin of the run, as workers write it into their records.
+    Millis beginOnSteadyClock() const { return std::chrono::duration_cast<Millis>(begin_.time_since_epoch()); }
+
+private:
+    std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
+};
+
+class Callers {
+public:
+    // Starts the threads. `deployment` and `clock` must outlive this object.
+    Callers(const GatewayDeployment& deployment, const RunClock& clock, std::uint64_t seed, std::size_t count);
+
+    ~Callers() { stop(); }
+
+    // Calls may go to this path too from now on. Thread-safe.
+    void addPath(const std::string& path);
+
+    // Ends the threads after their present call and returns what they saw.
+    std::vector<CallRecord> stop();
+
+private:
+    void run(std::uint64_t seed, std::size_t index);
+    std::string pickPath(std::uint64_t draw);
+
+    const GatewayDeployment& deployment_;
+    const RunClock& clock_;
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::vector<std::string> paths_{"/unsafe/x", "/unsafe/y", "/safe/x", "/stream/x", "/stream/y"};
+    std::vector<CallRecord> records_;
+    std::vector<std::thread> threads_;
+};
+
+// Sends one request to an instance over `client`, or over a connection of its own for streams.
+CallRecord call(const GatewayDeployment& deployment, const RunClock& clock, std::size_t instance,
+    const std::string& path, const std::string& attempt, TestHttpClient& client);
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/Promises.cpp
@@ -0,0 +1,190 @@
+#include "tests/soak/Promises.h"
+
+#include <algorithm>
+
+namespace lychee::test {
+
+namespace {
+
+// Bounds of the users' pages and of the deployment's settings.
+constexpr Millis inTouchAfter{3000};
+constexpr Millis configurationBound{2000};
+constexpr Millis downgradeSlack{250};
+constexpr Millis routeTimeout{5000};
+constexpr Millis lateBy{500};
+constexpr Millis lease{500};
+constexpr Millis thawSlack{300};
+// Workers on which one attempt may run.
+constexpr int attempts = 2;
+// Late ends are a break from this number on, when they are also more than a quarter.
+constexpr std::size_t lateEnds = 8;
+
+bool isRefusal(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+std::string describe(const CallRecord& call, int runs) { return fmt::format("{} runs {}", call.text(), runs); }
+
+} // namespace
+
+std::vector<std::string> Promises::violations()
+{
+    checkRuns();
+    checkAnswers();
+    checkTimes();
+    checkStops();
+    checkConfiguration();
+    checkHolders();
+    expect(run_.overcommits == 0, fmt::format("{} loads beyond the places of a worker", run_.overcommits));
+    for (const std::string& text : run_.badEnds)
+        expect(false, text);
+    for (const std::string& text : run_.notRecovered)
+        expect(false, text);
+    return std::move(violations_);
+}
+
+void Promises::expect(bool holds, const std::string& text)
+{
+    ++checked_;
+    if (!holds)
+        violations_.push_back(text);
+}
+
+int Promises::runsOf(const CallRecord& call) const
+{
+    const auto found = run_.runs.find(call.attempt);
+    return found == run_.runs.end() ? 0 : found->second;
+}
+
+template <typename Predicate> bool Promises::disturbed(Millis begin, Millis end, Millis after, Predicate matters) const
+{
+    return std::any_of(run_.troubles.begin(), run_.troubles.end(), [&](const Trouble& trouble) {
+        return matters(trouble) && trouble.begin <= end && trouble.end + after >= begin;
+    });
+}
+
+bool Promises::isInstanceDisturbed(std::size_t instance, Millis begin, Millis end, Millis after) const
+{
+    return disturbed(begin, end, after, [&](const Trouble& trouble) {
+        const bool ofInstance = trouble.kind == TroubleKind::InstanceKilled
+            || trouble.kind == TroubleKind::InstanceStopped || trouble.kind == TroubleKind::InstanceFrozen
+            || trouble.kind == TroubleKind::StoreLink;
+        return ofInstance && trouble.subject == instance;
+    });
+}
+
+// At most once, refusals that are true, and no more workers than allowed.
+void Promises::checkRuns()
+{
+    for (const CallRecord& call : run_.calls) {
+        const int runs = runsOf(call);
+        expect(!call.isUnsafe() || runs <= 1, "ran more than once: " + describe(call, runs));
+        expect(runs <= attempts, "ran on more workers than allowed: " + describe(call, runs));
+        expect(!isRefusal(call.status) || call.sealed || runs == 0, "refused and has run: " + describe(call, runs));
+    }
+}
+
+void Promises::checkAnswers()
+{
+    for (const CallRecord& call : run_.calls) {
+        const int runs = runsOf(call);
+        expect(call.wrong.empty(), call.wrong + ": " + describe(call, runs));
+        expect(!call.isSuccess() || call.sealed, "success without a worker's proof: " + describe(call, runs));
+        expect(!call.isSuccess() || runs > 0, "success without a run: " + describe(call, runs));
+        const bool known = call.status != 400 && call.status != 404;
+        expect(known || call.path.starts_with("/extra"), "proper request denied: " + describe(call, runs));
+    }
+}
+
+void Promises::checkTimes()
+{
+    std::size_t reached = 0;
+    std::vector<std::string> late;
+    for (const CallRecord& call : run_.calls) {
+        const Millis took = call.endedAt - call.sentAt;
+        if (took < routeTimeout || isInstanceDisturbed(call.instance, call.sentAt, call.endedAt, inTouchAfter))
+            continue;
+        ++reached;
+        if (took > routeTimeout + lateBy)
+            late.push_back(describe(call, runsOf(call)));
+    }
+    expect(late.size() < lateEnds || late.size() * 4 <= reached,
+        fmt::format("{} of {} requests held beyond the time of their route, first {}", late.size(), reached,
+            late.empty() ? "" : late.front()));
+}
+
+// A planned stop without other troubles loses no request that was passed on.
+void Promises::checkStops()
+{
+    for (const Trouble& stop : run_.troubles) {
+        if (stop.kind != TroubleKind::InstanceStopped)
+            continue;
+        for (const CallRecord& call : run_.calls) {
+            if (call.instance != stop.subject || call.endedAt < stop.begin || call.sentAt > stop.end)
+                continue;
+            const Millis begin = std::min(call.sentAt, stop.begin);
+            const bool alone = !disturbed(begin, call.endedAt, inTouchAfter, [&](const Trouble& trouble) {
+                return &trouble != &stop && trouble.kind != TroubleKind::ConfigurationChanged;
+            });
+            const int runs = runsOf(call);
+            expect(!alone || call.complete || runs == 0, "lost at a planned stop: " + describe(call, runs));
+        }
+    }
+}
+
+void Promises::checkConfiguration()
+{
+    const auto storeDisturbed = [&](Millis begin, Millis end) {
+        return disturbed(begin, end, inTouchAfter, [](const Trouble& trouble) {
+            return trouble.kind == TroubleKind::StoreFrozen || trouble.kind == TroubleKind::StoreSlow
+                || trouble.kind == TroubleKind::StoreAnswersLost || trouble.kind == TroubleKind::StoreRefuses;
+        });
+    };
+    for (const ConfigurationRecord& configuration : run_.configurations) {
+        // Since when each instance has shown that it knows the path.
+        std::map<std::size_t, Millis> shown;
+        for (const CallRecord& call : run_.calls) {
+            if (call.path == configuration.path && call.isSuccess()) {
+                const auto entry = shown.try_emplace(call.instance, call.endedAt).first;
+                entry->second = std::min(entry->second, call.endedAt);
+            }
+        }
+        for (const CallRecord& call : run_.calls) {
+            if (call.path != configuration.path)
+                continue;
+            const std::string text = describe(call, runsOf(call));
+            const Millis due = configuration.acknowledgedAt + configurationBound;
+            const bool bound = call.sentAt > due
+                && !isInstanceDisturbed(call.instance, configuration.acknowledgedAt, call.sentAt, inTouchAfter)
+                && !storeDisturbed(configuration.acknowledgedAt, call.sentAt);
+            expect(!bound || call.status != 404, "configuration not in force in time: " + text);
+            const auto known = shown.find(call.instance);
+            const bool restarted = disturbed(Millis(0), call.endedAt, Millis(0), [&](const Trouble& trouble) {
+                return trouble.subject == call.instance
+                    && (trouble.kind == TroubleKind::InstanceKilled || trouble.kind == TroubleKind::InstanceStopped);
+            });
+            const bool regressed = known != shown.end() && !restarted && call.sentAt > known->second + downgradeSlack
+                && call.status == 404;
+            expect(!regressed, "went back to an older configuration: " + text);
+        }
+    }
+}
+
+// Two instances do not take turns in giving orders to one worker within a lease.
+void Promises::checkHolders()
+{
+    std::map<std::string, OrderRecord> last;
+    for (const OrderRecord& order : run_.orders) {
+        const auto previous = last.find(order.worker);
+        if (previous != last.end() && previous->second.holder != order.holder) {
+            const bool healed = disturbed(previous->second.at, order.at, thawSlack, [](const Trouble& trouble) {
+                return trouble.kind == TroubleKind::InstanceFrozen || trouble.kind == TroubleKind::WorkerFrozen
+                    || trouble.kind == TroubleKind::WorkerLink;
+            });
+            expect(healed || order.at - previous->second.at >= lease,
+                fmt::format("{} and {} gave orders to {} within {} ms at {}", previous->second.holder, order.holder,
+                    order.worker, (order.at - previous->second.at).count(), order.at.count()));
+        }
+        last[order.worker] = order;
+    }
+}
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/Promises.h
@@ -0,0 +1,71 @@
+// Checks what callers and workers saw against the promises of the users' pages.
+#pragma once
+
+#include "tests/soak/CallRecord.h"
+
+#include <map>
+#include <optional>
+
+namespace lychee::test {
+
+// An order that reached a worker.
+struct OrderRecord {
+    std::string worker;
+    Millis at{0};
+    std::string holder;
+};
+
+// A configuration that the store has acknowledged; it adds one path.
+struct ConfigurationRecord {
+    std::string path;
+    Millis acknowledgedAt{0};
+};
+
+// Everything that happened in one run.
+struct RunRecord {
+    std::vector<Trouble> troubles;
+    std::vector<CallRecord> calls;
+    // Runs of each attempt over all workers.
+    std::map<std::string, int> runs;
+    std::vector<OrderRecord> orders;
+    std::size_t overcommits = 0;
+    std::vector<ConfigurationRecord> configurations;
+    // Planned stops that did not end in time or not with code 0, and processes that ended by themselves.
+    std::vector<std::string> badEnds;
+    // Instances that did not serve everything in time after the last trouble.
+    std::vector<std::string> notRecovered;
+};
+
+class Promises {
+public:
+    explicit Promises(const RunRecord& run)
+        : run_(run)
+    {
+    }
+
+    // Checks all promises. Returns a line for each break.
+    std::vector<std::string> violations();
+
+    // Number of single checks that were made.
+    std::size_t checked() const { return checked_; }
+
+private:
+    void checkRuns();
+    void checkAnswers();
+    void checkTimes();
+    void checkStops();
+    void checkConfiguration();
+    void checkHolders();
+    void expect(bool holds, const std::string& text);
+
+    int runsOf(const CallRecord& call) const;
+    // Whether a trouble that `matters` was under way between two times, or had ended less than `after` before.
+    template <typename Predicate> bool disturbed(Millis begin, Millis end, Millis after, Predicate matters) const;
+    bool isInstanceDisturbed(std::size_t instance, Millis begin, Millis end, Millis after) const;
+
+    const RunRecord& run_;
+    std::vector<std::string> violations_;
+    std::size_t checked_ = 0;
+};
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/Schedule.cpp
@@ -0,0 +1,160 @@
+#include "tests/soak/Schedule.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace lychee::test {
+
+namespace {
+
+// Time before the first trouble, and between the end of the last one and that of the run.
+constexpr Millis quietEdge{500};
+
+// Troubles for each second of a run; each lasts about one and a half, so that about four overlap.
+constexpr double troublesPerSecond = 2.5;
+constexpr int longestMillis = 2500;
+constexpr int shortestMillis = 200;
+// An instance that is stopped answers new connections until the balancer has taken it out.
+constexpr Millis stopTime{3500};
+
+constexpr int longestSeries = 3;
+constexpr int longestGapMillis = 800;
+
+constexpr std::array kinds{TroubleKind::InstanceKilled, TroubleKind::InstanceStopped, TroubleKind::InstanceFrozen,
+    TroubleKind::WorkerKilled, TroubleKind::WorkerFrozen, TroubleKind::WorkerAnswersLost, TroubleKind::OrdersLate,
+    TroubleKind::StreamsBroken, TroubleKind::StoreFrozen, TroubleKind::StoreSlow, TroubleKind::StoreAnswersLost,
+    TroubleKind::StoreRefuses, TroubleKind::StoreLink, TroubleKind::WorkerLink, TroubleKind::ConfigurationChanged};
+
+constexpr std::array links{
+    LinkFault::Delay, LinkFault::Silence, LinkFault::SilenceUp, LinkFault::SilenceDown, LinkFault::Reset};
+
+enum class Subject {
+    Store,
+    Instance,
+    Worker,
+};
+
+Subject subjectOf(TroubleKind kind)
+{
+    switch (kind) {
+    case TroubleKind::InstanceKilled:
+    case TroubleKind::InstanceStopped:
+    case TroubleKind::InstanceFrozen:
+    case TroubleKind::StoreLink:
+        return Subject::Instance;
+    case TroubleKind::WorkerKilled:
+    case TroubleKind::WorkerFrozen:
+    case TroubleKind::WorkerAnswersLost:
+    case TroubleKind::OrdersLate:
+    case TroubleKind::StreamsBroken:
+    case TroubleKind::WorkerLink:
+        return Subject::Worker;
+    case TroubleKind::StoreFrozen:
+    case TroubleKind::StoreSlow:
+    case TroubleKind::StoreAnswersLost:
+    case TroubleKind::StoreRefuses:
+    case TroubleKind::ConfigurationChanged:
+        return Subject::Store;
+    }
+    return Subject::Store;
+}
+
+bool isLink(TroubleKind kind) { return kind == TroubleKind::StoreLink || kind == TroubleKind::WorkerLink; }
+
+// Whether two troubles act on the same process, or the same link.
+bool excludes(const Trouble& one, const Trouble& other)
+{
+    const bool operation
+        = one.kind == TroubleKind::ConfigurationChanged || other.kind == TroubleKind::ConfigurationChanged;
+    if (operation || subjectOf(one.kind) != subjectOf(other.kind) || one.subject != other.subject
+        || isLink(one.kind) != isLink(other.kind))
+        return false;
+    return one.begin < other.end && other.begin < one.end;
+}
+
+} // namespace
+
+std::string_view nameOf(TroubleKind kind)
+{
+    switch (kind) {
+    case TroubleKind::InstanceKilled:
+        return "instance killed";
+    case TroubleKind::InstanceStopped:
+        return "instance stopped";
+    case TroubleKind::InstanceFrozen:
+        return "instance frozen";
+    case TroubleKind::WorkerKilled:
+        return "worker killed";
+    case TroubleKind::WorkerFrozen:
+        return "worker frozen";
+    case TroubleKind::WorkerAnswersLost:
+        return "answers of a worker lost";
+    case TroubleKind::OrdersLate:
+        return "orders to a worker late";
+    case TroubleKind::StreamsBroken:
+        return "streams of a worker broken";
+    case TroubleKind::StoreFrozen:
+        return "store frozen";
+    case TroubleKind::StoreSlow:
+        return "store slow";
+    case TroubleKind::StoreAnswersLost:
+        return "answers of the store lost";
+    case TroubleKind::StoreRefuses:
+        return "store refuses";
+    case TroubleKind::StoreLink:
+        return "link to the store";
+    case TroubleKind::WorkerLink:
+        return "links to a worker";
+    case TroubleKind::ConfigurationChanged:
+        return "configuration changed";
+    }
+    return "unknown";
+}
+
+std::string Trouble::text() const
+{
+    return fmt::format(
+        "{:5} to {:5} ms  {} {} {}", begin.count(), end.count(), nameOf(kind), subject, static_cast<int>(link));
+}
+
+std::vector<Trouble> drawTroubles(std::uint64_t seed, Millis length, std::size_t instances, std::size_t workers)
+{
+    std::mt19937_64 random(seed);
+    const auto draw = [&](int low, int high) {
+        return low + static_cast<int>(random() % static_cast<std::uint64_t>(high - low + 1));
+    };
+    const Millis last = length - quietEdge;
+    const auto wanted = static_cast<std::size_t>(troublesPerSecond * std::chrono::duration<double>(length).count());
+    std::vector<Trouble> troubles;
+    // A trouble that excludes an earlier one is not drawn again, so the number of draws is bounded.
+    for (std::size_t tries = 0; tries < 4 * wanted && troubles.size() < wanted; ++tries) {
+        Trouble trouble;
+        trouble.kind = kinds[random() % kinds.size()];
+        const Subject subject = subjectOf(trouble.kind);
+        const std::size_t subjects = subject == Subject::Instance ? instances
+            : subject == Subject::Worker                          ? workers
+                                                                  : 1;
+        trouble.subject = random() % subjects;
+        trouble.link = isLink(trouble.kind) ? links[random() % links.size()] : LinkFault::None;
+        trouble.begin = Millis(draw(static_cast<int>(quietEdge.count()), static_cast<int>(last.count())));
+        const int series = draw(1, longestSeries);
+        for (int i = 0; i < series; ++i) {
+            const Millis drawn(draw(shortestMillis, longestMillis));
+            trouble.end = trouble.begin + (trouble.kind == TroubleKind::InstanceStopped ? stopTime : drawn);
+            const bool fits = trouble.end <= last
+                && std::none_of(
+                    troubles.begin(), troubles.end(), [&](const Trouble& other) { return excludes(trouble, other); });
+            if (fits)
+                troubles.push_back(trouble);
+            trouble.begin = trouble.end + Millis(draw(1, longestGapMillis));
+        }
+    }
+    std::sort(troubles.begin(), troubles.end(),
+        [](const Trouble& left, const Trouble& right) { return left.begin < right.begin; });
+    return troubles;
+}
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/Schedule.h
@@ -0,0 +1,54 @@
+// The troubles of one run of the soak, drawn from its seed.
+#pragma once
+
+#include "tests/support/FaultProxy.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace lychee::test {
+
+using Millis = std::chrono::milliseconds;
+
+enum class TroubleKind {
+    InstanceKilled,
+    InstanceStopped,
+    InstanceFrozen,
+    WorkerKilled,
+    WorkerFrozen,
+    // Answers of a worker are lost after it has run the request.
+    WorkerAnswersLost,
+    // Orders to a worker take effect long after they were given up.
+    OrdersLate,
+    // Streams of a worker break off.
+    StreamsBroken,
+    StoreFrozen,
+    StoreSlow,
+    // Calls to the store are carried out and not answered.
+    StoreAnswersLost,
+    StoreRefuses,
+    // The way of one instance to the store.
+    StoreLink,
+    WorkerLink,
+    ConfigurationChanged,
+};
+
+std::string_view nameOf(TroubleKind kind);
+
+struct Trouble {
+    TroubleKind kind = TroubleKind::ConfigurationChanged;
+    // Which instance or worker; 0 for the store.
+    std::size_t subject = 0;
+    Millis begin{0};
+    Millis end{0};
+    LinkFault link = LinkFault::None;
+
+    // For logs.
+    std::string text() const;
+};
+
+// Sorted by begin. Troubles come in series and overlap; only those of the same process, or the same link, do not.
+std::vector<Trouble> drawTroubles(std::uint64_t seed, Millis length, std::size_t instances, std::size_t workers);
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/SoakRun.cpp
@@ -0,0 +1,258 @@
+#include "tests/soak/SoakRun.h"
+
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+
+namespace lychee::test {
+
+namespace {
+
+// Time in which the deployment serves again after its troubles, from the deployments' sheets.
+constexpr Millis recoveryTime{12000};
+constexpr Millis recoveryPause{200};
+// The grace time of the settings and a second for the end of the process.
+constexpr Millis stopLimit{9000};
+// A stop by SIGTERM that cut off requests ends with this code.
+constexpr int exitCutOff = 3;
+
+// From the start of a process to its first instructions, beside other busy processes.
+constexpr Millis startTime{300};
+
+constexpr int plainWorkers = 2;
+
+GatewayDeploymentOptions deploymentOptions(const SoakOptions& options)
+{
+    GatewayDeploymentOptions result;
+    result.instances = options.instances;
+    result.plainWorkers = plainWorkers;
+    result.proxies = true;
+    return result;
+}
+
+} // namespace
+
+SoakRun::SoakRun(SoakOptions options)
+    : options_(std::move(options))
+    , deployment_(options_.buildDirectory, deploymentOptions(options_))
+    , workers_(deployment_.workerIds())
+    , launchedAt_(deployment_.instanceCount())
+{
+}
+
+RunRecord SoakRun::play()
+{
+    clock_ = RunClock();
+    record_.troubles = drawTroubles(options_.seed, options_.length, deployment_.instanceCount(), workers_.size());
+    callers_ = std::make_unique<Callers>(deployment_, clock_, options_.seed, options_.callers);
+    std::thread operatorThread([this] { changeConfigurations(); });
+    playTroubles();
+    operatorThread.join();
+    checkRunning();
+    awaitRecovery();
+    for (CallRecord& call : callers_->stop())
+        record_.calls.push_back(std::move(call));
+    readWorkers();
+    return std::move(record_);
+}
+
+void SoakRun::playTroubles()
+{
+    std::vector<Step> steps;
+    for (const Trouble& trouble : record_.troubles) {
+        if (trouble.kind == TroubleKind::ConfigurationChanged)
+            continue;
+        steps.push_back({trouble.begin, &trouble, true});
+        steps.push_back({trouble.end, &trouble, false});
+    }
+    std::stable_sort(
+        steps.begin(), steps.end(), [](const Step& left, const Step& right) { return left.at < right.at; });
+    for (const Step& step : steps) {
+        std::this_thread::sleep_for(std::max(step.at - clock_.now(), Millis(0)));
+        if (step.begins)
+            apply(*step.trouble);
+        else
+            lift(*step.trouble);
+    }
+    std::this_thread::sleep_for(std::max(options_.length - clock_.now(), Millis(0)));
+}
+
+// The operator adds a path with each change.
+void SoakRun::changeConfigurations()
+{
+    std::vector<std::string> prefixes{"/stream/", "/safe/", "/unsafe/"};
+    int version = 1;
+    for (const Trouble& trouble : record_.troubles) {
+        if (trouble.kind != TroubleKind::ConfigurationChanged)
+            continue;
+        std::this_thread::sleep_for(std::max(trouble.begin - clock_.now(), Millis(0)));
+        version += 3;
+        prefixes.push_back(fmt::format("/extra{}/", version));
+        try {
+            deployment_.writeConfiguration(version, prefixes);
+            const std::string path = prefixes.back() + "x";
+            record_.configurations.push_back({path, clock_.now()});
+            callers_->addPath(path);
+        } catch (const std::runtime_error&) {
+            // The store is in trouble; whether it took the change is unknown, so nothing is expected of it.
+        }
+    }
+}
+
+void SoakRun::apply(const Trouble& trouble)
+{
+    Standin& store = deployment_.store();
+    switch (trouble.kind) {
+    case TroubleKind::InstanceKilled:
+        return deployment_.instance(trouble.subject).process->kill();
+    case TroubleKind::InstanceStopped:
+        return terminateInstance(trouble.subject);
+    case TroubleKind::InstanceFrozen:
+        return deployment_.instance(trouble.subject).process->freeze();
+    case TroubleKind::WorkerKilled:
+        return workerOf(trouble).process().kill();
+    case TroubleKind::WorkerFrozen:
+        return workerOf(trouble).process().freeze();
+    case TroubleKind::WorkerAnswersLost:
+        return workerOf(trouble).postFault({{"kind", "drop_answer"}, {"count", -1}});
+    case TroubleKind::OrdersLate:
+        return workerOf(trouble).postFault(
+            {{"path", "/v1/order"}, {"kind", "delay"}, {"count", -1}, {"delay_ms", 1500}});
+    case TroubleKind::StreamsBroken:
+        return workerOf(trouble).postFault(
+            {{"path", "/stream"}, {"kind", "drop_answer"}, {"count", -1}, {"after_events", 7}});
+    case TroubleKind::StoreFrozen:
+        return store.process().freeze();
+    case TroubleKind::StoreSlow:
+        return store.postFault({{"kind", "delay"}, {"count", -1}, {"delay_ms", 200}});
+    case TroubleKind::StoreAnswersLost:
+        return store.postFault({{"path", "/v1/rows-tx"}, {"kind", "drop_answer"}, {"count", -1}});
+    case TroubleKind::StoreRefuses:
+        return store.postFault({{"kind", "refuse"}, {"count", -1}});
+    case TroubleKind::StoreLink:
+        return deployment_.instance(trouble.subject).storeLink->setFault(trouble.link);
+    case TroubleKind::WorkerLink:
+        return deployment_.workerLink(workers_[trouble.subject]).setFault(trouble.link);
+    case TroubleKind::ConfigurationChanged:
+        return;
+    }
+}
+
+void SoakRun::lift(const Trouble& trouble)
+{
+    switch (trouble.kind) {
+    case TroubleKind::InstanceStopped:
+        stopInstance(trouble.subject);
+        [[fallthrough]];
+    case TroubleKind::InstanceKilled:
+        return launchInstance(trouble.subject);
+    case TroubleKind::InstanceFrozen:
+        return deployment_.instance(trouble.subject).process->resume();
+    case TroubleKind::WorkerKilled:
+        return workerOf(trouble).restart();
+    case TroubleKind::WorkerFrozen:
+        return workerOf(trouble).process().resume();
+    case TroubleKind::WorkerAnswersLost:
+    case TroubleKind::OrdersLate:
+    case TroubleKind::StreamsBroken:
+        return workerOf(trouble).clearFaults();
+    case TroubleKind::StoreFrozen:
+        return deployment_.store().process().resume();
+    case TroubleKind::StoreSlow:
+    case TroubleKind::StoreAnswersLost:
+    case TroubleKind::StoreRefuses:
+        return deployment_.store().clearFaults();
+    case TroubleKind::StoreLink:
+        return deployment_.instance(trouble.subject).storeLink->setFault(LinkFault::None);
+    case TroubleKind::WorkerLink:
+        return deployment_.workerLink(workers_[trouble.subject]).setFault(LinkFault::None);
+    case TroubleKind::ConfigurationChanged:
+        return;
+    }
+}
+
+void SoakRun::launchInstance(std::size_t index)
+{
+    deployment_.launchInstance(index);
+    launchedAt_[index] = clock_.now();
+}
+
+void SoakRun::terminateInstance(std::size_t index)
+{
+    // A process that has only just been started dies by the signal before it can watch for it, and has taken nothing.
+    std::this_thread::sleep_for(std::max(launchedAt_[index] + startTime - clock_.now(), Millis(0)));
+    deployment_.instance(index).process->terminate();
+}
+
+void SoakRun::stopInstance(std::size_t index)
+{
+    const auto exit = deployment_.instance(index).process->wait(stopLimit);
+    if (!exit.ok()) {
+        record_.badEnds.push_back(fmt::format("instance {} did not end within its grace time", index));
+        deployment_.instance(index).process->kill();
+    } else if (exit->code != 0 && exit->code != exitCutOff) {
+        record_.badEnds.push_back(fmt::format("instance {} ended by signal {} or code {} when it was stopped", index,
+            exit->signal, exit->code.value_or(-1)));
+    }
+}
+
+void SoakRun::checkRunning()
+{
+    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i) {
+        if (!deployment_.instance(i).process->isRunning())
+            record_.badEnds.push_back(fmt::format("instance {} ended by itself", i));
+    }
+}
+
+void SoakRun::awaitRecovery()
+{
+    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i) {
+        const Millis limit = options_.length + recoveryTime;
+        bool serves = servesEverything(i);
+        while (!serves && clock_.now() < limit) {
+            std::this_thread::sleep_for(recoveryPause);
+            serves = servesEverything(i);
+        }
+        if (!serves)
+            record_.notRecovered.push_back(fmt::format("instance {} does not serve everything after the troubles", i));
+    }
+}
+
+bool SoakRun::servesEverything(std::size_t instance)
+{
+    TestHttpClient client(deployment_.callersOf(instance), recoveryTime);
+    for (const char* path : {"/unsafe/r", "/safe/r", "/stream/r"}) {
+        record_.calls.push_back(
+            call(deployment_, clock_, instance, path, fmt::format("r-{}", ++recoveryCalls_), client));
+        const CallRecord& answer = record_.calls.back();
+        if (!answer.isSuccess() || !answer.complete)
+            return false;
+    }
+    return true;
+}
+
+void SoakRun::readWorkers()
+{
+    for (const std::string& worker : workers_) {
+        for (const std::string& line : deployment_.recordOf(worker)) {
+            const std::vector<std::string> words = absl::StrSplit(line, ' ');
+            if (words[0] == "run")
+                ++record_.runs[words[1]];
+            else if (words[0] == "order")
+                record_.orders.push_back(
+                    {worker, Millis(std::stoll(words[1])) - clock_.beginOnSteadyClock(), words[2]});
+            else if (words[0] == "overcommit")
+                ++record_.overcommits;
+        }
+    }
+}
+
+std::string SoakRun::logs()
+{
+    std::string text;
+    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i)
+        text += fmt::format("--- instance {}\n{}", i, deployment_.instance(i).process->logText());
+    return text;
+}
+
+} // namespace lychee::test
--- /dev/null
+++ b/tests/soak/SoakRun.h
@@ -0,0 +1,58 @@
+// One run of the soak: real processes, callers, and the troubles of one seed.
+#pragma once
+
+#include "tests/soak/Callers.h"
+#include "tests/soak/Promises.h"
+
+namespace lychee::test {
+
+struct SoakOptions {
+    std::filesystem::path buildDirectory;
+    std::uint64_t seed = 1;
+    Millis length{12000};
+    int instances = 3;
+    std::size_t callers = 16;
+};
+
+class SoakRun {
+public:
+    explicit SoakRun(SoakOptions options);
+
+    // Plays the run. Throws std::runtime_error when the processes cannot be set up.
+    RunRecord play();
+
+    // The logs of all instances, for a run that broke a promise.
+    std::string logs();
+
+private:
+    struct Step {
+        Millis at{0};
+        const Trouble* trouble = nullptr;
+        bool begins = true;
+    };
+
+    void playTroubles();
+    void changeConfigurations();
+    void apply(const Trouble& trouble);
+    void lift(const Trouble& trouble);
+    void launchInstance(std::size_t index);
+    void terminateInstance(std::size_t index);
+    void stopInstance(std::size_t index);
+    void checkRunning();
+    void awaitRecovery();
+    bool servesEverything(std::size_t instance);
+    void readWorkers();
+    Standin& workerOf(const Trouble& trouble) { return deployment_.worker(workers_[trouble.subject]); }
+
+    SoakOptions options_;
+    GatewayDeployment deployment_;
+    std::vector<std::string> workers_;
+    RunClock clock_;
+    RunRecord record_;
+    // When each instance was last started.
+    std::vector<Millis> launchedAt_;
+    std::unique_ptr<Callers> callers_;
+    int recoveryCalls_ = 0;
+};
+
+} // namespace lychee::test
