Pass rows on while the store is away, by a few instances only

Cause: instances sent the platform's rows to a peer that cannot read them only while they reached the store themselves. One that started while the store was down for all knew no configuration and refused everything, although its peers knew it. And where they did send, all of them sent the same rows: 79 copies of the tables to one restarted instance of a grown deployment.

Change: rows go to a peer that cannot read the platform whenever this instance knows more, from two senders that all choose alike (RowSenders); two more join with each report in which it is still behind, as the first may be cut off.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "gateway/LeaseKeeper.h"
 #include "gateway/Mesh.h"
 #include "gateway/PlacementOwner.h"
+#include "gateway/RowSenders.h"
 #include "gateway/TableWatch.h"
 #include "gateway/TargetList.h"
 #include "gateway/ToldHoldings.h"
@@ -153,6 +154,8 @@
     struct PeerState {
         MeshStatus status;
         TimePoint heardAt;
+        // Reports in a row in which the peer could not read the platform and knew less than this instance.
+        int reportsBehind = 0;
     };
 
     TargetList::Handlers targetHandlers()
@@ -333,15 +336,47 @@
 
     void take(const InstanceId& peer, const MeshStatus& status)
     {
-        const TimePoint now = currentTime();
-        peers_[peer] = {status, now};
+        PeerState& state = peers_[peer];
+        state.status = status;
+        state.heardAt = currentTime();
         relay_.peerWork(peer, fromMessage(status.work));
         if (peer == lease_.lease().holder() && status.holdsLease)
             lease_.lease().heardFromHolder(LeaseKeeper<typename Platform::Store>::leaseTime());
         for (const MeshUse& use : status.uses)
             owner_.desk().recordUse(use.target, use.model, use.adapter);
-        if (!status.readsPlatform && reach_.isReached(now))
-            sendRows(peer, status);
+        sendMissingRows(peer, state);
+    }
+
+    // A peer that cannot read the platform learns the changes from those that know them, also while the store is away
+    // for all: an instance that starts then knows nothing.
+    void sendMissingRows(const InstanceId& peer, PeerState& state)
+    {
+        const RowKnowledge receiver = knowledgeOf(peer, state.status);
+        if (state.status.readsPlatform || !ownKnowledge().isAheadOf(receiver)) {
+            state.reportsBehind = 0;
+            return;
+        }
+        if (sendsRowsTo(receiver, ownKnowledge(), peerKnowledge(), state.reportsBehind))
+            sendRows(peer, state.status);
+        ++state.reportsBehind;
+    }
+
+    static RowKnowledge knowledgeOf(const InstanceId& instance, const MeshStatus& status)
+    {
+        return {instance, status.configurationRow, status.targetRows};
+    }
+
+    RowKnowledge ownKnowledge() const
+    {
+        return {options_.self, configurationWatch_.replica().version(), targetWatch_.replica().version()};
+    }
+
+    std::vector<RowKnowledge> peerKnowledge() const
+    {
+        std::vector<RowKnowledge> known;
+        for (const auto& [peer, state] : peers_)
+            known.push_back(knowledgeOf(peer, state.status));
+        return known;
     }
 
     // Instances that are fed read rarely themselves.
@@ -374,7 +409,6 @@
             mesh_->broadcast(MeshRows{table, since, version, toMessage(changed)});
     }
 
-    // A peer that the platform turns away learns the changes from those that it serves.
     void sendRows(const InstanceId& peer, const MeshStatus& status)
     {
         sendTable(peer, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
--- a/tests/gateway/GatewayProcessTest.cpp
+++ b/tests/gateway/GatewayProcessTest.cpp
@@ -122,5 +122,29 @@
     EXPECT_TRUE(GatewayDeployment::eventually([&] { return deployment_.send(0, "/late/x", "late").status == 200; }));
 }
 
+// Guards against an instance that starts while the store is away and refuses everything, although its peer knows the
+// configuration and the targets.
+TEST_F(GatewayProcessTest, LearnsFromItsPeerWhileTheStoreIsAway)
+{
+    const auto isConnected = [&] {
+        const auto metrics = TestHttpClient(deployment_.instance(1).metrics, 1000ms).send({"GET", "/metrics", {}, ""});
+        return metrics.ok() && metrics->body.find("instances 2\n") != std::string::npos;
+    };
+    ASSERT_TRUE(GatewayDeployment::eventually(isConnected));
+    deployment_.store().process().freeze();
+    // Until the peer has lost the store too.
+    std::this_thread::sleep_for(3000ms);
+    deployment_.instance(0).process->kill();
+    deployment_.launchInstance(0);
+    EXPECT_TRUE(GatewayDeployment::eventually([&] {
+        return GatewayDeployment::statusOf(deployment_.instance(0).readiness, "/") == 200;
+    })) << deployment_.instance(0).process->logText()
+        << "\nits peer:\n"
+        << deployment_.instance(1).process->logText();
+    EXPECT_EQ(deployment_.send(0, "/unsafe/x", "u").status, 200);
+    EXPECT_EQ(deployment_.send(0, "/stream/x", "s").body, GatewayDeployment::expectedEvents());
+    deployment_.store().process().resume();
+}
+
 } // namespace
 } // namespace lychee::test
