Measure a relayed token on the platform's path in bench_relay

Guards the demand that this path costs no more for a token than the own interface; both are measured in one run, and the bound is their ratio of 1.

--- a/bench/relay/Relay.cpp
+++ b/bench/relay/Relay.cpp
@@ -1,6 +1,7 @@
 // What an instance adds to calls and streams, measured with real processes on one machine.
 #include "bench/common/Bounds.h"
 #include "tests/support/Deployment.h"
+#include "tests/support/GatewayDeployment.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -85,7 +86,8 @@
 class RelayBenchmark {
 public:
     explicit RelayBenchmark(const std::filesystem::path& buildDirectory)
-        : deployment_(buildDirectory, options())
+        : buildDirectory_(buildDirectory)
+        , deployment_(buildDirectory, options())
     {
         deployment_.configure();
     }
@@ -94,6 +96,7 @@
     {
         measureLatency();
         measureTokens();
+        measurePlatformTokens();
         measureCalls();
         return results_;
     }
@@ -151,6 +154,39 @@
         results_["tokens_per_second"] = tokens / seconds(Clock::now() - start);
     }
 
+    // The same on the users' platform, whose streams are relayed without a look into their events' data.
+    void measurePlatformTokens()
+    {
+        GatewayDeploymentOptions platformOptions;
+        platformOptions.instances = 1;
+        platformOptions.events = streamTokens;
+        platformOptions.eventPause = 0ms;
+        GatewayDeployment platform(buildDirectory_, platformOptions);
+        const pid_t id = platform.instance(0).process->id();
+        const double before = processorTime(id);
+        std::atomic<int> events{0};
+        std::vector<std::thread> threads;
+        threads.reserve(streamThreads);
+        for (int i = 0; i < streamThreads; ++i) {
+            threads.emplace_back([&, i] {
+                TestHttpClient client(platform.callersOf(0), requestLimit);
+                const auto stream = client.open(GatewayDeployment::request("/stream/x", fmt::format("stream-{}", i)));
+                while (stream.ok()) {
+                    const auto event = (*stream)->next();
+                    if (!event.ok() || !event->has_value())
+                        break;
+                    ++events;
+                }
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        if (events != streamThreads * streamTokens)
+            throw std::runtime_error("a stream on the platform's path is not whole");
+        results_["platform_token_cpu_us"] = 1e6 * (processorTime(id) - before) / events;
+        results_["platform_to_own"] = results_["platform_token_cpu_us"] / results_["token_cpu_us"];
+    }
+
     void measureCalls()
     {
         const pid_t id = deployment_.instance(0).process->id();
@@ -175,6 +211,7 @@
         results_["calls_per_core_second"] = calls / (processorTime(id) - before);
     }
 
+    std::filesystem::path buildDirectory_;
     Deployment deployment_;
     std::map<std::string, double> results_;
 };
@@ -192,5 +229,6 @@
         fmt::print("{:<24} {:12.2f}\n", name, value);
     lychee::bench::Bounds bounds(absl::GetFlag(FLAGS_bounds), "relay");
     bounds.atMost("token_cpu_microseconds", "processor time for one relayed token", results["token_cpu_us"]);
+    bounds.atMost("platform_to_own", "the same on the platform's path, to the own one", results["platform_to_own"]);
     return bounds.misses() == 0 ? 0 : 1;
 }
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::chrono::milliseconds limit{10000};
 constexpr std::chrono::milliseconds pollInterval{50};
-constexpr int eventCount = 20;
 
 } // namespace
 
@@ -55,8 +54,8 @@
 void GatewayDeployment::addWorker(const std::string& id, const std::string& service, const std::string& models)
 {
     std::vector<std::string> flags{"--id=" + id, "--service=" + service, "--models=" + models,
-        fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", eventCount),
-        "--event-ms=20", "--record=" + recordPath(id).string()};
+        fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", options_.events),
+        fmt::format("--event-ms={}", options_.eventPause.count()), "--record=" + recordPath(id).string()};
     if (!options_.proxies) {
         workers_[id] = &standins_.startFleetWorker(std::move(flags));
         return;
@@ -205,7 +204,7 @@
 std::string GatewayDeployment::expectedEvents()
 {
     std::string text;
-    for (int id = 1; id <= eventCount; ++id)
+    for (int id = 1; id <= GatewayDeploymentOptions().events; ++id)
         text += fmt::format("id: {}\ndata: token-{}\n\n", id, id);
     return text;
 }
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -24,6 +24,9 @@
     int plainWorkers = 1;
     // Puts a FaultProxy between each instance and the store, and in front of each worker.
     bool proxies = false;
+    // Events of a stream, and the pause between two.
+    int events = 20;
+    std::chrono::milliseconds eventPause{20};
 };
 
 // Functions throw std::runtime_error when the deployment cannot be set up.
@@ -53,7 +56,7 @@
     // Loads beyond the places of a worker, over all workers.
     std::uint64_t overcommits();
 
-    // The body of a whole stream.
+    // The body of a whole stream with the default number of events.
     static std::string expectedEvents();
 
     // The status of a GET, 0 when there is no answer.
