Load an adapter again after an order that met a changed engine

Nobody else loads an adapter; placement plans models only.

Change: when the state of an engine turns out to be stale, it is read and the adapter is ordered once more, within the time that requests wait for it. Not after an order without an answer, whose effect may still come.

Measured: OrderDeskTest.LoadsAnAdapterAfterALateOrder fails before and passes after.

--- a/src/gateway/OrderDesk.h
+++ b/src/gateway/OrderDesk.h
@@ -396,7 +396,18 @@
         // Requests still run on the model that makes way; the planner decides anew once it is gone.
     }
 
+    // Loads an adapter. Tries once more when the engine was not in the state that was expected, because an order that
+    // was given up has taken effect since; nobody else would load the adapter for the requests that wait for it.
     absl::Status grant(const std::shared_ptr<Slot>& slot, const Wish& wish, std::uint64_t term)
+    {
+        absl::Status status = tryGrant(slot, wish, term);
+        const bool stale = !slot->synced && currentTime() >= slot->pausedUntil;
+        if (!status.ok() && stale && isCurrent(slot, term) && sync(slot, term))
+            status = tryGrant(slot, wish, term);
+        return status;
+    }
+
+    absl::Status tryGrant(const std::shared_ptr<Slot>& slot, const Wish& wish, std::uint64_t term)
     {
         if (holds(*slot, wish.model, wish.adapter))
             return absl::OkStatus();
--- a/tests/gateway/OrderDeskTest.cpp
+++ b/tests/gateway/OrderDeskTest.cpp
@@ -196,6 +196,24 @@
     EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a1"});
 }
 
+// Guards against requests that are refused because a late order has changed the engine, although it could load their
+// adapter a moment later.
+TEST_F(OrderDeskTest, LoadsAnAdapterAfterALateOrder)
+{
+    run([&](OrderDesk<FakeChannel>& desk) {
+        ASSERT_TRUE(ensure(desk, "a1").ok());
+        FakeEngines::State& state = FakeEngines::instance().engines[TargetId("t0")];
+        state.holdings.sequence = state.holdings.sequence.next();
+        EXPECT_TRUE(ensure(desk, "a2").ok());
+        // An engine in another state each time is given up.
+        FakeEngines::instance().unanswered = 1;
+        EXPECT_FALSE(ensure(desk, "a3").ok());
+    });
+    const std::vector<std::string> expected{"load m0/a1", "load m0/a2", "load m0/a2"};
+    EXPECT_TRUE(std::equal(expected.begin(), expected.end(), FakeEngines::instance().orders.begin()));
+    EXPECT_FALSE(overcommitted());
+}
+
 // Guards against an adapter that is loaded beyond the places of an engine, and against unloading one in use.
 TEST_F(OrderDeskTest, MakesRoomByTheAdapterThatWasNotUsedForLongest)
 {
