--- a/tests/gateway/RowSendersTest.cpp
+++ b/tests/gateway/RowSendersTest.cpp
@@ -15,6 +15,7 @@
 std::vector<RowKnowledge> instances(int count, std::uint64_t version)
 {
     std::vector<RowKnowledge> all;
+    all.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         all.push_back(knowledge(i, version));
     return all;
