Let the answer to a rejected request reach a sender that still sends

A request that breaks a limit was answered and its connection closed at once; bytes of it that were not read yet made the kernel reset the connection, and a reset makes the peer lose an answer that it has not read.

Change: the sending side is shut down and what still comes is read and dropped, for 300 ms and 8 MB at most, before the connection is closed. Callers see 431, 413, 408 and 400 instead of a reset.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -23,6 +23,12 @@
 // Pause after a failed accept, so that a lack of file descriptors does not turn into a busy loop.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
+// Limits of what is read after a request was rejected: a few round trips, and a little more than the largest body that
+// the deployments allow.
+constexpr Duration discardTime = std::chrono::milliseconds(300);
+constexpr std::size_t discardBytes = 16384;
+constexpr int maxDiscardReads = 512;
+
 HttpRequest toRequest(http::request<http::string_body>&& message)
 {
     HttpRequest request;
@@ -285,8 +291,24 @@
     void rejectRequest(HttpFault fault)
     {
         keepAlive_ = false;
-        if (state_->options_.faultResponse)
-            respond(state_->options_.faultResponse(fault)).IgnoreError();
+        if (!state_->options_.faultResponse)
+            return;
+        if (respond(state_->options_.faultResponse(fault)).ok())
+            discardRest();
+    }
+
+    // Reads what the peer still sends. Closing a socket with unread bytes resets the connection, and the reset makes
+    // the peer lose the answer.
+    void discardRest()
+    {
+        error_code error;
+        socket_.shutdown(tcp::socket::shutdown_send, error);
+        const TimePoint limit = currentTime() + discardTime;
+        std::array<char, discardBytes> bytes{};
+        for (int reads = 0; !error && reads < maxDiscardReads; ++reads) {
+            error = runBefore(socket_, limit,
+                [&](error_code& result) { socket_.async_read_some(boost::asio::buffer(bytes), FiberToken{result}); });
+        }
     }
 
     std::shared_ptr<State> state_;
--- a/tests/gateway/CallerInputTest.cpp
+++ b/tests/gateway/CallerInputTest.cpp
@@ -84,6 +84,16 @@
     expectServing();
 }
 
+// Guards against a rejection that its sender never sees, because the connection is reset while it still sends.
+TEST(CallerInput, RejectionReachesASenderThatStillSends)
+{
+    for (int round = 0; round < 5; ++round) {
+        const auto answer = answerTo(head("long", fmt::format("Long: {}\r\n", std::string(100000, 'a'))));
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_TRUE(answer->starts_with("HTTP/1.1 431")) << *answer;
+    }
+}
+
 // Guards against connections that a sender holds by a byte now and then, which keeps each single wait short.
 TEST(CallerInput, SlowHeadersEndInTime)
 {
