--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -148,9 +148,8 @@
             if (!state->record.draining && holdsModel(*state))
                 weighted.emplace_back(rendezvousWeight(state->record.id.value(), key), state);
         }
-        std::sort(weighted.begin(), weighted.end(), [](const auto& left, const auto& right) {
-            return std::tie(left.first, right.second->record.id) > std::tie(right.first, left.second->record.id);
-        });
+        std::stable_sort(weighted.begin(), weighted.end(),
+            [](const auto& left, const auto& right) { return left.first > right.first; });
         std::vector<const TargetState*> ranked;
         ranked.reserve(weighted.size());
         for (const auto& [weight, state] : weighted)
@@ -170,7 +169,7 @@
     }
 
     // The best target of the first group that has one in time, or of all.
-    template <typename Targets> std::optional<Candidate> bestOf(const Targets& targets, std::size_t groupSize) const
+    std::optional<Candidate> bestOf(std::span<const TargetState* const> targets, std::size_t groupSize) const
     {
         const double limit
             = std::chrono::duration<double, std::milli>(input_.latencyObjective).count() * objectivesBeforeWidening;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -127,7 +127,6 @@
             ++state_->activeExchanges_;
             busy_ = true;
             answered_ = false;
-            streaming_ = false;
             state_->handler_(*this);
             stopWatching();
             busy_ = false;
@@ -171,7 +170,6 @@
         prepare(message);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
-        streaming_ = true;
         return write("write header",
             [&](error_code& error) { http::async_write_header(socket_, serializer, FiberToken{error}); });
     }
@@ -317,7 +315,6 @@
     HttpRequest request_;
     bool busy_ = false;
     bool answered_ = false;
-    bool streaming_ = false;
     bool keepAlive_ = true;
     bool watching_ = false;
     std::uint64_t exchanges_ = 0;
--- a/tests/demo/Demo.cpp
+++ b/tests/demo/Demo.cpp
@@ -63,8 +63,7 @@
         const bool once
             = platform.send(1, "/unsafe/x", "demo-order").status == 200 && platform.executions("demo-order") == 1;
         check("platform: order runs once", once, "1 execution");
-        const bool loaded = GatewayDeployment::eventually(
-            [&] { return platform.send(0, "/stream/x", "demo-rare", "m2").status == 200; });
+        const bool loaded = eventually([&] { return platform.send(0, "/stream/x", "demo-rare", "m2").status == 200; });
         check("platform: model that nobody held is loaded", loaded && platform.overcommits() == 0,
             "0 loads beyond memory");
     }
--- a/tests/gateway/CallerInputTest.cpp
+++ b/tests/gateway/CallerInputTest.cpp
@@ -26,8 +26,7 @@
         created->setCallerLimits({{"headerBytes", headerBytes}, {"maxBodyBytes", bodyBytes},
             {"headerTimeoutMs", headerTime.count()}, {"idleTimeoutMs", idleTime.count()}});
         created->writeConfiguration(7, {"/stream/", "/safe/", "/unsafe/", "/limited/"});
-        const bool known = GatewayDeployment::eventually(
-            [&] { return created->send(0, "/limited/x", "limits-known").status == 200; });
+        const bool known = eventually([&] { return created->send(0, "/limited/x", "limits-known").status == 200; });
         if (!known)
             throw std::runtime_error("the configuration with the limits is not in force");
         return created;
--- a/tests/gateway/GatewayProcessTest.cpp
+++ b/tests/gateway/GatewayProcessTest.cpp
@@ -32,18 +32,15 @@
     EXPECT_EQ(deployment_.send(0, "/new/x", "c").status, 404);
     deployment_.writeConfiguration(5, {"/stream/", "/safe/", "/unsafe/", "/new/"});
     for (std::size_t instance = 0; instance < 2; ++instance)
-        EXPECT_TRUE(GatewayDeployment::eventually(
-            [&] { return deployment_.send(instance, "/new/x", "c").status == 200; }, 2000ms));
+        EXPECT_TRUE(eventually([&] { return deployment_.send(instance, "/new/x", "c").status == 200; }, 2000ms));
     EXPECT_EQ(GatewayDeployment::statusOf(deployment_.instance(0).metrics, "/metrics"), 200);
 }
 
 // Guards against a model or an adapter that callers ask for and nobody loads, and against loads beyond memory.
 TEST_F(GatewayProcessTest, LoadsWhatCallersAskFor)
 {
-    EXPECT_TRUE(
-        GatewayDeployment::eventually([&] { return deployment_.send(0, "/stream/x", "rare", "m2").status == 200; }));
-    EXPECT_TRUE(GatewayDeployment::eventually(
-        [&] { return deployment_.send(1, "/stream/x", "adapted", "m0/a2").status == 200; }));
+    EXPECT_TRUE(eventually([&] { return deployment_.send(0, "/stream/x", "rare", "m2").status == 200; }));
+    EXPECT_TRUE(eventually([&] { return deployment_.send(1, "/stream/x", "adapted", "m0/a2").status == 200; }));
     EXPECT_EQ(deployment_.overcommits(), 0u);
 }
 
@@ -56,7 +53,7 @@
     const HttpResponse stream = deployment_.send(0, "/stream/x", "broken-once");
     // Only two runs are allowed, so with both workers breaking off once the stream ends broken and never looks whole.
     EXPECT_NE(stream.body, GatewayDeployment::expectedEvents());
-    EXPECT_TRUE(GatewayDeployment::eventually(
+    EXPECT_TRUE(eventually(
         [&] { return deployment_.send(0, "/stream/x", "whole").body == GatewayDeployment::expectedEvents(); }));
     deployment_.worker("e0").postFault(
         {{"path", "/stream"}, {"kind", "drop_answer"}, {"count", 1}, {"after_events", 5}});
@@ -73,16 +70,15 @@
     std::thread caller([&] { body = deployment_.send(0, "/stream/x", "across-the-stop").body; });
     std::this_thread::sleep_for(100ms);
     deployment_.instance(0).process->terminate();
-    EXPECT_TRUE(GatewayDeployment::eventually(
-        [&] { return GatewayDeployment::statusOf(deployment_.instance(0).readiness, "/") != 200; }, 500ms));
+    EXPECT_TRUE(
+        eventually([&] { return GatewayDeployment::statusOf(deployment_.instance(0).readiness, "/") != 200; }, 500ms));
     caller.join();
     EXPECT_EQ(body, GatewayDeployment::expectedEvents());
     const auto exit = deployment_.instance(0).process->wait(9000ms);
     ASSERT_TRUE(exit.ok());
     EXPECT_EQ(exit->code, 0);
     EXPECT_EQ(deployment_.send(1, "/unsafe/x", "after").status, 200);
-    EXPECT_TRUE(GatewayDeployment::eventually(
-        [&] { return deployment_.send(1, "/stream/x", "moved", "m0/a3").status == 200; }));
+    EXPECT_TRUE(eventually([&] { return deployment_.send(1, "/stream/x", "moved", "m0/a3").status == 200; }));
 }
 
 // Guards against a stop that finds an instance between its first connection and the watch for signals, and so cuts off
@@ -119,7 +115,7 @@
     }
     deployment_.store().process().resume();
     deployment_.writeConfiguration(9, {"/stream/", "/safe/", "/unsafe/", "/late/"});
-    EXPECT_TRUE(GatewayDeployment::eventually([&] { return deployment_.send(0, "/late/x", "late").status == 200; }));
+    EXPECT_TRUE(eventually([&] { return deployment_.send(0, "/late/x", "late").status == 200; }));
 }
 
 // Guards against an instance that starts while the store is away and refuses everything, although its peer knows the
@@ -130,16 +126,14 @@
         const auto metrics = TestHttpClient(deployment_.instance(1).metrics, 1000ms).send({"GET", "/metrics", {}, ""});
         return metrics.ok() && metrics->body.find("instances 2\n") != std::string::npos;
     };
-    ASSERT_TRUE(GatewayDeployment::eventually(isConnected));
+    ASSERT_TRUE(eventually(isConnected));
     deployment_.store().process().freeze();
     // Until the peer has lost the store too.
     std::this_thread::sleep_for(3000ms);
     deployment_.instance(0).process->kill();
     deployment_.launchInstance(0);
-    EXPECT_TRUE(GatewayDeployment::eventually([&] {
-        return GatewayDeployment::statusOf(deployment_.instance(0).readiness, "/") == 200;
-    })) << deployment_.instance(0).process->logText()
-        << "\nits peer:\n"
+    EXPECT_TRUE(eventually([&] { return GatewayDeployment::statusOf(deployment_.instance(0).readiness, "/") == 200; }))
+        << deployment_.instance(0).process->logText() << "\nits peer:\n"
         << deployment_.instance(1).process->logText();
     EXPECT_EQ(deployment_.send(0, "/unsafe/x", "u").status, 200);
     EXPECT_EQ(deployment_.send(0, "/stream/x", "s").body, GatewayDeployment::expectedEvents());
--- a/tests/soak/CallRecord.h
+++ b/tests/soak/CallRecord.h
@@ -33,6 +33,8 @@
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 
+    bool isServed() const { return isSuccess() && complete; }
+
     // For reports.
     std::string text() const
     {
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -45,7 +45,7 @@
     for (const Trouble& trouble : record.troubles)
         fmt::print("  {}\n", trouble.text());
     for (const CallRecord& call : record.calls) {
-        if (!call.isSuccess() || !call.complete)
+        if (!call.isServed())
             fmt::print("  not served: {}\n", call.text());
     }
 }
@@ -61,8 +61,8 @@
     const RunRecord record = run.play();
     Promises promises(record);
     const std::vector<std::string> violations = promises.violations();
-    const auto served = static_cast<std::size_t>(std::count_if(record.calls.begin(), record.calls.end(),
-        [](const CallRecord& call) { return call.isSuccess() && call.complete; }));
+    const auto served = static_cast<std::size_t>(std::count_if(
+        record.calls.begin(), record.calls.end(), [](const CallRecord& call) { return call.isServed(); }));
     fmt::print("seed {:6}  {:3} troubles  {:5} calls  {:5} served  {:6} checks  {} broken\n", seed,
         record.troubles.size(), record.calls.size(), served, promises.checked(), violations.size());
     for (const std::string& text : violations)
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -21,8 +21,6 @@
 
 bool isRefusal(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-std::string describe(const CallRecord& call, int runs) { return fmt::format("{} runs {}", call.text(), runs); }
-
 } // namespace
 
 std::vector<std::string> Promises::violations()
@@ -41,11 +39,23 @@
     return std::move(violations_);
 }
 
-void Promises::expect(bool holds, const std::string& text)
+void Promises::expect(bool holds, std::string_view text)
 {
     ++checked_;
     if (!holds)
-        violations_.push_back(text);
+        violations_.emplace_back(text);
+}
+
+void Promises::expect(bool holds, std::string_view text, const CallRecord& call)
+{
+    ++checked_;
+    if (!holds)
+        violations_.push_back(fmt::format("{}: {}", text, describe(call)));
+}
+
+std::string Promises::describe(const CallRecord& call) const
+{
+    return fmt::format("{} runs {}", call.text(), runsOf(call));
 }
 
 int Promises::runsOf(const CallRecord& call) const
@@ -76,9 +86,9 @@
 {
     for (const CallRecord& call : run_.calls) {
         const int runs = runsOf(call);
-        expect(!call.isUnsafe() || runs <= 1, "ran more than once: " + describe(call, runs));
-        expect(runs <= attempts, "ran on more workers than allowed: " + describe(call, runs));
-        expect(!isRefusal(call.status) || call.sealed || runs == 0, "refused and has run: " + describe(call, runs));
+        expect(!call.isUnsafe() || runs <= 1, "ran more than once", call);
+        expect(runs <= attempts, "ran on more workers than allowed", call);
+        expect(!isRefusal(call.status) || call.sealed || runs == 0, "refused and has run", call);
     }
 }
 
@@ -86,11 +96,11 @@
 {
     for (const CallRecord& call : run_.calls) {
         const int runs = runsOf(call);
-        expect(call.wrong.empty(), call.wrong + ": " + describe(call, runs));
-        expect(!call.isSuccess() || call.sealed, "success without a worker's proof: " + describe(call, runs));
-        expect(!call.isSuccess() || runs > 0, "success without a run: " + describe(call, runs));
+        expect(call.wrong.empty(), call.wrong + "", call);
+        expect(!call.isSuccess() || call.sealed, "success without a worker's proof", call);
+        expect(!call.isSuccess() || runs > 0, "success without a run", call);
         const bool known = call.status != 400 && call.status != 404;
-        expect(known || call.path.starts_with("/extra"), "proper request denied: " + describe(call, runs));
+        expect(known || call.path.starts_with("/extra"), "proper request denied", call);
     }
 }
 
@@ -104,7 +114,7 @@
             continue;
         ++reached;
         if (took > routeTimeout + lateBy)
-            late.push_back(describe(call, runsOf(call)));
+            late.push_back(describe(call));
     }
     expect(late.size() < lateEnds || late.size() * 4 <= reached,
         fmt::format("{} of {} requests held beyond the time of their route, first {}", late.size(), reached,
@@ -125,7 +135,7 @@
                 return &trouble != &stop && trouble.kind != TroubleKind::ConfigurationChanged;
             });
             const int runs = runsOf(call);
-            expect(!alone || call.complete || runs == 0, "lost at a planned stop: " + describe(call, runs));
+            expect(!alone || call.complete || runs == 0, "lost at a planned stop", call);
         }
     }
 }
@@ -150,12 +160,11 @@
         for (const CallRecord& call : run_.calls) {
             if (call.path != configuration.path)
                 continue;
-            const std::string text = describe(call, runsOf(call));
             const Millis due = configuration.acknowledgedAt + configurationBound;
             const bool bound = call.sentAt > due
                 && !isInstanceDisturbed(call.instance, configuration.acknowledgedAt, call.sentAt, inTouchAfter)
                 && !storeDisturbed(configuration.acknowledgedAt, call.sentAt);
-            expect(!bound || call.status != 404, "configuration not in force in time: " + text);
+            expect(!bound || call.status != 404, "configuration not in force in time", call);
             const auto known = shown.find(call.instance);
             const bool restarted = disturbed(Millis(0), call.endedAt, Millis(0), [&](const Trouble& trouble) {
                 return trouble.subject == call.instance
@@ -163,7 +172,7 @@
             });
             const bool regressed = known != shown.end() && !restarted && call.sentAt > known->second + downgradeSlack
                 && call.status == 404;
-            expect(!regressed, "went back to an older configuration: " + text);
+            expect(!regressed, "went back to an older configuration", call);
         }
     }
 }
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -56,7 +56,10 @@
     void checkStops();
     void checkConfiguration();
     void checkHolders();
-    void expect(bool holds, const std::string& text);
+    void expect(bool holds, std::string_view text);
+    // Names the call in the line for a break.
+    void expect(bool holds, std::string_view text, const CallRecord& call);
+    std::string describe(const CallRecord& call) const;
 
     int runsOf(const CallRecord& call) const;
     // Whether a trouble that `matters` was under way between two times, or had ended less than `after` before.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -224,8 +224,7 @@
     for (const char* path : {"/unsafe/r", "/safe/r", "/stream/r"}) {
         record_.calls.push_back(
             call(deployment_, clock_, instance, path, fmt::format("r-{}", ++recoveryCalls_), client));
-        const CallRecord& answer = record_.calls.back();
-        if (!answer.isSuccess() || !answer.complete)
+        if (!record_.calls.back().isServed())
             return false;
     }
     return true;
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -14,9 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds limit{10000};
-constexpr std::chrono::milliseconds pollInterval{50};
-
 } // namespace
 
 GatewayDeployment::GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options)
@@ -40,17 +37,6 @@
     }
 }
 
-bool GatewayDeployment::eventually(const std::function<bool()>& condition, std::chrono::milliseconds within)
-{
-    const auto end = std::chrono::steady_clock::now() + within;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            return false;
-        std::this_thread::sleep_for(pollInterval);
-    }
-    return true;
-}
-
 void GatewayDeployment::addWorker(const std::string& id, const std::string& service, const std::string& models)
 {
     std::vector<std::string> flags{"--id=" + id, "--service=" + service, "--models=" + models,
@@ -181,7 +167,7 @@
 HttpResponse GatewayDeployment::send(
     std::size_t instance, const std::string& target, const std::string& attempt, const std::string& model)
 {
-    const auto answer = TestHttpClient(instances_[instance].callers, limit).send(request(target, attempt, model));
+    const auto answer = TestHttpClient(instances_[instance].callers, waitLimit).send(request(target, attempt, model));
     return answer.ok() ? *answer : HttpResponse{0, {}, std::string(answer.status().message())};
 }
 
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -2,9 +2,8 @@
 #pragma once
 
 #include "tests/support/FaultProxy.h"
-#include "tests/support/Standins.h"
+#include "tests/support/TestRequests.h"
 
-#include <functional>
 #include <map>
 
 namespace lychee::test {
@@ -35,10 +34,6 @@
     // Starts everything and waits until all instances serve.
     explicit GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options = {});
 
-    // Whether a condition holds within a time.
-    static bool eventually(
-        const std::function<bool()>& condition, std::chrono::milliseconds within = std::chrono::milliseconds(10000));
-
     // Writes a configuration with these route prefixes, as the operator does. "/stream/" leads to the engines, the
     // others to the plain worker; "/unsafe/" must not be repeated.
     void writeConfiguration(int version, const std::vector<std::string>& prefixes);
--- a/tests/support/TestRequests.h
+++ b/tests/support/TestRequests.h
@@ -18,10 +18,10 @@
 // The JSON body of the answer. Throws as `call`, and nlohmann::json::exception on another body.
 nlohmann::json callJson(const Standin& standin, const HttpRequest& request);
 
-// Polls `condition` until it is true. Returns false after `waitLimit`.
-template <typename Condition> bool eventually(const Condition& condition)
+// Polls `condition` until it is true. Returns false after `within`.
+template <typename Condition> bool eventually(const Condition& condition, std::chrono::milliseconds within = waitLimit)
 {
-    const auto deadline = std::chrono::steady_clock::now() + waitLimit;
+    const auto deadline = std::chrono::steady_clock::now() + within;
     while (!condition()) {
         if (std::chrono::steady_clock::now() > deadline)
             return false;
--- a/tests/unit/PlainRoutingSimulation.h
+++ b/tests/unit/PlainRoutingSimulation.h
@@ -2,11 +2,9 @@
 // a network.
 #pragma once
 
-#include "fleet/TargetChoice.h"
+#include "tests/unit/SimulatedInstances.h"
 
 #include <deque>
-#include <queue>
-#include <random>
 
 namespace lychee::fleet {
 
@@ -32,32 +30,20 @@
 
     double shareWithin(double milliseconds) const
     {
-        const auto count = std::count_if(answeredMilliseconds.begin(), answeredMilliseconds.end(),
-            [&](double time) { return time <= milliseconds; });
-        return asked == 0 ? 0 : static_cast<double>(count) / static_cast<double>(asked);
+        return fleet::shareWithin(answeredMilliseconds, asked, milliseconds);
     }
 };
 
-class PlainRoutingSimulation {
+class PlainRoutingSimulation : private SimulatedInstances {
 public:
-    explicit PlainRoutingSimulation(PlainRoutingScenario scenario)
-        : scenario_(std::move(scenario))
-        , random_(scenario_.seed)
-        , boards_(scenario_.instances)
-        , targets_(scenario_.targets)
+    explicit PlainRoutingSimulation(const PlainRoutingScenario& scenario)
+        : SimulatedInstances(scenario.instances, scenario.statusInterval, scenario.seed)
+        , scenario_(scenario)
+        , targets_(scenario.targets)
     {
         service_.id = ServiceId("desk");
-        for (std::size_t i = 0; i < targets_.size(); ++i) {
-            TargetRecord record;
-            record.id = TargetId(fmt::format("t{}", i));
-            record.service = service_.id;
-            record.dataCentre = DataCentreId("a");
-            record.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
-            record.birth = TargetBirth(1);
-            record.slots = static_cast<int>(scenario_.slots);
-            for (TargetBoard& board : boards_)
-                board.update(record);
-        }
+        for (std::size_t i = 0; i < targets_.size(); ++i)
+            list(createRecord(fmt::format("t{}", i), service_.id, scenario_.slots));
     }
 
     PlainRoutingOutcome run()
@@ -66,12 +52,7 @@
         for (std::size_t i = 0; i < boards_.size(); ++i)
             schedule(scenario_.statusInterval * static_cast<int>(i) / static_cast<int>(boards_.size()),
                 [this, i] { tellPeers(i); });
-        while (!events_.empty() && events_.top().at < TimePoint(scenario_.length)) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.action();
-        }
+        runUntil(TimePoint(scenario_.length));
         return std::move(outcome_);
     }
 
@@ -80,14 +61,6 @@
     static constexpr Duration way = std::chrono::milliseconds(2);
     static constexpr std::size_t mostSends = 5;
 
-    struct Event {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
-    };
-
     struct Request {
         std::size_t instance = 0;
         std::string id;
@@ -101,16 +74,9 @@
         std::deque<std::shared_ptr<Request>> waiting;
     };
 
-    void schedule(Duration after, std::function<void()> action)
-    {
-        events_.push({now_ + after, ++order_, std::move(action)});
-    }
-
     void arriveLater()
     {
-        std::exponential_distribution<double> gap(scenario_.requestsPerSecond);
-        const auto after = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random_)));
-        schedule(after, [this] {
+        schedule(drawGap(scenario_.requestsPerSecond), [this] {
             arriveLater();
             auto request = std::make_shared<Request>();
             request->instance = random_() % boards_.size();
@@ -120,16 +86,6 @@
         });
     }
 
-    void tellPeers(std::size_t teller)
-    {
-        const std::vector<WorkShare> work = boards_[teller].ownWork();
-        for (std::size_t i = 0; i < boards_.size(); ++i) {
-            if (i != teller)
-                boards_[i].recordPeerWork(InstanceId(fmt::format("i{}", teller)), work, now_);
-        }
-        schedule(scenario_.statusInterval, [this, teller] { tellPeers(teller); });
-    }
-
     void send(const std::shared_ptr<Request>& request)
     {
         TargetBoard& board = boards_[request->instance];
@@ -188,13 +144,7 @@
     }
 
     PlainRoutingScenario scenario_;
-    std::mt19937_64 random_;
-    Service service_;
-    std::vector<TargetBoard> boards_;
     std::vector<SimulatedTarget> targets_;
-    std::priority_queue<Event> events_;
-    std::uint64_t order_ = 0;
-    TimePoint now_;
     PlainRoutingOutcome outcome_;
 };
 
--- a/tests/unit/RoutingSimulation.h
+++ b/tests/unit/RoutingSimulation.h
@@ -1,10 +1,7 @@
 // Plays the traffic of many instances before shared engines through the choice of a target, without a network.
 #pragma once
 
-#include "fleet/TargetChoice.h"
-
-#include <queue>
-#include <random>
+#include "tests/unit/SimulatedInstances.h"
 
 namespace lychee::fleet {
 
@@ -18,9 +15,7 @@
     double requestsPerSecond = 80;
     // Shared prompts of each model.
     std::size_t prompts = 38;
-    // Time for a prompt token of each model, relative to the sheets; the models take them in turn.
-    std::vector<double> modelPaces{1};
-    // The same for the engines.
+    // Time for a prompt token on each engine, relative to the sheets; the engines take them in turn.
     std::vector<double> enginePaces{1};
     // How often an instance tells its peers its work.
     Duration statusInterval = std::chrono::seconds(1);
@@ -40,73 +35,50 @@
 
     double shareWithin(double milliseconds) const
     {
-        const auto count = std::count_if(firstEventMilliseconds.begin(), firstEventMilliseconds.end(),
-            [&](double time) { return time <= milliseconds; });
-        return asked == 0 ? 0 : static_cast<double>(count) / static_cast<double>(asked);
+        return fleet::shareWithin(firstEventMilliseconds, asked, milliseconds);
     }
 };
 
-class RoutingSimulation {
+class RoutingSimulation : private SimulatedInstances {
 public:
-    explicit RoutingSimulation(RoutingScenario scenario)
-        : scenario_(std::move(scenario))
-        , random_(scenario_.seed)
-        , boards_(scenario_.instances)
-        , engines_(scenario_.engines)
+    explicit RoutingSimulation(const RoutingScenario& scenario)
+        : SimulatedInstances(scenario.instances, scenario.statusInterval, scenario.seed)
+        , scenario_(scenario)
+        , engines_(scenario.engines)
     {
         service_.id = ServiceId("hall");
         service_.engine.emplace();
-        service_.engine->slots = 48;
+        service_.engine->slots = engineSlots;
         service_.engine->cacheTokens = cacheTokens;
         for (std::size_t model = 0; model < scenario_.models; ++model)
             service_.engine->models.push_back({modelOf(model), 65000, 12, 0, std::chrono::seconds(5)});
-        std::vector<TargetRecord> records(scenario_.engines);
-        for (std::size_t i = 0; i < records.size(); ++i) {
-            records[i].id = TargetId(fmt::format("engine-{}", i));
-            records[i].service = service_.id;
-            records[i].dataCentre = DataCentreId("a");
-            records[i].endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
-            records[i].birth = TargetBirth(1);
-            records[i].slots = service_.engine->slots;
-        }
+        std::vector<TargetRecord> records;
+        records.reserve(engines_.size());
+        for (std::size_t i = 0; i < engines_.size(); ++i)
+            records.push_back(createRecord(fmt::format("engine-{}", i), service_.id, engineSlots));
         for (std::size_t i = 0; i < scenario_.models * scenario_.copies; ++i)
             records[i % records.size()].holdings.models.push_back({modelOf(i / scenario_.copies), 1, {}});
-        for (TargetBoard& board : boards_) {
-            for (const TargetRecord& record : records)
-                board.update(record);
-        }
+        for (const TargetRecord& record : records)
+            list(record);
     }
 
     RoutingOutcome run()
     {
-        std::exponential_distribution<double> gap(scenario_.requestsPerSecond);
-        schedule(seconds(gap(random_)), [this] { arrive(); });
+        schedule(drawGap(scenario_.requestsPerSecond), [this] { arrive(); });
         std::uniform_real_distribution<double> phase(0, 1);
         for (std::size_t i = 0; i < boards_.size(); ++i)
             schedule(seconds(phase(random_) * asSeconds(scenario_.statusInterval)), [this, i] { tellPeers(i); });
-        while (!events_.empty() && events_.top().at < TimePoint(scenario_.length)) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.action();
-        }
+        runUntil(TimePoint(scenario_.length));
         return std::move(outcome_);
     }
 
 private:
+    static constexpr int engineSlots = 48;
     static constexpr double cacheTokens = 167040;
     static constexpr double tokensPerMillisecond = 38.7;
     // From the engine to the caller: a step of the batch and the ways between.
     static constexpr double overheadMilliseconds = 10;
 
-    struct Event {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
-    };
-
     // Reads prompts one after another and keeps the parts that were used last.
     struct SimulatedEngine {
         TimePoint freeAt;
@@ -114,30 +86,10 @@
         double cached = 0;
     };
 
-    static Duration seconds(double value)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-    }
-
     static double asSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
 
     static ModelId modelOf(std::size_t index) { return ModelId(fmt::format("m{}", index)); }
 
-    void schedule(Duration after, std::function<void()> action)
-    {
-        events_.push({now_ + after, ++order_, std::move(action)});
-    }
-
-    void tellPeers(std::size_t teller)
-    {
-        const std::vector<WorkShare> work = boards_[teller].ownWork();
-        for (std::size_t i = 0; i < boards_.size(); ++i) {
-            if (i != teller)
-                boards_[i].recordPeerWork(InstanceId(fmt::format("i{}", teller)), work, now_);
-        }
-        schedule(scenario_.statusInterval, [this, teller] { tellPeers(teller); });
-    }
-
     GenerationNeed drawNeed()
     {
         // The first model has the largest part of the demand.
@@ -159,8 +111,7 @@
 
     void arrive()
     {
-        std::exponential_distribution<double> gap(scenario_.requestsPerSecond);
-        schedule(seconds(gap(random_)), [this] { arrive(); });
+        schedule(drawGap(scenario_.requestsPerSecond), [this] { arrive(); });
         const std::size_t instance = random_() % boards_.size();
         const auto need = std::make_shared<GenerationNeed>(drawNeed());
         const bool counted = now_ >= TimePoint(scenario_.warmUp);
@@ -193,9 +144,7 @@
             outcome_.promptTokens += static_cast<double>(need.promptTokens.value());
             outcome_.readTokens += tokens;
         }
-        const std::size_t model = std::stoul(need.model.value().substr(1));
-        const double pace = scenario_.modelPaces[model % scenario_.modelPaces.size()]
-            * scenario_.enginePaces[index % scenario_.enginePaces.size()];
+        const double pace = scenario_.enginePaces[index % scenario_.enginePaces.size()];
         engine.freeAt = std::max(engine.freeAt, now_) + seconds(tokens * pace / tokensPerMillisecond / 1000);
         return engine.freeAt - now_ + seconds(overheadMilliseconds / 1000);
     }
@@ -224,13 +173,7 @@
     }
 
     RoutingScenario scenario_;
-    std::mt19937_64 random_;
-    Service service_;
-    std::vector<TargetBoard> boards_;
     std::vector<SimulatedEngine> engines_;
-    std::priority_queue<Event> events_;
-    std::uint64_t order_ = 0;
-    TimePoint now_;
     RoutingOutcome outcome_;
 };
 
--- /dev/null
+++ b/tests/unit/SimulatedInstances.h
@@ -0,0 +1,102 @@
+// Instances on simulated time that tell each other their work, for tests that play load through the choice of a target.
+#pragma once
+
+#include "fleet/TargetChoice.h"
+
+#include <queue>
+#include <random>
+
+namespace lychee::fleet {
+
+// Part of the requests that were answered within a time; those without an answer count too.
+inline double shareWithin(const std::vector<double>& answeredMilliseconds, std::size_t asked, double milliseconds)
+{
+    const auto count = std::count_if(
+        answeredMilliseconds.begin(), answeredMilliseconds.end(), [&](double time) { return time <= milliseconds; });
+    return asked == 0 ? 0 : static_cast<double>(count) / static_cast<double>(asked);
+}
+
+class SimulatedInstances {
+protected:
+    SimulatedInstances(std::size_t instances, Duration statusInterval, std::uint64_t seed)
+        : random_(seed)
+        , boards_(instances)
+        , statusInterval_(statusInterval)
+    {
+    }
+
+    static Duration seconds(double value)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+    }
+
+    static TargetRecord createRecord(const std::string& id, const ServiceId& service, std::size_t slots)
+    {
+        TargetRecord record;
+        record.id = TargetId(id);
+        record.service = service;
+        record.dataCentre = DataCentreId("a");
+        record.endpoint = {"10.0.0.1", 1000};
+        record.birth = TargetBirth(1);
+        record.slots = static_cast<int>(slots);
+        return record;
+    }
+
+    void list(const TargetRecord& record)
+    {
+        for (TargetBoard& board : boards_)
+            board.update(record);
+    }
+
+    void schedule(Duration after, std::function<void()> action)
+    {
+        events_.push({now_ + after, ++order_, std::move(action)});
+    }
+
+    // Time until the next request of a Poisson process.
+    Duration drawGap(double requestsPerSecond)
+    {
+        std::exponential_distribution<double> gap(requestsPerSecond);
+        return seconds(gap(random_));
+    }
+
+    void tellPeers(std::size_t teller)
+    {
+        const std::vector<WorkShare> work = boards_[teller].ownWork();
+        for (std::size_t i = 0; i < boards_.size(); ++i) {
+            if (i != teller)
+                boards_[i].recordPeerWork(InstanceId(fmt::format("i{}", teller)), work, now_);
+        }
+        schedule(statusInterval_, [this, teller] { tellPeers(teller); });
+    }
+
+    void runUntil(TimePoint end)
+    {
+        while (!events_.empty() && events_.top().at < end) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.action();
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::vector<TargetBoard> boards_;
+    Service service_;
+    TimePoint now_;
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Event& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+    };
+
+    Duration statusInterval_;
+    std::priority_queue<Event> events_;
+    std::uint64_t order_ = 0;
+};
+
+} // namespace lychee::fleet
