Repack models when one is resident nowhere and no unload of a spare copy makes room

Cause: the copy of an artifact that all instances keep was never moved, so tight memory could leave a model without a place after the loss of a target (PlacementTightMemoryTest, KNOWN-RED). Change: when a model, or an adapter of a resident model, has no place after the pass looked for one, a bounded search assigns one copy of each model to the targets of this instance, those that hold it first. Models are loaded at their new place before their old copy is unloaded. The kept copy may go because both targets belong to this instance, so no other owner can unload the other copy at the same time.

--- a/src/state/Placement.cpp
+++ b/src/state/Placement.cpp
@@ -1,5 +1,6 @@
 #include "state/Placement.h"
 
+#include "state/ModelAssignment.h"
 #include "state/PlacementScores.h"
 #include "state/PlacementState.h"
 
@@ -54,6 +55,10 @@
         if (allowance_.models > 0) {
             scores_.update();
             loadCopies(0, PlacementReason::Missing);
+            if (allowance_.unloads && !isExhausted(allowance_.models) && isAnyWithoutPlace()) {
+                repack();
+                return std::move(orders_);
+            }
             // Comes before second copies, so that they don't take the memory that was freed for a busy model.
             relieveBusyTargets();
             loadCopies(1, PlacementReason::SecondCopy);
@@ -120,6 +125,87 @@
         }
     }
 
+    // Whether a model is still resident nowhere after this pass has looked for a place for it, or an adapter is,
+    // although its model is resident and nothing can be unloaded for the adapter there.
+    bool isAnyWithoutPlace() const
+    {
+        for (std::uint32_t i = 0; i < catalogue_.artifactCount(); ++i) {
+            const RouteIndex route(i);
+            if (!state_.holders(route).empty())
+                continue;
+            if (catalogue_.isModel(route)
+                || (state_.residentCopies(catalogue_.modelOf(route)) > 0
+                    && !findAdapterSite(route, PlacementReason::Missing)))
+                return true;
+        }
+        return false;
+    }
+
+    // Moves models between the targets of this instance towards an assignment in which all fit. A model is loaded at
+    // its new place before its old copy is unloaded, so several passes are needed. Other loads wait meanwhile, as they
+    // would take the memory that becomes free.
+    void repack()
+    {
+        const std::optional<ModelAssignment> assignment = assignModels(catalogue_, state_);
+        if (!assignment)
+            return;
+        for (std::uint32_t m = 0; m < catalogue_.modelCount(); ++m) {
+            const RouteIndex model(m);
+            const auto& place = (*assignment)[m];
+            if (!place || isExhausted(allowance_.models))
+                continue;
+            if (!state_.holds(*place, model))
+                loadAssigned(*assignment, *place, model);
+            else if (state_.serves(*place, model))
+                loadAssignedAdapters(*place, model);
+        }
+    }
+
+    void loadAssigned(const ModelAssignment& assignment, TargetIndex place, RouteIndex model)
+    {
+        const Bytes needed = scores_.neededBytes(state_.target(place), model);
+        Site site{place, 0, {}};
+        Bytes freed;
+        for (std::size_t i = 0; i < state_.target(place).copies.size(); ++i) {
+            if (fitsLater(state_.target(place), needed.value() > freed.value() ? needed - freed : Bytes(0)))
+                break;
+            const PlacementCopy& copy = state_.target(place).copies[i];
+            if (!isSpareIn(assignment, place, copy))
+                continue;
+            site.unloads.push_back(i);
+            freed += copy.bytes;
+        }
+        if (!site.unloads.empty() || fitsLater(state_.target(place), needed))
+            applyStep(site, model, PlacementReason::Missing, allowance_.models);
+    }
+
+    void loadAssignedAdapters(TargetIndex place, RouteIndex model)
+    {
+        for (const RouteIndex adapter : catalogue_.adaptersOf(model)) {
+            if (!state_.holds(place, adapter) && fitsLater(state_.target(place), catalogue_.bytes(adapter))
+                && !isExhausted(allowance_.adapters))
+                applyStep({place, 0, {}}, adapter, PlacementReason::Missing, allowance_.adapters);
+        }
+    }
+
+    // Whether a copy of a model is not needed where it is: every instance may remove it, or its model is served, with
+    // all its adapters, at its place in the assignment. That place is a target of this instance, so no other owner can
+    // unload the copy there at the same time.
+    bool isSpareIn(const ModelAssignment& assignment, TargetIndex target, const PlacementCopy& copy) const
+    {
+        if (copy.state != ArtifactState::Resident || (copy.declared && !catalogue_.isModel(copy.route)))
+            return false;
+        if (!copy.declared || !copy.current)
+            return state_.isRemovable(target, copy);
+        const auto& place = assignment[copy.route.value()];
+        if (!place)
+            return state_.isRemovable(target, copy);
+        const auto& adapters = catalogue_.adaptersOf(copy.route);
+        return *place != target && state_.serves(*place, copy.route)
+            && std::all_of(
+                adapters.begin(), adapters.end(), [&](RouteIndex adapter) { return state_.serves(*place, adapter); });
+    }
+
     // A second copy is always loaded into free memory, but not always worth the unloads that make room for it.
     bool worthSecondCopy(const Site& site, RouteIndex model)
     {
--- a/src/state/PlacementState.cpp
+++ b/src/state/PlacementState.cpp
@@ -100,9 +100,9 @@
         [&](const PlacementCopy& copy) { return copy.declared && copy.current && copy.route == route; });
 }
 
-bool PlacementState::serves(TargetIndex target, RouteIndex model) const
+bool PlacementState::serves(TargetIndex target, RouteIndex route) const
 {
-    const auto& list = holders_[model.value()];
+    const auto& list = holders_[route.value()];
     return std::any_of(list.begin(), list.end(),
         [&](const PlacementHolder& holder) { return holder.resident && holder.target == target; });
 }
--- a/src/state/PlacementState.h
+++ b/src/state/PlacementState.h
@@ -56,8 +56,8 @@
 
     // Whether the target holds the declared version of the artifact, in any state.
     bool holds(TargetIndex target, RouteIndex route) const;
-    // Whether the declared version of the model is resident on the target.
-    bool serves(TargetIndex target, RouteIndex model) const;
+    // Whether the declared version of the artifact is resident on the target, for an adapter together with its model.
+    bool serves(TargetIndex target, RouteIndex route) const;
 
     // Whether a copy is resident and may be unloaded without making an artifact unreachable.
     bool isRemovable(TargetIndex target, const PlacementCopy& copy) const;
