Give a silent target up only if another can take the request over

The timeouts for a silent target were set when the request was sent, as the retry budget allowed a second send then; when the target paused for 0.5 s, the budget was used up, and the stream was cut although it was sound. Header timeouts ended requests in 502 in the same way with seconds left. Change: when a target has been silent for the limit, the client asks whether the call is given up; the relay says yes only if the budget is there and another target can take the request.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -154,7 +154,7 @@
     // the end of the call.
     error_code write(const http::request<http::string_body>& message)
     {
-        const error_code error = runBefore(connection_->socket_, nextDeadline(),
+        const error_code error = runBefore(connection_->socket_, nextDeadline(limits_.interByteTimeout),
             [&](error_code& result) { http::async_write(connection_->socket_, message, FiberToken{result}); });
         wholeRequestSent_ = !error;
         return error;
@@ -196,10 +196,10 @@
         parser_->body_limit(limits_.maxBodyBytes);
         if (isCancelled())
             return cancelled();
-        const TimePoint headerDeadline = std::min(nextDeadline(), currentTime() + limits_.headerTimeout);
-        const error_code error = runBefore(connection_->socket_, headerDeadline, [&](error_code& result) {
-            http::async_read_header(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
-        });
+        const error_code error
+            = awaitPeer(std::min(limits_.interByteTimeout, limits_.headerTimeout), [&](error_code& result) {
+                  http::async_read_header(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
+              });
         if (error)
             return failure(error, "read header");
         headers_ = {};
@@ -229,7 +229,7 @@
             auto& body = parser_->get().body();
             body.data = chunk_.data();
             body.size = chunk_.size();
-            error_code error = runBefore(connection_->socket_, nextDeadline(), [&](error_code& result) {
+            error_code error = awaitPeer(limits_.interByteTimeout, [&](error_code& result) {
                 http::async_read_some(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
             });
             if (error == http::error::need_buffer)
@@ -251,7 +251,19 @@
         return makeError(TransportError::Stopped, "the call was cancelled");
     }
 
-    TimePoint nextDeadline() const { return std::min(limits_.deadline, currentTime() + limits_.interByteTimeout); }
+    // Runs a read until it completes or the call is given up. A read that was interrupted can be started again, because
+    // the bytes that it has read are in the buffer.
+    template <typename Read> error_code awaitPeer(Duration limit, const Read& read)
+    {
+        while (true) {
+            const error_code error = runBefore(connection_->socket_, nextDeadline(limit), read);
+            const bool silent = error == boost::asio::error::timed_out && currentTime() < limits_.deadline;
+            if (!silent || isCancelled() || !limits_.mayGiveUp || limits_.mayGiveUp())
+                return error;
+        }
+    }
+
+    TimePoint nextDeadline(Duration limit) const { return std::min(limits_.deadline, currentTime() + limit); }
 
     absl::Status failure(const error_code& error, std::string_view doing)
     {
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -40,6 +40,10 @@
     Duration interByteTimeout = std::chrono::seconds(30);
     // Longest wait for the header of the answer, when it is shorter than the other limits.
     Duration headerTimeout = std::chrono::hours(24);
+    // Asked when the peer has been silent for one of the two limits above: whether the call is given up. If not, the
+    // call goes on waiting until the deadline and asks again after each further limit. Empty gives up at once. Must not
+    // suspend.
+    std::function<bool()> mayGiveUp;
     // Opens a new connection. For calls that must not be repeated: an idle connection may have been forgotten by a
     // middlebox, and whether such a call ran could not be told.
     bool freshConnection = false;
--- /dev/null
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -0,0 +1,91 @@
+// Targets that pause, trickle or never stop sending.
+#include "tests/gateway/RelayFixture.h"
+
+namespace lychee::gateway {
+namespace {
+
+class SilentTargetTest : public RelayFixture {
+protected:
+    // Streams `count` events and pauses before the third.
+    static Script pausedEvents(int count, Duration pause)
+    {
+        return [=](ScriptedTarget&, HttpExchange& exchange) {
+            exchange.beginStream(200, sealedHeaders(exchange.request())).IgnoreError();
+            for (int id = 1; id <= count; ++id) {
+                if (id == 3)
+                    sleepFor(pause);
+                if (!exchange.write(fmt::format("id: {}\ndata: e{}\n\n", id, id)).ok())
+                    return;
+            }
+            exchange.endStream().IgnoreError();
+        };
+    }
+
+    void expectWhole(int events, std::size_t requests)
+    {
+        const auto stream = client().open(request("/stream/x"));
+        ASSERT_TRUE(stream.ok()) << stream.status();
+        const auto body = (*stream)->readBody();
+        ASSERT_TRUE(body.ok()) << body.status();
+        EXPECT_EQ(*body, expectedEvents(events));
+        EXPECT_EQ(receivedRequests(), requests);
+    }
+};
+
+// Guards against a slow but sound stream that is cut because the retry budget, which was available when the request was
+// sent, is used up when the target pauses.
+TEST_F(SilentTargetTest, SlowStreamIsNotCutWhenItCannotBeSentAgain)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(engineService, pausedEvents(5, 1500ms));
+    start();
+    std::thread spend([&] {
+        std::this_thread::sleep_for(300ms);
+        relayDuty_->run([&] { context_.retryBudget.setOptions({0, 0, 10s}); });
+    });
+    expectWhole(5, 1);
+    spend.join();
+}
+
+// Guards against a slow but sound stream that is given up although no other target could take it over.
+TEST_F(SilentTargetTest, SlowStreamIsNotCutWhenNoOtherTargetIsThere)
+{
+    addTarget(engineService, pausedEvents(5, 1500ms));
+    start();
+    expectWhole(5, 1);
+}
+
+// Guards against an answer that is given up for silence, and reported as an unknown outcome, although the request
+// cannot be sent again.
+TEST_F(SilentTargetTest, SlowAnswerIsAwaitedWhenItCannotBeSentAgain)
+{
+    addTarget(plainService, [](ScriptedTarget& target, HttpExchange& exchange) {
+        sleepFor(1200ms);
+        answerWhole(target, exchange);
+    });
+    start();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+}
+
+// Guards against a stream that waits for a silent target although another one could go on with it.
+TEST_F(SilentTargetTest, SilentStreamIsResumedOnAnotherTarget)
+{
+    const auto script = [this](ScriptedTarget& target, HttpExchange& exchange) {
+        const bool first = receivedRequests() == 1;
+        if (first)
+            pausedEvents(5, 2500ms)(target, exchange);
+        else
+            events(5)(target, exchange);
+    };
+    addTarget(engineService, script);
+    addTarget(engineService, script);
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    expectWhole(5, 2);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2000ms);
+}
+
+} // namespace
+} // namespace lychee::gateway
