Keep connections that are idle when the idle limit is raised

Callers saw: after a configuration with a longer idleTimeoutMs, a request on a connection that they were allowed to reuse got no answer, because the connection closed as the request was on its way. Cause: the end of the idle wait was fixed when the wait began. Change: when the limit has passed, it is read again, and the wait goes on if it has been raised. Result: HttpTest.RaisedIdleLimitHoldsForConnectionsThatAreIdleAlready fails without the change (no answer) and passes with it.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -279,10 +279,16 @@
         return true;
     }
 
+    // The limit is read again when it has passed, because it may have been raised meanwhile: callers then expect the
+    // connection to stay open for longer.
     bool awaitFirstByte()
     {
-        const error_code error = runBefore(socket_, currentTime() + state_->options_.idleTimeout,
-            [&](error_code& result) { socket_.async_wait(tcp::socket::wait_read, FiberToken{result}); });
+        const TimePoint idleSince = currentTime();
+        error_code error = boost::asio::error::timed_out;
+        while (error == boost::asio::error::timed_out && currentTime() < idleSince + state_->options_.idleTimeout) {
+            error = runBefore(socket_, idleSince + state_->options_.idleTimeout,
+                [&](error_code& result) { socket_.async_wait(tcp::socket::wait_read, FiberToken{result}); });
+        }
         return !error;
     }
 
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/RawConnection.h"
 #include "transport/FrameConnection.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
@@ -6,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace lychee {
 namespace {
 
@@ -175,6 +178,24 @@
     EXPECT_TRUE(reset);
 }
 
+// Guards against a request without an answer because its connection, which was idle when the limit was raised, is
+// closed at the old limit.
+TEST_F(HttpTest, RaisedIdleLimitHoldsForConnectionsThatAreIdleAlready)
+{
+    HttpServerOptions options;
+    options.idleTimeout = 200ms;
+    listen(options, [](HttpExchange& exchange) { exchange.respond({200, {}, "served"}).IgnoreError(); });
+    test::RawConnection connection(endpoint_);
+    options.idleTimeout = 5s;
+    std::this_thread::sleep_for(100ms);
+    server_->setLimits(options);
+    std::this_thread::sleep_for(400ms);
+    connection.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const auto answer = connection.readUntilClosed();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->ends_with("served")) << *answer;
+}
+
 // Guards against a caller's leaving that is noticed only when the answer is written.
 TEST_F(HttpTest, TellsWhenThePeerHasGone)
 {
