Answer a request whose body arrives while the instance stops

Callers saw: during a planned stop, the connection ended without an answer although the instance had read the header of their request. Cause: a stop closed every connection without a handler in progress and without unread bytes. A connection that waits for the rest of a request is of that kind. Change: a stop closes the connections that wait for the first byte of a request, and of these only those on which none has arrived. Result: HttpTest.RequestThatArrivesDuringAStopIsAnswered fails without the change (no answer) and passes with it.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -123,7 +123,7 @@
 
     void serve()
     {
-        while (!state_->draining_ && readRequest()) {
+        while (readRequest()) {
             ++state_->activeExchanges_;
             busy_ = true;
             answered_ = false;
@@ -144,9 +144,10 @@
         socket_.close(ignored);
     }
 
+    // Leaves a connection open on which a request has begun to arrive; it is answered first.
     void closeIfIdle()
     {
-        if (!busy_ && buffer_.size() == 0)
+        if (idle_ && peekPeer(socket_) != PeerSign::Sent)
             closeSocket();
     }
 
@@ -283,12 +284,16 @@
     // connection to stay open for longer.
     bool awaitFirstByte()
     {
+        if (state_->draining_ && peekPeer(socket_) != PeerSign::Sent)
+            return false;
         const TimePoint idleSince = currentTime();
         error_code error = boost::asio::error::timed_out;
+        idle_ = true;
         while (error == boost::asio::error::timed_out && currentTime() < idleSince + state_->options_.idleTimeout) {
             error = runBefore(socket_, idleSince + state_->options_.idleTimeout,
                 [&](error_code& result) { socket_.async_wait(tcp::socket::wait_read, FiberToken{result}); });
         }
+        idle_ = false;
         return !error;
     }
 
@@ -320,6 +325,8 @@
     boost::beast::flat_buffer buffer_;
     HttpRequest request_;
     bool busy_ = false;
+    // Waiting for the first byte of a request.
+    bool idle_ = false;
     bool answered_ = false;
     bool keepAlive_ = true;
     bool watching_ = false;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -196,6 +196,21 @@
     EXPECT_TRUE(answer->ends_with("served")) << *answer;
 }
 
+// Guards against a planned stop that closes a connection on which the body of a request is still arriving.
+TEST_F(HttpTest, RequestThatArrivesDuringAStopIsAnswered)
+{
+    listen({}, [](HttpExchange& exchange) { exchange.respond({200, {}, exchange.request().body}).IgnoreError(); });
+    test::RawConnection connection(endpoint_);
+    connection.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    server_->stopAccepting();
+    std::this_thread::sleep_for(100ms);
+    connection.write("body");
+    const auto answer = connection.readUntilClosed();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->ends_with("body")) << *answer;
+}
+
 // Guards against a caller's leaving that is noticed only when the answer is written.
 TEST_F(HttpTest, TellsWhenThePeerHasGone)
 {
