Keep a stream whose target pauses for as long as its caller does

Callers saw: a stream ended halfway although its target was sound and had only paused. Cause: after 1 to 1.2 s of silence, the relay reset the connection and sent the stream to another target. Change: the silence after which a target is given up follows from the gap that callers of the route accept: half of it, between 1 and 2.5 s, so that the other half is left to continue the stream. A pause of a sound target is shorter.

--- /dev/null
+++ b/src/fleet/StreamPatience.cpp
@@ -0,0 +1,29 @@
+#include "fleet/StreamPatience.h"
+
+#include <algorithm>
+
+namespace lychee::fleet {
+
+namespace {
+
+// Callers abandon a stream after the longest of these gaps.
+constexpr Duration minAcceptedGap = std::chrono::seconds(2);
+constexpr int acceptedLatencyObjectives = 4;
+constexpr int acceptedGapObjectives = 8;
+
+// Bounds of the silence after which a target is given up. Sound targets pause for up to about one and a half seconds;
+// a target that is silent for longer than the upper bound has failed, however patient the callers are.
+constexpr Duration minSilence = std::chrono::seconds(1);
+constexpr Duration maxSilence = std::chrono::milliseconds(2500);
+
+} // namespace
+
+Duration maxAcceptedGap(const Route& route)
+{
+    return std::max({minAcceptedGap, acceptedLatencyObjectives * route.latencyObjective,
+        acceptedGapObjectives * route.eventGapObjective});
+}
+
+Duration maxTargetSilence(const Route& route) { return std::clamp(maxAcceptedGap(route) / 2, minSilence, maxSilence); }
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/src/fleet/StreamPatience.h
@@ -0,0 +1,18 @@
+// How long a stream waits for a silent target, derived from the objectives of its route.
+//
+// A sound engine may pause for a second or more while it prefills long prompts, and giving its stream up is final: the
+// rest of the answer is lost when no other target can continue it. So a silent target is given up only when its silence
+// has used up half of what callers accept, which leaves the other half to continue the stream elsewhere.
+#pragma once
+
+#include "fleet/RouteTable.h"
+
+namespace lychee::fleet {
+
+// The longest gap before or between events that callers of the route accept; they abandon a stream after it.
+Duration maxAcceptedGap(const Route& route);
+
+// Silence of a target in the middle of a stream after which another target may continue the stream.
+Duration maxTargetSilence(const Route& route);
+
+} // namespace lychee::fleet
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -27,9 +27,6 @@
     // An interrupted stream is aborted when it could not be resumed within this time after its last event, because
     // callers abandon a stream after a gap of two seconds or more.
     static constexpr Duration resumeTimeout = std::chrono::milliseconds(1800);
-    // Shortest silence of a target after which its stream is resumed on another one. A busy engine pauses for a few
-    // hundred milliseconds, and callers abandon a stream after a gap of two seconds or more.
-    static constexpr Duration minSilenceBeforeResume = std::chrono::seconds(1);
     // Shortest time to wait for the answer of a target when the request may still be sent to another one. Also the
     // Retry-After of refusals after a failed send or a timeout.
     static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(300);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/RetryPolicy.h"
+#include "fleet/StreamPatience.h"
 #include "gateway/AdapterUse.h"
 #include "gateway/RelayContext.h"
 #include "gateway/RelayDialect.h"
@@ -215,8 +216,7 @@
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
             if (route_->kind == fleet::RequestKind::Streaming)
-                limits.interByteTimeout = std::max(
-                    {limits.headerTimeout, 2 * route_->eventGapObjective, RelayLimits::minSilenceBeforeResume});
+                limits.interByteTimeout = std::max(limits.headerTimeout, fleet::maxTargetSilence(*route_));
             limits.mayGiveUp = [this, silent = target.target] { return canBeSentElsewhere(silent); };
         }
         auto outcome
