Continue an interrupted stream for as long as its caller waits

Cause: an interrupted stream was aborted 1.8 s after its last event, whatever the route; after five sends in all; and as soon as the retry budget was used up. The only holder of a model that had just crashed was tried every 100 ms, so the five sends lasted 0.4 s. Change: the time follows from the gap that callers of the route accept. Within it, the stream waits for a target and for the retry budget, with growing pauses between the sends, whose number is not limited. Result: InterruptedStreamIsContinuedWhenATargetReturns and InterruptedStreamIsContinuedAfterManyRefusals of SilentTargetTest fail without the change and pass with it.

--- a/src/fleet/RetryPolicy.cpp
+++ b/src/fleet/RetryPolicy.cpp
@@ -15,6 +15,11 @@
     return route.isRepeatable() && history.possibleRuns + 1 < route.attempts && history.sends + 1 < maxSends;
 }
 
+bool mayContinueStream(const Route& route, const SendHistory& history)
+{
+    return route.isRepeatable() && history.possibleRuns < route.attempts;
+}
+
 bool usesRetryBudget(SendResult result) { return result != SendResult::NotSent; }
 
 NextStep nextStep(const Route& route, const SendHistory& history, SendResult result, bool budgetLeft)
--- a/src/fleet/StreamPatience.cpp
+++ b/src/fleet/StreamPatience.cpp
@@ -16,6 +16,9 @@
 constexpr Duration minSilence = std::chrono::seconds(1);
 constexpr Duration maxSilence = std::chrono::milliseconds(2500);
 
+// The time that a continued stream needs to reach its caller.
+constexpr Duration resumeMargin = std::chrono::milliseconds(200);
+
 } // namespace
 
 Duration maxAcceptedGap(const Route& route)
@@ -26,4 +29,6 @@
 
 Duration maxTargetSilence(const Route& route) { return std::clamp(maxAcceptedGap(route) / 2, minSilence, maxSilence); }
 
+Duration resumeWindow(const Route& route) { return maxAcceptedGap(route) - resumeMargin; }
+
 } // namespace lychee::fleet
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -22,11 +22,9 @@
     static constexpr int maxAdapterRetries = 3;
     // How often a request that waits for a model checks whether it is loaded.
     static constexpr Duration modelPollInterval = std::chrono::milliseconds(50);
-    // Time between two attempts to resume an interrupted stream on another target.
+    // Time between the first two attempts to resume an interrupted stream; it doubles up to the limit.
     static constexpr Duration resumeRetryDelay = std::chrono::milliseconds(100);
-    // An interrupted stream is aborted when it could not be resumed within this time after its last event, because
-    // callers abandon a stream after a gap of two seconds or more.
-    static constexpr Duration resumeTimeout = std::chrono::milliseconds(1800);
+    static constexpr Duration maxResumeRetryDelay = std::chrono::milliseconds(400);
     // Shortest time to wait for the answer of a target when the request may still be sent to another one. Also the
     // Retry-After of refusals after a failed send or a timeout.
     static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(300);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -135,13 +135,31 @@
     // caller still waits for the next event.
     bool waitToResume()
     {
-        if (!streamStarted_ || currentTime() - lastEventAt_ > RelayLimits::resumeTimeout)
+        if (!streamStarted_ || currentTime() - lastEventAt_ > fleet::resumeWindow(*route_))
             return false;
         excludedTargets_.clear();
-        sleepFor(RelayLimits::resumeRetryDelay);
+        sleepFor(resumeDelay_);
+        resumeDelay_ = std::min(2 * resumeDelay_, RelayLimits::maxResumeRetryDelay);
         return true;
     }
 
+    // Waits until an interrupted stream may be sent again, although it was sent several times already or the retry
+    // budget is used up. `result` is how the last send ended. Returns false when the stream cannot be continued.
+    bool waitToContinueStream(fleet::SendResult result)
+    {
+        if (!streamStarted_ || !fleet::mayContinueStream(*route_, history_))
+            return false;
+        while (waitToResume()) {
+            if (cancellation_->isRequested() || currentTime() >= deadline_ || !fleet::usesRetryBudget(result))
+                return true;
+            if (context_.retryBudget.isAvailable(service_->id, currentTime())) {
+                context_.retryBudget.take(service_->id, currentTime());
+                return true;
+            }
+        }
+        return false;
+    }
+
     // Polls instead of sleeping until the expected time, because a load may finish sooner or later than expected and
     // the caller may disconnect.
     void awaitModel(const fleet::AwaitedModel& awaited)
@@ -338,6 +356,8 @@
         relayLog.info("request={} route={} target={} send={} problem=\"{}\" next={} budget={} left_ms={}",
             caller_.attempt, route_->id, attempt.target.target, history_.sends, problem, static_cast<int>(step), budget,
             std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now).count());
+        if (step != fleet::NextStep::SendAgain && waitToContinueStream(result))
+            return;
         switch (step) {
         case fleet::NextStep::SendAgain:
             if (fleet::usesRetryBudget(result))
@@ -439,6 +459,7 @@
         if (status.ok())
             status = exchange_.write(events);
         lastEventAt_ = currentTime();
+        resumeDelay_ = RelayLimits::resumeRetryDelay;
         if (!status.ok())
             cancellation_->cancel();
         return status.ok();
@@ -541,6 +562,7 @@
     TimePoint firstEventAt_;
     TimePoint lastEventAt_;
     Duration longestGap_{0};
+    Duration resumeDelay_ = RelayLimits::resumeRetryDelay;
     std::optional<TimePoint> adapterLoadedAt_;
     int adapterRetries_ = 0;
     Duration modelWait_{0};
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -109,5 +109,37 @@
     expectWhole(5, 1, "/patient/x");
 }
 
+// Guards against an interrupted stream that is aborted while its caller still waits and a target is about to return.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedWhenATargetReturns)
+{
+    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+        events(5, receivedRequests() == 1 ? 3 : 0)(target, exchange);
+    });
+    start();
+    const fleet::TargetRecord record = recordOf(0);
+    std::thread restart([&] {
+        std::this_thread::sleep_for(5ms);
+        relayDuty_->run([&] { context_.registry.remove(record.id); });
+        std::this_thread::sleep_for(2500ms);
+        relayDuty_->run([&] { context_.registry.update(record); });
+    });
+    expectWhole(5, 2, "/patient/x");
+    restart.join();
+}
+
+// Guards against an interrupted stream that is aborted because targets were full for a moment.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedAfterManyRefusals)
+{
+    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+        const std::size_t received = receivedRequests();
+        if (received == 1 || received > 8)
+            events(5, received == 1 ? 3 : 0)(target, exchange);
+        else
+            exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+    });
+    start();
+    expectWhole(5, 9, "/patient/x");
+}
+
 } // namespace
 } // namespace lychee::gateway
