--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -21,9 +21,20 @@
         };
     }
 
-    void expectWhole(int events, std::size_t requests)
+    // Declines all requests but the first, which is answered by a stream that pauses.
+    Script pausedThenFull(Duration pause)
     {
-        const auto stream = client().open(request("/stream/x"));
+        return [this, pause](ScriptedTarget& target, HttpExchange& exchange) {
+            if (receivedRequests() == 1)
+                pausedEvents(5, pause)(target, exchange);
+            else
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+        };
+    }
+
+    void expectWhole(int events, std::size_t requests, const std::string& path = "/stream/x")
+    {
+        const auto stream = client().open(request(path));
         ASSERT_TRUE(stream.ok()) << stream.status();
         const auto body = (*stream)->readBody();
         ASSERT_TRUE(body.ok()) << body.status();
@@ -87,5 +98,48 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 2000ms);
 }
 
+// Guards against a sound stream that is given up during a pause of its target and lost because the other target is
+// full.
+TEST_F(SilentTargetTest, PausedStreamIsNotGivenUpForATargetThatDeclinesIt)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(engineService, pausedThenFull(1800ms));
+    start();
+    relayDuty_->run([&] { context_.retryBudget.setOptions({0, 1.5, 10s}); });
+    expectWhole(5, 1, "/patient/x");
+}
+
+// Guards against an interrupted stream that is aborted while its caller still waits and a target is about to return.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedWhenATargetReturns)
+{
+    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+        events(5, receivedRequests() == 1 ? 3 : 0)(target, exchange);
+    });
+    start();
+    const fleet::TargetRecord record = recordOf(0);
+    std::thread restart([&] {
+        std::this_thread::sleep_for(5ms);
+        relayDuty_->run([&] { context_.registry.remove(record.id); });
+        std::this_thread::sleep_for(2500ms);
+        relayDuty_->run([&] { context_.registry.update(record); });
+    });
+    expectWhole(5, 2, "/patient/x");
+    restart.join();
+}
+
+// Guards against an interrupted stream that is aborted because targets were full for a moment.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedAfterManyRefusals)
+{
+    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+        const std::size_t received = receivedRequests();
+        if (received == 1 || received > 8)
+            events(5, received == 1 ? 3 : 0)(target, exchange);
+        else
+            exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+    });
+    start();
+    expectWhole(5, 9, "/patient/x");
+}
+
 } // namespace
 } // namespace lychee::gateway
