Refuse requests with a prompt part that crashes targets

Cause: the instances on the users' platform did not attribute crashes at all. The tracker of the own interface goes by the whole body, which differs here. Change: CrashAttribution. Suspects of a crash are the requests that the target had received but not begun to answer; parts that others of them were answered with meanwhile are cleared. A part that three crashes and two requests share is blocked, and so is a request that two crashes share. Crashes of a blocked part are no evidence against others. The instances tell each other suspects and clearings, and a joining one what is known. The instance that saw the last crash sends single trials at growing intervals, so that a block ends when its requests have become harmless. Evidence: CrashingPromptTest without the change: each request crashes two targets until none is left, and sound requests are refused; with it three targets crash and every sound request is answered.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -4,6 +4,7 @@
 
 #include "gateway/AnnouncedHoldings.h"
 #include "gateway/ControlLimits.h"
+#include "gateway/CrashWatch.h"
 #include "gateway/LeaseManager.h"
 #include "gateway/Mesh.h"
 #include "gateway/PlacementOwner.h"
@@ -28,6 +29,12 @@
     std::function<void(bool placementReached, std::size_t instances)> connectivityUpdated;
     // A configuration has come into force.
     std::function<void(const fleet::RouteTable&)> configurationChanged;
+    // What a peer has observed of crashes.
+    std::function<void(const fleet::CrashSuspect&)> crashSuspectReported;
+    std::function<void(const std::vector<fleet::RequestTrait>&)> traitsCleared;
+    std::function<void(const fleet::BlockedTrait&)> traitBlocked;
+    // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
+    std::function<CrashKnowledge()> readCrashKnowledge;
     // Fills in the work, the demand and the used adapters of this instance. Suspends the fiber.
     std::function<void(MeshStatus&)> readStatus;
 };
@@ -125,6 +132,13 @@
         lease_.release();
     }
 
+    // Tells all peers what this instance has observed of crashes.
+    void announce(const fleet::CrashSuspect& suspect) { mesh_->broadcast(toMessage(suspect)); }
+    void announceCleared(const std::vector<fleet::RequestTrait>& traits)
+    {
+        mesh_->broadcast(MeshTraitsCleared{traits});
+    }
+
     // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with TransportError::TimedOut when
     // the owner does not answer before the deadline, and with other errors when it cannot load the adapter.
     absl::Status ensureAdapter(
@@ -314,12 +328,22 @@
 
     void joined(const InstanceId& peer)
     {
+        duty_.spawn([this, peer] { sendCrashKnowledge(peer); });
         if (!owner_.owns())
             return;
         for (const fleet::TargetRecord& record : owner_.dispatcher().records())
             mesh_->send(peer, toMessage(record.id, record.incarnation, record.holdings, currentTime())).IgnoreError();
     }
 
+    void sendCrashKnowledge(const InstanceId& peer)
+    {
+        const CrashKnowledge knowledge = relay_.readCrashKnowledge();
+        for (const fleet::CrashSuspect& suspect : knowledge.suspects)
+            mesh_->send(peer, toMessage(suspect)).IgnoreError();
+        for (const fleet::BlockedTrait& blocked : knowledge.blocked)
+            mesh_->send(peer, toMessage(blocked)).IgnoreError();
+    }
+
     void lost(const InstanceId& peer)
     {
         peers_.erase(peer);
@@ -475,6 +499,15 @@
         pending.done.notify();
     }
 
+    void handle(const InstanceId&, const MeshCrashSuspect& message)
+    {
+        relay_.crashSuspectReported(fromMessage(message));
+    }
+
+    void handle(const InstanceId&, const MeshTraitsCleared& message) { relay_.traitsCleared(message.traits); }
+
+    void handle(const InstanceId&, const MeshTraitBlocked& message) { relay_.traitBlocked(fromMessage(message)); }
+
     void handle(const InstanceId& peer, const MeshLeaving&)
     {
         controlLog.info("peer={} state=leaving", peer);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -92,6 +92,12 @@
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
                                      TimePoint deadline) { return ensureAdapter(target, model, adapter, deadline); };
+        context_.crashes.setOutputs({[this](const fleet::CrashSuspect& suspect) {
+                                         postToControl([this, suspect] { control_->announce(suspect); });
+                                     },
+            [this](const std::vector<fleet::RequestTrait>& traits) {
+                postToControl([this, traits] { control_->announceCleared(traits); });
+            }});
         setRetryBudget(*settings_, assumedInstances);
         return absl::OkStatus();
     }
@@ -176,6 +182,19 @@
             });
         };
         port.configurationChanged = [this](const fleet::RouteTable& table) { applyLimits(table.limits()); };
+        port.crashSuspectReported = [this](const fleet::CrashSuspect& suspect) {
+            postToRelay([this, suspect] { context_.crashes.suspectReported(suspect); });
+        };
+        port.traitsCleared = [this](const std::vector<fleet::RequestTrait>& traits) {
+            postToRelay([this, traits] { context_.crashes.clearingReported(traits); });
+        };
+        port.traitBlocked = [this](const fleet::BlockedTrait& blocked) {
+            postToRelay([this, blocked] { context_.crashes.blockReported(blocked); });
+        };
+        port.readCrashKnowledge = [this] {
+            const auto read = callOn(*relayInbox_, [this] { return context_.crashes.knowledge(); });
+            return read.ok() ? *read : CrashKnowledge();
+        };
         port.readStatus = [this](MeshStatus& status) {
             const auto read = callOn(*relayInbox_, [this] { return readRelayStatus(); });
             if (read.ok())
@@ -197,11 +216,15 @@
         return status;
     }
 
-    void postToRelay(Inbox::Task task)
+    void postToRelay(Inbox::Task task) { post(*relayInbox_, "relay", std::move(task)); }
+
+    void postToControl(Inbox::Task task) { post(*controlInbox_, "control", std::move(task)); }
+
+    static void post(Inbox& inbox, std::string_view duty, Inbox::Task task)
     {
-        const absl::Status status = relayInbox_->submit(std::move(task));
+        const absl::Status status = inbox.submit(std::move(task));
         if (!status.ok())
-            gatewayLog.error("inbox of duty relay rejected a task, the task is dropped: {}", messageOf(status));
+            gatewayLog.error("inbox of duty {} rejected a task, the task is dropped: {}", duty, messageOf(status));
     }
 
     absl::Status ensureAdapter(
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -44,6 +44,28 @@
     return holdings;
 }
 
+MeshCrashSuspect toMessage(const fleet::CrashSuspect& suspect)
+{
+    return {suspect.crash.target, suspect.crash.incarnation, suspect.request.content, suspect.request.promptParts};
+}
+
+fleet::CrashSuspect fromMessage(const MeshCrashSuspect& message)
+{
+    return {{message.target, message.incarnation}, {message.content, message.promptParts}};
+}
+
+MeshTraitBlocked toMessage(const fleet::BlockedTrait& blocked)
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(blocked.remaining).count();
+    return {blocked.trait, static_cast<std::uint64_t>(std::max<std::int64_t>(remaining, 0))};
+}
+
+fleet::BlockedTrait fromMessage(const MeshTraitBlocked& message)
+{
+    constexpr std::uint64_t maxRemainingMs = 86'400'000;
+    return {message.trait, std::chrono::milliseconds(std::min(message.remainingMs, maxRemainingMs))};
+}
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows)
 {
     std::vector<MeshRow> message;
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -1,6 +1,7 @@
 // Messages between the instances of one deployment.
 #pragma once
 
+#include "fleet/CrashAttribution.h"
 #include "fleet/DemandMeter.h"
 #include "fleet/TargetRegistry.h"
 #include "gateway/RowStore.h"
@@ -153,9 +154,34 @@
     auto fields() { return std::tie(reserved); }
 };
 
+// A request that a target had received but not begun to answer when it crashed. Traits are hashes.
+struct MeshCrashSuspect {
+    TargetId target;
+    fleet::TargetIncarnation incarnation;
+    fleet::RequestTrait content;
+    std::vector<fleet::RequestTrait> promptParts;
+
+    auto fields() { return std::tie(target, incarnation, content, promptParts); }
+};
+
+// Traits that do not crash targets, because a target began to answer a request that has them.
+struct MeshTraitsCleared {
+    std::vector<fleet::RequestTrait> traits;
+
+    auto fields() { return std::tie(traits); }
+};
+
+// A trait with which requests are refused, told to an instance that joins.
+struct MeshTraitBlocked {
+    fleet::RequestTrait trait;
+    std::uint64_t remainingMs = 0;
+
+    auto fields() { return std::tie(trait, remainingMs); }
+};
+
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
-using MeshMessage
-    = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult, MeshLeaving>;
+using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
+    MeshLeaving, MeshCrashSuspect, MeshTraitsCleared, MeshTraitBlocked>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
@@ -168,6 +194,14 @@
 
 fleet::Holdings fromMessage(const MeshHoldings& message, TimePoint now);
 
+MeshCrashSuspect toMessage(const fleet::CrashSuspect& suspect);
+
+fleet::CrashSuspect fromMessage(const MeshCrashSuspect& message);
+
+MeshTraitBlocked toMessage(const fleet::BlockedTrait& blocked);
+
+fleet::BlockedTrait fromMessage(const MeshTraitBlocked& message);
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows);
 
 std::vector<StoredRow> fromMessage(const std::vector<MeshRow>& rows);
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -6,6 +6,7 @@
 #include "fleet/ServiceRetryBudget.h"
 #include "fleet/TargetChoice.h"
 #include "fleet/TargetRegistry.h"
+#include "gateway/CrashWatch.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/Published.h"
@@ -23,6 +24,7 @@
     fleet::TargetRegistry registry;
     fleet::DemandMeter demand;
     fleet::ServiceRetryBudget retryBudget;
+    CrashWatch crashes;
     HttpClient http;
     MetricsSink* metrics = nullptr;
     // Asks the placement owner to load an adapter on a target and suspends the fiber until it is loaded. Fails when the
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -44,6 +44,10 @@
         std::unique_ptr<HttpStream> stream;
         absl::Status status;
         bool sent = false;
+        // The target has begun to answer.
+        bool begun = false;
+        // A piece of the stream was passed on.
+        bool forwarded = false;
     };
 
     bool accept()
@@ -70,6 +74,14 @@
         }
         if (!service_->engine)
             caller_.generation.reset();
+        if (!context_.crashes.isQuiet()) {
+            const fleet::CrashAdmission admission = context_.crashes.admit(traits());
+            isTrial_ = admission == fleet::CrashAdmission::Trial;
+            if (admission == fleet::CrashAdmission::Blocked) {
+                refuseBlocked();
+                return false;
+            }
+        }
         const Duration patience = caller_.patience.value_or(route_->timeout);
         deadline_ = startedAt_ + std::min(patience, route_->timeout);
         context_.retryBudget.request(service_->id, currentTime());
@@ -78,6 +90,36 @@
         return true;
     }
 
+    const fleet::RequestTraits& traits()
+    {
+        if (!traits_) {
+            traits_ = fleet::traitsOf(exchange_.request().path(), exchange_.request().body,
+                caller_.generation ? &*caller_.generation : nullptr);
+        }
+        return *traits_;
+    }
+
+    // Refuses a request that would probably crash its target.
+    void refuseBlocked()
+    {
+        constexpr std::string_view reason = "targets crashed on requests like this one";
+        if (streamStarted_)
+            return abortStream(reason);
+        if (history_.possibleRuns > 0)
+            return fail(502, reason);
+        refuse(reason, context_.crashes.blockedFor(traits()));
+    }
+
+    // Records that the target has begun to answer, which shows that the request does not crash targets.
+    void recordBegun(Attempt& attempt)
+    {
+        if (attempt.begun)
+            return;
+        attempt.begun = true;
+        if (!context_.crashes.isQuiet())
+            context_.crashes.answerBegan(traits());
+    }
+
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
     // same number, so that the shares of the route hold across instances.
     static double splitFraction(const RequestId& attempt)
@@ -185,6 +227,8 @@
 
     void sendTo(const fleet::ChosenTarget& target)
     {
+        if (!std::exchange(isTrial_, false) && !context_.crashes.isQuiet() && context_.crashes.isBlocked(traits()))
+            return refuseBlocked();
         if (target.adapterMissing && !ensureAdapter(target))
             return;
         const AdapterUse use(context_, target.target, caller_.generation);
@@ -219,7 +263,7 @@
 
     Attempt open(const fleet::ChosenTarget& target)
     {
-        Attempt attempt{target, {}, nullptr, {}, false};
+        Attempt attempt{target, {}, nullptr, {}};
         const TimePoint now = currentTime();
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
@@ -267,6 +311,8 @@
             return resendOrFinish(attempt, fleet::SendResult::NotSent, messageOf(attempt.status));
         }
         endSend(attempt, timedOut ? fleet::SendOutcome::NoAnswer : fleet::SendOutcome::Failed);
+        if (!attempt.begun && errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed)
+            context_.crashes.connectionLost(caller_.attempt, attempt.target, traits());
         if (timedOut && currentTime() >= deadline_) {
             history_.add(fleet::SendResult::OutcomeUnknown);
             return finishAtDeadline();
@@ -289,6 +335,8 @@
                 "the answer carries no proof that it comes unchanged from a target");
         }
         context_.registry.prefillDone(attempt.send, currentTime());
+        if (!caller_.generation && status < 500)
+            recordBegun(attempt);
         if (success && route_->kind == fleet::RequestKind::Streaming)
             return relayStream(attempt);
         relayWholeAnswer(attempt, success);
@@ -394,6 +442,8 @@
             response.body += **chunk;
         }
         const bool targetFailed = response.status >= 500;
+        if (!targetFailed)
+            recordBegun(attempt);
         endSend(attempt, targetFailed ? fleet::SendOutcome::Failed : fleet::SendOutcome::Answered);
         if (targetFailed) {
             const int status = response.status;
@@ -456,6 +506,9 @@
         } else {
             longestGap_ = std::max(longestGap_, currentTime() - lastEventAt_);
         }
+        // The first piece of a stream may leave a target that crashes as it begins.
+        if (std::exchange(attempt.forwarded, true))
+            recordBegun(attempt);
         if (status.ok())
             status = exchange_.write(events);
         lastEventAt_ = currentTime();
@@ -472,6 +525,7 @@
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
         }
+        recordBegun(attempt);
         endSend(attempt, fleet::SendOutcome::Answered);
         outcome_ = exchange_.endStream().ok() ? RelayOutcome::Delivered : RelayOutcome::CallerLeft;
     }
@@ -554,6 +608,10 @@
     const fleet::Service* service_ = nullptr;
     TimePoint startedAt_;
     TimePoint deadline_;
+    // Computed when first needed, because it hashes the body.
+    std::optional<fleet::RequestTraits> traits_;
+    // The next send finds out whether a blocked request still crashes targets.
+    bool isTrial_ = false;
     fleet::SendHistory history_;
     std::vector<TargetId> excludedTargets_;
     EventSplitter splitter_;
