Name the stream timeouts after what they are

Cause: StreamPatience and the test route /patient/ are figurative, and two functions of the relay cannot be told apart by their names. Change: StreamTimeouts, /long-gap/, pauseBeforeResume() and awaitStreamRetry(); the comment on the number of sends says what holds for streams. No behaviour changes.

--- a/src/fleet/RetryPolicy.cpp
+++ b/src/fleet/RetryPolicy.cpp
@@ -5,7 +5,8 @@
 namespace {
 
 // Maximum number of sends for one attempt, including those that the target did not run. Each of them takes a place in
-// the queue of a target; when this many targets have declined a request, the caller is told to retry later instead.
+// the queue of a target; when this many targets have declined a request, the caller is told to retry later instead. A
+// stream that has started is bounded by its timeouts instead.
 constexpr int maxSends = 5;
 
 } // namespace
--- a/src/fleet/StreamPatience.cpp
+++ b/src/fleet/StreamTimeouts.cpp
@@ -1,4 +1,4 @@
-#include "fleet/StreamPatience.h"
+#include "fleet/StreamTimeouts.h"
 
 #include <algorithm>
 
@@ -11,8 +11,8 @@
 constexpr int acceptedLatencyObjectives = 4;
 constexpr int acceptedGapObjectives = 8;
 
-// Bounds of the silence after which a target is given up. Sound targets pause for up to about one and a half seconds;
-// a target that is silent for longer than the upper bound has failed, however patient the callers are.
+// Bounds of the silence after which a target is given up. Sound targets pause for a second or a little longer. A target
+// that is silent beyond the upper bound is treated as failed, even where callers accept longer gaps.
 constexpr Duration minSilence = std::chrono::seconds(1);
 constexpr Duration maxSilence = std::chrono::milliseconds(2500);
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fleet/RetryPolicy.h"
-#include "fleet/StreamPatience.h"
+#include "fleet/StreamTimeouts.h"
 #include "gateway/AdapterUse.h"
 #include "gateway/RelayContext.h"
 #include "gateway/RelayDialect.h"
@@ -141,7 +141,7 @@
                 return finishAtDeadline();
             const auto choice = chooseTarget(excludedTargets_);
             if (const auto* none = std::get_if<fleet::NoTarget>(&choice)) {
-                if (!waitToResume())
+                if (!pauseBeforeResume())
                     finishWithoutTarget(*none);
                 continue;
             }
@@ -175,7 +175,7 @@
 
     // A stream that has started is not aborted at once when no target is available: one may become available while the
     // caller still waits for the next event.
-    bool waitToResume()
+    bool pauseBeforeResume()
     {
         if (!streamStarted_ || currentTime() - lastEventAt_ > fleet::resumeWindow(*route_))
             return false;
@@ -187,11 +187,11 @@
 
     // Waits until an interrupted stream may be sent again, although it was sent several times already or the retry
     // budget is used up. `result` is how the last send ended. Returns false when the stream cannot be continued.
-    bool waitToContinueStream(fleet::SendResult result)
+    bool awaitStreamRetry(fleet::SendResult result)
     {
         if (!streamStarted_ || !fleet::mayContinueStream(*route_, history_))
             return false;
-        while (waitToResume()) {
+        while (pauseBeforeResume()) {
             if (cancellation_->isRequested() || currentTime() >= deadline_ || !fleet::usesRetryBudget(result))
                 return true;
             if (context_.retryBudget.isAvailable(service_->id, currentTime())) {
@@ -404,7 +404,7 @@
         relayLog.info("request={} route={} target={} send={} problem=\"{}\" next={} budget={} left_ms={}",
             caller_.attempt, route_->id, attempt.target.target, history_.sends, problem, static_cast<int>(step), budget,
             std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now).count());
-        if (step != fleet::NextStep::SendAgain && waitToContinueStream(result))
+        if (step != fleet::NextStep::SendAgain && awaitStreamRetry(result))
             return;
         switch (step) {
         case fleet::NextStep::SendAgain:
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -64,7 +64,7 @@
             {{plainService, 1}}, 2, false};
         routes[2] = {fleet::RouteId("unsafe"), "a", "/unsafe/", fleet::RequestKind::NonIdempotent, 1s, 300ms, 1s, 0,
             {{plainService, 1}}, 2, false};
-        routes[3] = {fleet::RouteId("patient"), "a", "/patient/", fleet::RequestKind::Streaming, 6s, 1s, 600ms, 0,
+        routes[3] = {fleet::RouteId("long-gap"), "a", "/long-gap/", fleet::RequestKind::Streaming, 6s, 1s, 600ms, 0,
             {{engineService, 1}}, 2, true};
         std::vector<fleet::Service> services(2);
         services[0].id = engineService;
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -106,7 +106,7 @@
         addTarget(engineService, pausedThenFull(1800ms));
     start();
     relayDuty_->run([&] { context_.retryBudget.setOptions({0, 1.5, 10s}); });
-    expectWhole(5, 1, "/patient/x");
+    expectWhole(5, 1, "/long-gap/x");
 }
 
 // Guards against an interrupted stream that is aborted while its caller still waits and a target is about to return.
@@ -123,7 +123,7 @@
         std::this_thread::sleep_for(2500ms);
         relayDuty_->run([&] { context_.registry.update(record); });
     });
-    expectWhole(5, 2, "/patient/x");
+    expectWhole(5, 2, "/long-gap/x");
     restart.join();
 }
 
@@ -138,7 +138,7 @@
             exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
     });
     start();
-    expectWhole(5, 9, "/patient/x");
+    expectWhole(5, 9, "/long-gap/x");
 }
 
 } // namespace
