Send requests of every method with their body

Callers saw: a TRACE request with a body ended the instance, and with it every request in progress. Cause: the HTTP library's prepare_payload() throws for such a request, and an exception that leaves a fiber ends the process. Found by a review from the code. Change: the length of the body is set explicitly.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -48,7 +48,10 @@
     for (const HttpHeaders::Field& field : request.headers.fields())
         message.insert(field.name, field.value);
     message.body() = request.body;
-    message.prepare_payload();
+    const bool usuallyHasBody = message.method() == http::verb::post || message.method() == http::verb::put
+        || message.method() == http::verb::patch;
+    if (usuallyHasBody || !request.body.empty())
+        message.content_length(request.body.size());
     return message;
 }
 
