Answer every request that has reached the server's socket

Callers saw: connections that ended without an answer in four cases, found by a review from the code. A stop ended the process while a request was still arriving, because only requests in their handler were counted. A request on a connection that was idle when the size limits were raised was rejected by the old ones. An exception of a handler ended the process. Cause: the states of a connection between its acceptance and its handler were not part of the design. Change: a request counts from its first byte; further connections wait in the backlog; the limits are read after the first byte; an exception ends its connection only.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -341,8 +341,10 @@
         control_->leave();
         sleepFor(std::min<Duration>(GatewayLimits::loadBalancerDelay, limit - began));
         callers_->stopAccepting();
-        while (currentTime() < limit && callers_->activeExchanges() > 0)
+        // Waits at least once: the server stops on another duty, and a request may just have begun to arrive.
+        do {
             sleepFor(GatewayLimits::drainPollInterval);
+        } while (currentTime() < limit && callers_->activeExchanges() > 0);
         const std::size_t left = callers_->activeExchanges();
         gatewayLog.info("instance={} stopped cut_off={}", self_, left);
         // Lets the answers that were just written be sent before the process ends.
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -123,15 +123,14 @@
 
     void serve()
     {
-        while (readRequest()) {
+        while (awaitRequest()) {
+            // Counted from its first byte, so that a stop waits for a request that is still arriving.
             ++state_->activeExchanges_;
-            busy_ = true;
-            answered_ = false;
-            state_->handler_(*this);
-            stopWatching();
-            busy_ = false;
+            const bool received = readRequest();
+            if (received)
+                handleRequest();
             --state_->activeExchanges_;
-            if (!answered_ || !keepAlive_)
+            if (!received || !answered_ || !keepAlive_)
                 break;
         }
         closeSocket();
@@ -208,6 +207,21 @@
     TimePoint startedAt() const override { return startedAt_; }
 
 private:
+    // An exception of the handler ends its connection only.
+    void handleRequest()
+    {
+        busy_ = true;
+        answered_ = false;
+        try {
+            state_->handler_(*this);
+        } catch (const std::exception& exception) {
+            logChannel.error("handler of {} {} failed: {}", request_.method, request_.path(), exception.what());
+            answered_ = false;
+        }
+        stopWatching();
+        busy_ = false;
+    }
+
     void watchPeer()
     {
         watching_ = true;
@@ -259,8 +273,6 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(state_->options_.maxHeaderBytes));
         parser.body_limit(state_->options_.maxBodyBytes);
-        if (buffer_.size() == 0 && !awaitFirstByte())
-            return false;
         startedAt_ = currentTime();
         error_code error = runBefore(socket_, currentTime() + state_->options_.headerTimeout,
             [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
@@ -280,10 +292,12 @@
         return true;
     }
 
-    // The limit is read again when it has passed, because it may have been raised meanwhile: callers then expect the
-    // connection to stay open for longer.
-    bool awaitFirstByte()
+    // Waits for the first byte of a request. The limit is read again when it has passed, because it may have been
+    // raised meanwhile: callers then expect the connection to stay open for longer.
+    bool awaitRequest()
     {
+        if (buffer_.size() > 0)
+            return !state_->draining_;
         if (state_->draining_ && peekPeer(socket_) != PeerSign::Sent)
             return false;
         const TimePoint idleSince = currentTime();
@@ -337,15 +351,23 @@
 
 void HttpServer::State::acceptLoop()
 {
+    bool full = false;
     while (acceptor_.is_open()) {
+        // Further connections wait in the backlog: a connection that is accepted and closed at once loses its request.
+        if (connections_.size() >= options_.maxConnections) {
+            if (!std::exchange(full, true))
+                logChannel.warning("port {} has {} connections, further ones wait", port_, connections_.size());
+            sleepFor(acceptRetryDelay);
+            continue;
+        }
+        full = false;
         error_code error;
         tcp::socket socket(duty_.io());
         acceptor_.async_accept(socket, FiberToken{error});
         if (!acceptor_.is_open())
             return;
-        if (error || connections_.size() >= options_.maxConnections) {
-            logChannel.warning("Cannot accept a connection on port {}: {}.", port_,
-                error ? error.message() : std::string("too many connections"));
+        if (error) {
+            logChannel.warning("Cannot accept a connection on port {}: {}.", port_, error.message());
             sleepFor(acceptRetryDelay);
             continue;
         }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -19,6 +19,7 @@
 struct HttpServerOptions {
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
+    // Further connections wait until one of these ends.
     std::size_t maxConnections = 10000;
     // Longest wait for the next request on a connection.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -79,16 +80,17 @@
 
     std::uint16_t port() const;
 
-    // Number of requests that are being handled. Thread-safe.
+    // Number of requests that are being received or handled. Thread-safe.
     std::size_t activeExchanges() const;
 
-    // Replaces the limits; requests that are being read keep the earlier ones. Thread-safe.
+    // Replaces the limits, also for idle connections; requests that are being read keep the earlier ones. Thread-safe.
     void setLimits(HttpServerOptions options);
 
     // Keeps accepting, but each connection is closed after its next answer, which says so. Thread-safe.
     void closeAfterAnswers();
 
-    // Closes the listening socket; idle connections are closed, the others after their current request. Thread-safe.
+    // Closes the listening socket; idle connections are closed, the others after the answer to their current request,
+    // also if that is still arriving. Thread-safe.
     void stopAccepting();
 
     // Closes everything. Thread-safe.
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -211,6 +211,84 @@
     EXPECT_TRUE(answer->ends_with("body")) << *answer;
 }
 
+// Guards against a stop that ends the process while a request is still arriving, because nothing is being handled.
+TEST_F(HttpTest, ARequestThatIsArrivingCountsAsActive)
+{
+    listen({}, [](HttpExchange& exchange) { exchange.respond({}).IgnoreError(); });
+    test::RawConnection idle(endpoint_);
+    test::RawConnection connection(endpoint_);
+    connection.write("POST / HTTP/1.1\r\nHost: a\r\n");
+    std::this_thread::sleep_for(100ms);
+    EXPECT_EQ(server_->activeExchanges(), 1u);
+    connection.write("Connection: close\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(connection.readUntilClosed().has_value());
+    EXPECT_EQ(server_->activeExchanges(), 0u);
+}
+
+// Guards against a request on a kept connection that is rejected by a size limit which was raised before it was sent.
+TEST_F(HttpTest, RaisedSizeLimitsHoldForConnectionsThatAreIdleAlready)
+{
+    HttpServerOptions options;
+    options.maxBodyBytes = 10;
+    listen(options, [](HttpExchange& exchange) { exchange.respond({200, {}, exchange.request().body}).IgnoreError(); });
+    test::RawConnection connection(endpoint_);
+    std::this_thread::sleep_for(100ms);
+    options.maxBodyBytes = 1000;
+    server_->setLimits(options);
+    std::this_thread::sleep_for(100ms);
+    const std::string body(100, 'b');
+    connection.write("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100\r\n\r\n" + body);
+    const auto answer = connection.readUntilClosed();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->ends_with(body)) << *answer;
+}
+
+// Guards against a connection beyond the limit that is closed without a word, with the request that it carries.
+TEST_F(HttpTest, ConnectionBeyondTheLimitIsServedWhenAnotherEnds)
+{
+    HttpServerOptions options;
+    options.maxConnections = 1;
+    listen(options, [](HttpExchange& exchange) { exchange.respond({200, {}, "served"}).IgnoreError(); });
+    auto first = std::make_unique<test::RawConnection>(endpoint_);
+    std::this_thread::sleep_for(50ms);
+    test::RawConnection second(endpoint_);
+    second.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(200ms);
+    first.reset();
+    const auto answer = second.readUntilClosed();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->ends_with("served")) << *answer;
+}
+
+// Guards against an exception that ends the process, and with it all requests, because of a single request.
+TEST_F(HttpTest, AnExceptionOfTheHandlerEndsItsConnectionOnly)
+{
+    listen({}, [](HttpExchange& exchange) {
+        if (exchange.request().target == "/throws")
+            throw std::runtime_error("thrown by the handler");
+        exchange.respond({}).IgnoreError();
+    });
+    onClient([&](HttpClient& client) {
+        EXPECT_FALSE(client.call(endpoint_, {"GET", "/throws"}, {}).status.ok());
+        EXPECT_EQ(client.call(endpoint_, {"GET", "/"}, {}).answer.status, 200);
+    });
+    EXPECT_EQ(server_->activeExchanges(), 0u);
+}
+
+// Guards against methods whose requests the HTTP library refuses to send with a body, by an exception.
+TEST_F(HttpTest, EveryMethodIsSentWithItsBody)
+{
+    listen({}, [](HttpExchange& exchange) {
+        exchange.respond({200, {}, exchange.request().method + exchange.request().body}).IgnoreError();
+    });
+    onClient([&](HttpClient& client) {
+        for (const char* method : {"TRACE", "DELETE", "GET", "OPTIONS", "POST", "PUT", "PATCH", "REPORT"}) {
+            for (const char* body : {"", "body"})
+                EXPECT_EQ(client.call(endpoint_, {method, "/", {}, body}, {}).answer.body, std::string(method) + body);
+        }
+    });
+}
+
 // Guards against a caller's leaving that is noticed only when the answer is written.
 TEST_F(HttpTest, TellsWhenThePeerHasGone)
 {
