Follow what targets say about further requests to them

Callers saw: requests sent to a target that was about to leave, although its last answers had said so (Server-Leaving), and to one that had declined requests for a time (Retry-After with a 503). Its list entry says the first seconds later and the second never. Cause: neither header was read. Change: the registry remembers both for an incarnation of a target, also while its list entry is missing. No request goes to a target that leaves, and none to one that declines until its time is over. When all holders decline, callers are told to come back when the first accepts again. Result: TargetChoiceTest.ALeavingTargetGetsNoRequestsUntilItHasRestarted, ADecliningTargetGetsNoRequestsUntilItsTimeIsOver, RelayTest.TargetThatLeavesGetsNoFurtherRequests and TargetThatDeclinesForATimeGetsNoRequestsMeanwhile pass; the functions that they call did not exist before.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -144,7 +144,7 @@
 
     bool isEligible(const TargetState& state) const
     {
-        return !state.record.draining && holdsModel(state)
+        return state.acceptsRequests(input_.now) && holdsModel(state)
             && std::find(input_.excluded.begin(), input_.excluded.end(), state.record.id) == input_.excluded.end();
     }
 
@@ -164,7 +164,7 @@
     {
         std::vector<std::pair<std::uint64_t, const TargetState*>> weighted;
         for (const TargetState* state : targets_) {
-            if (!state->record.draining && holdsModel(*state))
+            if (state->isInService() && holdsModel(*state))
                 weighted.emplace_back(rendezvousWeight(state->record.id.value(), key), state);
         }
         std::stable_sort(weighted.begin(), weighted.end(),
@@ -288,11 +288,16 @@
     {
         bool anyTarget = false;
         bool anyHolder = false;
+        // The earliest time at which a holder that declines requests accepts them again.
+        std::optional<TimePoint> accepting;
         for (const TargetState* state : targets_) {
-            if (state->record.draining)
+            if (!state->isInService())
                 continue;
             anyTarget = true;
-            anyHolder = anyHolder || holdsModel(*state);
+            if (!holdsModel(*state))
+                continue;
+            anyHolder = true;
+            accepting = std::min(accepting.value_or(TimePoint::max()), state->declinesUntil);
         }
         if (!anyTarget)
             return NoTarget{NoTargetReason::NoTargets, noTargetsRetry};
@@ -300,7 +305,7 @@
             return decideMissingModel();
         if (!input_.placementReached && input_.need && input_.need->adapter)
             return NoTarget{NoTargetReason::AdapterNotHeld, std::chrono::seconds(1)};
-        return NoTarget{NoTargetReason::TooBusy, minRetryAfter};
+        return NoTarget{NoTargetReason::TooBusy, std::max<Duration>(*accepting - input_.now, minRetryAfter)};
     }
 
     // A request waits for a model that is being loaded if the answer can still be in time, because a retry by the
@@ -314,7 +319,7 @@
         std::optional<TimePoint> ready;
         for (const TargetState* state : targets_) {
             const auto& loading = state->record.holdings.loading;
-            if (loading && loading->first == input_.need->model && !state->record.draining)
+            if (loading && loading->first == input_.need->model && state->acceptsRequests(input_.now))
                 ready = std::min(ready.value_or(TimePoint::max()), loading->second);
         }
         const bool mayBeLoaded = input_.placementReached && input_.waited < loadOrderDelay;
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -47,6 +47,9 @@
 constexpr double initialOccupancySeconds = 0.6;
 constexpr double occupancyWeight = 0.02;
 
+// Targets whose notices are remembered. Above this number, those of targets that are not listed are dropped.
+constexpr std::size_t maxNotices = 4096;
+
 // How long a target is avoided after it has reported that it is full.
 constexpr Duration fullAvoidance = std::chrono::milliseconds(150);
 
@@ -85,6 +88,7 @@
     if (!state || state->record.incarnation != record.incarnation || state->record.endpoint != record.endpoint) {
         state = std::make_unique<TargetState>();
         state->record = record;
+        applyNotice(record.id);
         rebuildServices();
         return;
     }
@@ -141,6 +145,40 @@
     state.reportedAt = now;
 }
 
+TargetRegistry::Notice& TargetRegistry::noticeOf(const TargetId& id, TargetIncarnation incarnation)
+{
+    if (notices_.size() >= maxNotices)
+        std::erase_if(notices_, [&](const auto& entry) { return !targets_.contains(entry.first); });
+    Notice& notice = notices_[id];
+    if (notice.incarnation != incarnation)
+        notice = {incarnation, false, {}};
+    return notice;
+}
+
+void TargetRegistry::recordLeaving(const TargetId& id, TargetIncarnation incarnation)
+{
+    noticeOf(id, incarnation).leaving = true;
+    applyNotice(id);
+}
+
+void TargetRegistry::recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until)
+{
+    Notice& notice = noticeOf(id, incarnation);
+    notice.declinesUntil = std::max(notice.declinesUntil, until);
+    applyNotice(id);
+}
+
+void TargetRegistry::applyNotice(const TargetId& id)
+{
+    const auto target = targets_.find(id);
+    const auto notice = notices_.find(id);
+    if (target == targets_.end() || notice == notices_.end()
+        || target->second->record.incarnation != notice->second.incarnation)
+        return;
+    target->second->leaving = notice->second.leaving;
+    target->second->declinesUntil = notice->second.declinesUntil;
+}
+
 std::vector<TargetWorkReport> TargetRegistry::ownWork() const
 {
     std::vector<TargetWorkReport> reports;
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -74,6 +74,10 @@
     TimePoint ejectedUntil;
     // The target reported that it is full and is avoided until this time.
     TimePoint fullUntil;
+    // The target has said in an answer that it is about to leave; its list entry may say so later.
+    bool leaving = false;
+    // The target has declined a request and wants no further one until this time.
+    TimePoint declinesUntil;
     // When each prompt part was last sent to this target, by the hash from promptPartHashes().
     std::unordered_map<std::uint64_t, TimePoint> promptParts;
 
@@ -82,6 +86,12 @@
     // the target itself, which includes the requests of all instances.
     TargetWork totalWork(TimePoint now, Duration runTime) const;
 
+    // Whether the target takes part in the service, though it may decline requests at the moment.
+    bool isInService() const { return !record.draining && !leaving; }
+
+    // Whether requests may be sent to the target.
+    bool acceptsRequests(TimePoint now) const { return isInService() && declinesUntil <= now; }
+
     // Returns the failure share, decayed to `now`.
     double decayedFailureShare(TimePoint now) const;
 };
@@ -104,6 +114,12 @@
     // Records the load that a target reported with an answer to this instance.
     void recordLoad(const TargetId& id, const ReportedLoad& load, TimePoint now);
 
+    // Records that a target has said in an answer that it is about to leave.
+    void recordLeaving(const TargetId& id, TargetIncarnation incarnation);
+
+    // Records that a target has declined a request and wants no further one for a time.
+    void recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until);
+
     // Returns the work of this instance, as a report for its peers.
     std::vector<TargetWorkReport> ownWork() const;
 
@@ -151,7 +167,17 @@
         std::map<TargetId, TimePoint> unreachedAt;
     };
 
+    // What a target has said about requests to it. Kept apart from its state, which ends with its list entry: an entry
+    // may be missing for a time while the target serves.
+    struct Notice {
+        TargetIncarnation incarnation;
+        bool leaving = false;
+        TimePoint declinesUntil;
+    };
+
     void rebuildServices();
+    Notice& noticeOf(const TargetId& id, TargetIncarnation incarnation);
+    void applyNotice(const TargetId& id);
     void recordReachability(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
     void recordOccupancy(const ServiceId& service, Duration occupancy);
@@ -160,6 +186,7 @@
     std::unordered_map<ServiceId, std::vector<TargetState*>> byService_;
     std::map<DataCentreId, Reachability> reachability_;
     std::unordered_map<SendId, Send> sends_;
+    std::map<TargetId, Notice> notices_;
     // Moving average of the time from the first event to the end of a stream, in seconds.
     std::unordered_map<ServiceId, double> occupancySeconds_;
     SendId nextSend_{1};
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -28,6 +28,10 @@
     bool notRun = false;
     // The target is not the one that was addressed, or does not hold the model or adapter of the request.
     bool misdirected = false;
+    // The target is about to leave and should get no further requests.
+    bool leaving = false;
+    // The target has declined the request and wants no further one for this time.
+    std::optional<Duration> declinesFor;
     // The load that the target reports, if it does.
     std::optional<fleet::ReportedLoad> load;
 };
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -326,6 +326,7 @@
         const TargetAnswer answer = Dialect::readAnswer(status, attempt.stream->headers());
         if (answer.load)
             context_.registry.recordLoad(attempt.target.target, *answer.load, currentTime());
+        recordNotices(attempt.target, answer);
         if (answer.notRun)
             return afterNotRun(attempt, answer);
         const bool success = status >= 200 && status < 300;
@@ -342,6 +343,18 @@
         relayWholeAnswer(attempt, success);
     }
 
+    // Records what the target has said about further requests to it.
+    void recordNotices(const fleet::ChosenTarget& target, const TargetAnswer& answer)
+    {
+        if (answer.leaving)
+            context_.registry.recordLeaving(target.target, target.incarnation);
+        if (!answer.declinesFor)
+            return;
+        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + *answer.declinesFor);
+        relayLog.info("request={} target={} declines requests for ms={}", caller_.attempt, target.target,
+            std::chrono::duration_cast<std::chrono::milliseconds>(*answer.declinesFor).count());
+    }
+
     void afterNotRun(Attempt& attempt, const TargetAnswer& answer)
     {
         const int status = attempt.stream->status();
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -235,5 +235,40 @@
     EXPECT_EQ(receivedRequests(), 0u);
 }
 
+// Guards against requests to a target after it has said in an answer that it is about to leave.
+TEST_F(RelayTest, TargetThatLeavesGetsNoFurtherRequests)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [](ScriptedTarget&, HttpExchange& exchange) {
+            HttpHeaders headers = sealedHeaders(exchange.request());
+            headers.set("Server-Leaving", "1");
+            exchange.respond({200, headers, "last answer"}).IgnoreError();
+        });
+    }
+    start();
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 503);
+    for (const auto& target : targets_)
+        EXPECT_EQ(target->requests.size(), 1u);
+}
+
+// Guards against requests to a target within the time for which it has asked to get none.
+TEST_F(RelayTest, TargetThatDeclinesForATimeGetsNoRequestsMeanwhile)
+{
+    addTarget(plainService, [](ScriptedTarget& target, HttpExchange& exchange) {
+        if (target.requests.size() > 1)
+            return answerWhole(target, exchange);
+        HttpHeaders headers{{"X-Not-Executed", "1"}, {"Retry-After", "0.8"}};
+        exchange.respond({503, headers, ""}).IgnoreError();
+    });
+    start();
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(client().send(request("/unsafe/x"))->status, 503);
+    EXPECT_EQ(receivedRequests(), 1u);
+    std::this_thread::sleep_for(900ms);
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -304,5 +304,44 @@
     EXPECT_FALSE(registry.find(TargetId("t0"))->record.holdings.find(ModelId("new")));
 }
 
+// Guards against requests to a target that has said that it is about to leave: while its list entry lags, and when the
+// entry returns after it was missing.
+TEST_F(TargetChoiceTest, ALeavingTargetGetsNoRequestsUntilItHasRestarted)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1));
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+    registry.update(record(0));
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+    registry.remove(TargetId("t0"));
+    registry.update(record(0));
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+    TargetRecord restarted = record(0);
+    restarted.incarnation = TargetIncarnation(2);
+    registry.update(restarted);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1));
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
+// Guards against requests to a target that wants none for a time, and against a refusal that sends callers back
+// earlier.
+TEST_F(TargetChoiceTest, ADecliningTargetGetsNoRequestsUntilItsTimeIsOver)
+{
+    TargetRegistry registry = registryOf(2);
+    const GenerationNeed generation = need(1, 2, 3);
+    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s);
+    EXPECT_EQ(chosen(registry, &generation), "t1");
+    registry.recordDeclined(TargetId("t1"), TargetIncarnation(1), now_ + 3s);
+    registry.update(record(1));
+    const auto refused = choose(registry, &generation);
+    ASSERT_TRUE(std::holds_alternative<NoTarget>(refused));
+    EXPECT_EQ(std::get<NoTarget>(refused).reason, NoTargetReason::TooBusy);
+    EXPECT_EQ(std::get<NoTarget>(refused).retryAfter, 3s);
+    now_ += 3s;
+    EXPECT_EQ(chosen(registry, &generation), "t1");
+}
+
 } // namespace
 } // namespace lychee::fleet
