Answer requests without a target before a stop ends

Callers saw: at the end of the grace period, requests that waited for a target, a model or the next attempt of a stream were cut off without an answer. Found by a review from the code. Cause: only the end of the process ended their wait. Change: shortly before the process ends, requests that no target is working on are refused, reported as unknown, or aborted if their stream has started. Result: SilentTargetTest.RequestWithoutATargetIsAnsweredBeforeAStop passes; the time that it sets did not exist before.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -29,6 +29,8 @@
     static constexpr Duration loadBalancerDelay = std::chrono::milliseconds(2600);
     // Part of the grace period that is reserved for closing connections.
     static constexpr Duration closeTimeReserve = std::chrono::milliseconds(600);
+    // Part of the remaining time in which requests that wait for a target get their last answers.
+    static constexpr Duration lastAnswerReserve = std::chrono::milliseconds(300);
     // Characters of the random suffix that makes the id of a process unique across restarts.
     static constexpr std::size_t idSuffixLength = 8;
     // Longest time to receive the body of a request.
@@ -338,6 +340,7 @@
         const TimePoint limit = began + grace - GatewayLimits::closeTimeReserve;
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
+        postToRelay([this, limit] { context_.stopsAt = limit - GatewayLimits::lastAnswerReserve; });
         control_->leave();
         sleepFor(std::min<Duration>(GatewayLimits::loadBalancerDelay, limit - began));
         callers_->stopAccepting();
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -37,6 +37,8 @@
     std::set<AdapterOnTarget> recentlyUsedAdapters;
     // Whether the placement owner is known and can be reached; without it no models or adapters are loaded.
     bool placementReached = false;
+    // From this time on, requests that no target is working on are answered, because the process is about to end.
+    TimePoint stopsAt = TimePoint::max();
 };
 
 // How a relayed request ended, as shown in the log and in the metrics.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -139,7 +139,9 @@
             }
             if (currentTime() >= deadline_)
                 return finishAtDeadline();
-            const auto choice = chooseTarget(excludedTargets_);
+            if (currentTime() >= context_.stopsAt)
+                return finishAtStop();
+            const auto choice = chooseTarget(excludedTargets_, latencyObjective());
             if (const auto* none = std::get_if<fleet::NoTarget>(&choice)) {
                 if (!pauseBeforeResume())
                     finishWithoutTarget(*none);
@@ -561,6 +563,17 @@
         refuse(lastProblem_, RelayLimits::minAnswerTimeout);
     }
 
+    // No further send can be answered before the process ends.
+    void finishAtStop()
+    {
+        lastProblem_ = "the instance is stopping";
+        if (streamStarted_)
+            return abortStream(lastProblem_);
+        if (history_.possibleRuns > 0)
+            return fail(502, lastProblem_);
+        refuse(lastProblem_, RelayLimits::minAnswerTimeout);
+    }
+
     void abortStream(std::string_view problem)
     {
         lastProblem_ = std::string(problem);
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -141,5 +141,87 @@
     expectWhole(5, 9, "/long-gap/x");
 }
 
+// Guards against a sound target that is given up before its first event for one that declines.
+TEST_F(SilentTargetTest, PauseBeforeTheFirstEventIsAwaited)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            if (receivedRequests() > 1) {
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+                return;
+            }
+            sleepFor(1400ms);
+            events(5)(target, exchange);
+        });
+    }
+    start();
+    expectWhole(5, 1, "/long-gap/x");
+}
+
+// Guards against a silent target that is given up with the last retry that the budget allows, so that nothing is left
+// when the next target declines.
+TEST_F(SilentTargetTest, SilentTargetIsNotGivenUpWithTheLastRetry)
+{
+    for (int i = 0; i < 2; ++i)
+        addTarget(engineService, pausedThenFull(1800ms));
+    start();
+    relayDuty_->run([&] { context_.retryBudget.setOptions({0, 1.5, 10s}); });
+    expectWhole(5, 1);
+}
+
+// Guards against an interrupted stream that is aborted because the other target would start later than the objective
+// for the first event, although its caller still waits.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedOnABusyTarget)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            events(5, receivedRequests() == 1 ? 3 : 0)(target, exchange);
+        });
+    }
+    start();
+    fleet::GenerationNeed queued;
+    queued.model = ModelId("m");
+    queued.promptTokens = TokenCount(60000);
+    relayDuty_->spawn([&, queued] {
+        sleepFor(8ms);
+        for (const char* target : {"t0", "t1"})
+            context_.registry.beginSend(TargetId(target), &queued, currentTime());
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    expectWhole(5, 2, "/long-gap/x");
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+}
+
+// Guards against an interrupted stream that is held beyond its deadline by the pause between two attempts.
+TEST_F(SilentTargetTest, InterruptedStreamEndsAtItsDeadline)
+{
+    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+        events(5, receivedRequests() == 1 ? 3 : 1)(target, exchange);
+    });
+    start();
+    HttpRequest sent = request("/long-gap/x");
+    sent.headers.set("X-Deadline-Ms", "900");
+    relayDuty_->spawn([&] {
+        sleepFor(12ms);
+        context_.registry.remove(TargetId("t0"));
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    const auto stream = client().open(sent);
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_FALSE((*stream)->readBody().ok());
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 1100ms);
+}
+
+// Guards against a request that waits for a target until the process ends and gets no answer.
+TEST_F(SilentTargetTest, RequestWithoutATargetIsAnsweredBeforeAStop)
+{
+    addTarget(engineService, events(5));
+    start();
+    relayDuty_->run([&] { context_.stopsAt = currentTime(); });
+    const auto answer = client().send(request("/stream/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 503);
+}
+
 } // namespace
 } // namespace lychee::gateway
