Give a silent target up only with enough time and retries left

Callers saw: a sound target that paused before its first event was given up after 1 s for one that declined, and the request ended in 502. With one retry left, the same happened in the middle of a stream. Interrupted streams were aborted although a target could have gone on: a target that would start later than the objective for the first event was not chosen, and while targets were full, one stream used up the retry budget. Found by a review from the code. Change: before the first event a target may be silent for as long as between events; between events the limit no longer grows with the predicted wait. Giving up needs two retries, because the next target may decline. An interrupted stream is admitted by the time its caller still waits, pauses after each refusal, and never longer than its deadline.

--- a/src/fleet/ServiceRetryBudget.cpp
+++ b/src/fleet/ServiceRetryBudget.cpp
@@ -26,20 +26,20 @@
 
 void ServiceRetryBudget::request(const ServiceId& service, TimePoint now) { current(service, now).requests += 1; }
 
-bool ServiceRetryBudget::isAvailable(const ServiceId& service, TimePoint now)
+bool ServiceRetryBudget::isAvailable(const ServiceId& service, TimePoint now, int count)
 {
     const std::int64_t step = stepOf(now);
     double requests = 0;
     double retries = 0;
-    for (const Count& count : services_[service]) {
-        const std::int64_t age = step - count.step;
-        if (count.step < 0 || age > static_cast<std::int64_t>(stepsInWindow))
+    for (const Count& counted : services_[service]) {
+        const std::int64_t age = step - counted.step;
+        if (counted.step < 0 || age > static_cast<std::int64_t>(stepsInWindow))
             continue;
-        retries += count.retries;
+        retries += counted.retries;
         if (age < static_cast<std::int64_t>(stepsInWindow))
-            requests += count.requests;
+            requests += counted.requests;
     }
-    return retries + 1 <= usableFraction * (options_.part * requests + options_.share);
+    return retries + count <= usableFraction * (options_.part * requests + options_.share);
 }
 
 void ServiceRetryBudget::take(const ServiceId& service, TimePoint now) { current(service, now).retries += 1; }
--- a/src/fleet/ServiceRetryBudget.h
+++ b/src/fleet/ServiceRetryBudget.h
@@ -27,8 +27,8 @@
     // Records the arrival of a request.
     void request(const ServiceId& service, TimePoint now);
 
-    // Whether one more retry is allowed.
-    bool isAvailable(const ServiceId& service, TimePoint now);
+    // Whether this many more retries are allowed.
+    bool isAvailable(const ServiceId& service, TimePoint now, int count = 1);
 
     // Records a retry.
     void take(const ServiceId& service, TimePoint now);
--- a/src/fleet/StreamTimeouts.cpp
+++ b/src/fleet/StreamTimeouts.cpp
@@ -13,7 +13,7 @@
 
 // Bounds of the silence after which a target is given up. Sound targets pause for a second or a little longer. A target
 // that is silent beyond the upper bound is treated as failed, even where callers accept longer gaps.
-constexpr Duration minSilence = std::chrono::seconds(1);
+constexpr Duration minSilence = std::chrono::milliseconds(1500);
 constexpr Duration maxSilence = std::chrono::milliseconds(2500);
 
 // The time that a continued stream needs to reach its caller.
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -24,7 +24,7 @@
     static constexpr Duration modelPollInterval = std::chrono::milliseconds(50);
     // Time between the first two attempts to resume an interrupted stream; it doubles up to the limit.
     static constexpr Duration resumeRetryDelay = std::chrono::milliseconds(100);
-    static constexpr Duration maxResumeRetryDelay = std::chrono::milliseconds(400);
+    static constexpr Duration maxResumeRetryDelay = std::chrono::milliseconds(800);
     // Shortest time to wait for the answer of a target when the request may still be sent to another one. Also the
     // Retry-After of refusals after a failed send or a timeout.
     static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(300);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -48,6 +48,8 @@
         bool begun = false;
         // A piece of the stream was passed on.
         bool forwarded = false;
+        // The stream is continued on another target when this one is silent for too long.
+        bool maySilenceEnd = false;
     };
 
     bool accept()
@@ -151,42 +153,64 @@
                 awaitModel(*awaited);
                 continue;
             }
+            if (pauseIsDue_) {
+                pauseInterruptedStream();
+                continue;
+            }
             sendTo(std::get<fleet::ChosenTarget>(choice));
         }
     }
 
-    fleet::TargetDecision chooseTarget(std::span<const TargetId> excluded) const
+    fleet::TargetDecision chooseTarget(std::span<const TargetId> excluded, Duration latencyObjective) const
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
-            now, deadline_ - now, route_->latencyObjective, excluded, context_.placementReached, modelWait_,
+            now, deadline_ - now, latencyObjective, excluded, context_.placementReached, modelWait_,
             caller_.attempt.value()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
+    // The latest start at which the next send is of use. An interrupted stream is late already, but of use for as long
+    // as its caller waits.
+    Duration latencyObjective() const
+    {
+        return streamStarted_ ? std::max(route_->latencyObjective, timeToResume()) : route_->latencyObjective;
+    }
+
     // Whether a request whose target is silent can be sent to another one. If not, giving it up would only lose an
-    // answer that may still come.
+    // answer that may still come. The retry budget has to allow a further send too, because the other target may
+    // decline.
     bool canBeSentElsewhere(const TargetId& silent) const
     {
-        if (!context_.retryBudget.isAvailable(service_->id, currentTime()))
+        constexpr int furtherSends = 2;
+        if (!context_.retryBudget.isAvailable(service_->id, currentTime(), furtherSends))
             return false;
         std::vector<TargetId> excluded = excludedTargets_;
         excluded.push_back(silent);
-        return std::holds_alternative<fleet::ChosenTarget>(chooseTarget(excluded));
+        return std::holds_alternative<fleet::ChosenTarget>(chooseTarget(excluded, route_->latencyObjective));
     }
 
     // A stream that has started is not aborted at once when no target is available: one may become available while the
     // caller still waits for the next event.
     bool pauseBeforeResume()
     {
-        if (!streamStarted_ || currentTime() - lastEventAt_ > fleet::resumeWindow(*route_))
+        if (!streamStarted_ || timeToResume() <= Duration(0))
             return false;
         excludedTargets_.clear();
-        sleepFor(resumeDelay_);
-        resumeDelay_ = std::min(2 * resumeDelay_, RelayLimits::maxResumeRetryDelay);
+        pauseInterruptedStream();
         return true;
     }
 
+    // Time left in which an interrupted stream may be continued.
+    Duration timeToResume() const { return lastEventAt_ + fleet::resumeWindow(*route_) - currentTime(); }
+
+    void pauseInterruptedStream()
+    {
+        sleepFor(std::min({resumeDelay_, timeToResume(), deadline_ - currentTime()}));
+        resumeDelay_ = std::min(2 * resumeDelay_, RelayLimits::maxResumeRetryDelay);
+        pauseIsDue_ = false;
+    }
+
     // Waits until an interrupted stream may be sent again, although it was sent several times already or the retry
     // budget is used up. `result` is how the last send ended. Returns false when the stream cannot be continued.
     bool awaitStreamRetry(fleet::SendResult result)
@@ -279,8 +303,12 @@
         limits.belongs = [id = caller_.attempt](const HttpHeaders& headers) { return Dialect::belongs(headers, id); };
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
-            if (route_->kind == fleet::RequestKind::Streaming)
-                limits.interByteTimeout = std::max(limits.headerTimeout, fleet::maxTargetSilence(*route_));
+            if (route_->kind == fleet::RequestKind::Streaming) {
+                const Duration silence = std::min(fleet::maxTargetSilence(*route_), (deadline_ - now) / 2);
+                limits.headerTimeout = std::max(limits.headerTimeout, silence);
+                limits.interByteTimeout = limits.headerTimeout;
+                attempt.maySilenceEnd = true;
+            }
             limits.mayGiveUp = [this, silent = target.target] { return canBeSentElsewhere(silent); };
         }
         auto outcome
@@ -425,6 +453,8 @@
         case fleet::NextStep::SendAgain:
             if (fleet::usesRetryBudget(result))
                 context_.retryBudget.take(service_->id, now);
+            // One interrupted stream must not use up the retry budget while its targets are full.
+            pauseIsDue_ = streamStarted_ && result == fleet::SendResult::NotRun;
             return;
         case fleet::NextStep::Refuse:
             if (streamStarted_)
@@ -524,6 +554,8 @@
         // The first piece of a stream may leave a target that crashes as it begins.
         if (std::exchange(attempt.forwarded, true))
             recordBegun(attempt);
+        else if (attempt.maySilenceEnd)
+            attempt.stream->setInterByteTimeout(fleet::maxTargetSilence(*route_));
         if (status.ok())
             status = exchange_.write(events);
         lastEventAt_ = currentTime();
@@ -646,7 +678,9 @@
     TimePoint firstEventAt_;
     TimePoint lastEventAt_;
     Duration longestGap_{0};
+    // Pause before the next attempt to continue an interrupted stream, and whether it is due before the next send.
     Duration resumeDelay_ = RelayLimits::resumeRetryDelay;
+    bool pauseIsDue_ = false;
     std::optional<TimePoint> adapterLoadedAt_;
     int adapterRetries_ = 0;
     Duration modelWait_{0};
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -191,6 +191,8 @@
         return piece;
     }
 
+    void setInterByteTimeout(Duration limit) override { limits_.interByteTimeout = limit; }
+
 private:
     absl::Status readNextHeader()
     {
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -73,6 +73,9 @@
 
     // The next piece of the body, or nothing at its end. Fails with TransportError.
     virtual absl::StatusOr<std::optional<std::string>> read() = 0;
+
+    // Changes the longest silence of the peer for the pieces that follow.
+    virtual void setInterByteTimeout(Duration limit) = 0;
 };
 
 // The outcome of a call that may have failed on the way.
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -112,18 +112,24 @@
 // Guards against an interrupted stream that is aborted while its caller still waits and a target is about to return.
 TEST_F(SilentTargetTest, InterruptedStreamIsContinuedWhenATargetReturns)
 {
-    addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
-        events(5, receivedRequests() == 1 ? 3 : 0)(target, exchange);
+    fleet::TargetRecord record;
+    addTarget(engineService, [&](ScriptedTarget& target, HttpExchange& exchange) {
+        const bool first = receivedRequests() == 1;
+        if (first)
+            relayDuty_->run([&] { context_.registry.remove(record.id); });
+        events(5, first ? 3 : 0)(target, exchange);
     });
+    record = recordOf(0);
     start();
-    const fleet::TargetRecord record = recordOf(0);
     std::thread restart([&] {
-        std::this_thread::sleep_for(5ms);
-        relayDuty_->run([&] { context_.registry.remove(record.id); });
+        while (receivedRequests() == 0)
+            std::this_thread::sleep_for(5ms);
         std::this_thread::sleep_for(2500ms);
         relayDuty_->run([&] { context_.registry.update(record); });
     });
+    const auto begin = std::chrono::steady_clock::now();
     expectWhole(5, 2, "/long-gap/x");
+    EXPECT_GT(std::chrono::steady_clock::now() - begin, 2400ms);
     restart.join();
 }
 
