--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -29,6 +29,8 @@
     static constexpr Duration loadBalancerDelay = std::chrono::milliseconds(2600);
     // Part of the grace period that is reserved for closing connections.
     static constexpr Duration closeTimeReserve = std::chrono::milliseconds(600);
+    // Part of the remaining time in which requests that wait for a target get their last answers.
+    static constexpr Duration lastAnswerReserve = std::chrono::milliseconds(300);
     // Characters of the random suffix that makes the id of a process unique across restarts.
     static constexpr std::size_t idSuffixLength = 8;
     // Longest time to receive the body of a request.
@@ -338,11 +340,14 @@
         const TimePoint limit = began + grace - GatewayLimits::closeTimeReserve;
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
+        postToRelay([this, limit] { context_.stopsAt = limit - GatewayLimits::lastAnswerReserve; });
         control_->leave();
         sleepFor(std::min<Duration>(GatewayLimits::loadBalancerDelay, limit - began));
         callers_->stopAccepting();
-        while (currentTime() < limit && callers_->activeExchanges() > 0)
+        // Waits at least once: the server stops on another duty, and a request may just have begun to arrive.
+        do {
             sleepFor(GatewayLimits::drainPollInterval);
+        } while (currentTime() < limit && callers_->activeExchanges() > 0);
         const std::size_t left = callers_->activeExchanges();
         gatewayLog.info("instance={} stopped cut_off={}", self_, left);
         // Lets the answers that were just written be sent before the process ends.
