Count a load from the weight store when its order is sent

Cause: PlacementOwner took the token of a load when it planned it. A load that needs memory begins only when the unloads before it are complete, which is when the last request of the unloaded model ends, up to 6 s later. The bucket has refilled by then, and the load begins beside those that the new tokens allow. New workers of a release hold nothing and take every token at once, so the loads planned before the release come on top.

Change: OrderDispatcher takes the token right before it sends the order, holds the load back while there is none, and returns the token when the engine refuses. A load whose answer was lost may still begin: until the engine has accepted another order it lowers the burst by one, and ordering it again takes no second token. Planned loads that are ready to start come before new ones. PlacementOwner keeps a second bucket for plans, so that unloads do not run ahead of the loads. The limiter begins empty in each term as before, and now follows a change of loadsPerS; with several services the lowest rate holds, since they share the store.

Test: StartsLoadsAtTheRateOfTheStoreAfterUnloadsThatEndTogether failed before (8 loads began within 0.5 s, 5 allowed), and so did StartsNoLoadFromTheStoreRightAfterATermBegins, because the dispatcher by itself had no limit; both without their line on availableStoreLoads(), which is new. CountsALoadWithALostAnswerOnce and the new tests of LoadRateLimiter guard what is new. The fixture of OrderDispatcherTest now gives the weight store a rate, as there was none to keep before.

--- a/src/gateway/EngineState.h
+++ b/src/gateway/EngineState.h
@@ -55,6 +55,9 @@
     TimePoint stepLimit;
     std::optional<ModelId> arriving;
     std::optional<ModelId> leaving;
+    // The sequence that the engine had when a load from the weight store was ordered whose answer is awaited or was
+    // lost. The load may still begin until the engine has accepted another order after that sequence.
+    std::optional<fleet::OrderSequence> unansweredLoad;
     // The engine is still executing an order of an earlier owner, so its holdings do not show the result of that order.
     bool earlierOrderActive = false;
     std::deque<std::shared_ptr<AdapterRequest>> pendingAdapters;
--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -45,6 +45,7 @@
     {
         states_.clear();
         ++term_;
+        loadLimiter_.emplace(loadsPerSecond_, currentTime());
         for (const fleet::TargetRecord& record : engines)
             update(record);
     }
@@ -62,8 +63,10 @@
     {
         std::shared_ptr<State>& state = states_[record.id];
         if (!state || state->record.incarnation != record.incarnation) {
-            if (state)
+            if (state) {
                 state->failRequests("the engine has restarted");
+                settleUnansweredLoad(*state);
+            }
             state = std::make_shared<State>();
             state->record = record;
             return;
@@ -81,6 +84,7 @@
         if (found == states_.end())
             return;
         found->second->failRequests("the engine was removed from the list of targets");
+        settleUnansweredLoad(*found->second);
         states_.erase(found);
     }
 
@@ -177,7 +181,30 @@
     }
 
     // Sets the configuration in force.
-    void setRoutes(std::shared_ptr<const fleet::RouteTable> routes) { routes_ = std::move(routes); }
+    void setRoutes(std::shared_ptr<const fleet::RouteTable> routes)
+    {
+        routes_ = std::move(routes);
+        const double rate = routes_ ? lowestLoadRate() : 0;
+        if (rate == loadsPerSecond_)
+            return;
+        loadsPerSecond_ = rate;
+        if (loadLimiter_)
+            loadLimiter_->setRate(rate, currentTime());
+    }
+
+    // The rate of loads from the weight store that the configuration in force allows.
+    double storeLoadRate() const { return loadsPerSecond_; }
+
+    // Number of further loads from the weight store that may be planned: those that may start now, less the planned
+    // ones that are ready to start.
+    int availableStoreLoads()
+    {
+        if (!loadLimiter_)
+            return 0;
+        const auto ready = std::count_if(
+            states_.begin(), states_.end(), [](const auto& entry) { return isReadyForStoreLoad(*entry.second); });
+        return std::max(0, loadLimiter_->available(currentTime()) - static_cast<int>(ready));
+    }
 
 private:
     using Request = AdapterRequest;
@@ -214,6 +241,58 @@
         return fleet::freeMegabytes(engine, planned) - (state.earlierOrderActive ? largest : 0);
     }
 
+    // The rate of loads that the weight store allows. All targets share the store, so the lowest rate that a service
+    // gives holds for all of them.
+    double lowestLoadRate() const
+    {
+        double lowest = 0;
+        for (const fleet::Service& service : routes_->services()) {
+            const double rate = service.engine ? service.engine->loadsPerSecond : 0;
+            if (rate > 0 && (lowest == 0 || rate < lowest))
+                lowest = rate;
+        }
+        return lowest;
+    }
+
+    static bool isFromStore(const State& state, const ModelId& model)
+    {
+        return !state.record.weightsInMemory.contains(model) && !state.record.weightsOnDisk.contains(model);
+    }
+
+    // Whether the next step of the engine is a load from the weight store that only the limit of the store delays.
+    static bool isReadyForStoreLoad(const State& state)
+    {
+        return !state.steps.empty() && state.steps.front().kind == EngineOrderKind::Load && !state.leaving
+            && !state.unansweredLoad && isFromStore(state, state.steps.front().model);
+    }
+
+    // Reserves the start of a load from the weight store, right before its order is sent. Returns false when the limit
+    // of the store allows none now.
+    bool reserveStoreLoad(State& state)
+    {
+        if (!loadLimiter_ || loadLimiter_->available(currentTime()) < 1)
+            return false;
+        loadLimiter_->order(currentTime());
+        state.unansweredLoad = state.record.holdings.sequence;
+        return true;
+    }
+
+    // Returns the reservation of a load that the engine has refused.
+    void cancelStoreLoad(State& state)
+    {
+        if (state.unansweredLoad && loadLimiter_)
+            loadLimiter_->cancel(currentTime());
+        state.unansweredLoad.reset();
+    }
+
+    // Keeps the reservation of a load from the weight store as used: the load has started or no longer can.
+    void settleUnansweredLoad(State& state)
+    {
+        if (state.unansweredLoad && loadLimiter_)
+            loadLimiter_->confirm(currentTime());
+        state.unansweredLoad.reset();
+    }
+
     static bool isChanging(const State& state) { return state.arriving || state.leaving || state.earlierOrderActive; }
 
     void startProcessing(const std::shared_ptr<State>& state)
@@ -290,6 +369,8 @@
             state.failRequests("the engine has restarted");
             return;
         }
+        if (state.unansweredLoad && report.holdings.sequence > *state.unansweredLoad)
+            settleUnansweredLoad(state);
         // The report is older than the last order.
         if (report.holdings.sequence < state.record.holdings.sequence && state.synced)
             return;
@@ -338,13 +419,15 @@
     }
 
     // Updates the state after an answer. Returns false when the engine's report has to be read again.
-    static bool applyAnswer(State& state, EngineOrderKind kind, OrderAnswer answer)
+    bool applyAnswer(State& state, EngineOrderKind kind, OrderAnswer answer)
     {
         if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Done) {
             // A load of what the engine already holds is answered with Done and does not count as an accepted order. An
             // unload counts with both answers, because it may complete at once.
-            if (answer == OrderAnswer::Accepted || kind == EngineOrderKind::Unload)
+            if (answer == OrderAnswer::Accepted || kind == EngineOrderKind::Unload) {
                 state.record.holdings.sequence = state.record.holdings.sequence.next();
+                settleUnansweredLoad(state);
+            }
             return true;
         }
         state.synced = false;
@@ -376,9 +459,18 @@
         // Adapters may have been loaded since the plan was made.
         if (currentTime() >= state->stepLimit || (load && !fits(*state, step.model)))
             return state->steps.clear();
+        // An earlier load without an answer has a reservation, and the engine accepts only one of two orders that
+        // expect the same sequence.
+        const bool reserves = load && isFromStore(*state, step.model) && !state->unansweredLoad;
+        if (reserves && !reserveStoreLoad(*state)) {
+            state->nextStepAt = currentTime() + OrderLimits::stepRetryInterval;
+            return;
+        }
         const OrderAnswer answer = send(state, step.kind, step.model, std::nullopt);
         if (!isCurrent(state, term))
             return;
+        if (reserves && answer != OrderAnswer::Accepted && answer != OrderAnswer::Unanswered)
+            cancelStoreLoad(*state);
         if (answer == OrderAnswer::Conflict && state->leaving) {
             state->nextStepAt = currentTime() + OrderLimits::stepRetryInterval;
             return;
@@ -503,6 +595,9 @@
     Channel channel_;
     std::shared_ptr<const fleet::RouteTable> routes_;
     std::map<TargetId, std::shared_ptr<State>> states_;
+    double loadsPerSecond_ = 0;
+    // Counts a load from the weight store when its order is sent, since a planned load may have to wait for unloads.
+    std::optional<fleet::LoadRateLimiter> loadLimiter_;
     // Incremented by beginTerm() and endTerm(), so that fibers of an earlier term stop.
     std::uint64_t term_ = 0;
 };
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -32,6 +32,9 @@
             return;
         table_ = table;
         dispatcher_.setRoutes(table);
+        if (!planPace_)
+            planPace_.emplace(dispatcher_.storeLoadRate(), currentTime());
+        planPace_->setRate(dispatcher_.storeLoadRate(), currentTime());
         dispatcher_.pollReports();
         for (const fleet::Service& service : table->services()) {
             if (service.engine)
@@ -76,7 +79,7 @@
         const std::shared_ptr<const fleet::RouteTable>& table, const std::map<TargetId, fleet::TargetRecord>& targets)
     {
         table_ = table;
-        loadAllowance_.reset();
+        planPace_.reset();
         std::vector<fleet::TargetRecord> engines;
         for (const auto& [id, record] : targets) {
             if (isEngine(record))
@@ -88,9 +91,7 @@
     void plan(const fleet::Service& service, const std::vector<fleet::ModelDemand>& demand)
     {
         const TimePoint now = currentTime();
-        if (!loadAllowance_)
-            loadAllowance_.emplace(service.engine->loadsPerSecond, now);
-        const int storeLoads = loadAllowance_->available(now);
+        const int storeLoads = std::min(planPace_->available(now), dispatcher_.availableStoreLoads());
         const std::vector<fleet::PlannedEngine> engines = dispatcher_.engines(service.id);
         logDemand(engines, demand, now);
         const std::vector<fleet::ModelOrder> orders = fleet::planModels(*service.engine, engines, demand, storeLoads);
@@ -98,9 +99,8 @@
             placementLog.info("target={} plan={} model={} reason={} room_for={} store={}", order.target,
                 order.kind == fleet::ModelOrderKind::Load ? "load" : "unload", order.model, nameOf(order.reason),
                 order.roomFor.value_or(ModelId("-")), order.fromStore);
-            // Counted when planned, because the order may take effect whatever the engine answers.
             if (order.fromStore)
-                loadAllowance_->take(now);
+                planPace_->take(now);
         }
         dispatcher_.sendOrders(orders);
     }
@@ -133,7 +133,9 @@
     bool owns_ = false;
     TimePoint nextDemandLog_;
     std::shared_ptr<const fleet::RouteTable> table_;
-    std::optional<fleet::LoadRateLimiter> loadAllowance_;
+    // Limits the rate of planned loads, so that the unloads for them do not run ahead of the loads. The dispatcher
+    // limits when the loads start.
+    std::optional<fleet::LoadRateLimiter> planPace_;
     OrderDispatcher<Channel> dispatcher_;
 };
 
--- a/tests/gateway/OrderDispatcherTest.cpp
+++ b/tests/gateway/OrderDispatcherTest.cpp
@@ -26,8 +26,12 @@
 
     std::map<TargetId, State> engines;
     std::vector<std::string> orders;
+    // When the engines began to load models.
+    std::vector<TimePoint> loadStarts;
     // Number of further orders that take effect without an answer.
     int unanswered = 0;
+    // Whether an order without an answer takes effect at once; otherwise it does not for as long as the test lasts.
+    bool takesEffect = true;
     Duration answerTime = 2ms;
     // Time from an order to unload a model to the end of its last request.
     Duration unloadTime{0};
@@ -61,6 +65,10 @@
         fake.settle(state);
         fake.orders.push_back(fmt::format("{} {}{}", order.kind == EngineOrderKind::Load ? "load" : "unload",
             order.model, order.adapter ? "/" + order.adapter->value() : std::string()));
+        if (fake.unanswered > 0 && !fake.takesEffect) {
+            --fake.unanswered;
+            return OrderAnswer::Unanswered;
+        }
         const OrderAnswer answer = carryOut(state, order);
         if (fake.unanswered > 0) {
             --fake.unanswered;
@@ -96,6 +104,7 @@
             return OrderAnswer::Accepted;
         }
         state.overcommitted = state.overcommitted || state.holdings.models.size() + 1 > state.modelPlaces;
+        FakeEngines::instance().loadStarts.push_back(currentTime());
         state.busyWith = order.model;
         state.busyUntil = currentTime() + 20ms;
         return OrderAnswer::Accepted;
@@ -142,13 +151,14 @@
         records_.push_back(record);
     }
 
-    static std::shared_ptr<const fleet::RouteTable> routes()
+    std::shared_ptr<const fleet::RouteTable> routes() const
     {
         fleet::Service service;
         service.id = ServiceId("hall");
         service.engine.emplace();
         service.engine->weightMegabytes = 200;
         service.engine->adapterSlots = 2;
+        service.engine->loadsPerSecond = loadsPerSecond_;
         for (int i = 0; i < 5; ++i)
             service.engine->models.push_back({ModelId(fmt::format("m{}", i)), 90, 1, 9, 5s, 1s, 400ms});
         return fleet::RouteTable::create(ConfigurationVersion(1), {}, {service}, {});
@@ -197,7 +207,42 @@
 
     static bool overcommitted() { return FakeEngines::instance().engines[TargetId("t0")].overcommitted; }
 
+    // Largest number of loads that began within `window`.
+    static std::size_t mostLoadStartsWithin(Duration window)
+    {
+        const std::vector<TimePoint>& starts = FakeEngines::instance().loadStarts;
+        std::size_t most = 0;
+        for (const TimePoint begin : starts) {
+            most = std::max(most,
+                static_cast<std::size_t>(std::count_if(starts.begin(), starts.end(),
+                    [&](TimePoint start) { return start >= begin && start < begin + window; })));
+        }
+        return most;
+    }
+
+    // Orders each engine but the first to replace m3 with m2 from the weight store.
+    void replaceModelOnAllButFirst(OrderDispatcher<FakeChannel>& dispatcher) const
+    {
+        std::vector<fleet::ModelOrder> orders;
+        for (std::size_t i = 1; i < records_.size(); ++i)
+            orders.push_back({records_[i].id, fleet::ModelOrderKind::Unload, ModelId("m3"), fleet::PlanReason::Room,
+                true, 20ms, {}, ModelId("m2")});
+        dispatcher.sendOrders(orders);
+    }
+
+    // Polls the reports for this time, or until `count` loads have begun.
+    static void pollFor(OrderDispatcher<FakeChannel>& dispatcher, Duration duration, std::size_t count = SIZE_MAX)
+    {
+        const TimePoint end = currentTime() + duration;
+        while (currentTime() < end && FakeEngines::instance().loadStarts.size() < count) {
+            dispatcher.pollReports();
+            sleepFor(50ms);
+        }
+    }
+
     std::vector<fleet::TargetRecord> records_;
+    // High enough that a load does not wait for the weight store.
+    double loadsPerSecond_ = 200;
     bool granted_ = true;
     int changes_ = 0;
 };
@@ -327,6 +372,73 @@
     EXPECT_FALSE(FakeEngines::instance().engines[TargetId("t1")].overcommitted);
 }
 
+// Guards against more loads in a window than the weight store allows, when loads that were planned one by one wait for
+// unloads that end together; and against loads that are then never sent.
+TEST_F(OrderDispatcherTest, StartsLoadsAtTheRateOfTheStoreAfterUnloadsThatEndTogether)
+{
+    constexpr std::size_t replaced = 8;
+    for (std::size_t i = 1; i <= replaced; ++i)
+        addEngine(fmt::format("t{}", i), {"m1", "m3"});
+    FakeEngines::instance().unloadTime = 400ms;
+    loadsPerSecond_ = 4;
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        replaceModelOnAllButFirst(dispatcher);
+        pollFor(dispatcher, 800ms);
+        EXPECT_EQ(dispatcher.availableStoreLoads(), 0);
+        pollFor(dispatcher, 10s, replaced);
+        EXPECT_EQ(FakeEngines::instance().loadStarts.size(), replaced);
+    });
+    // The limit of the deployments: a tenth above the rate, plus three loads.
+    EXPECT_LE(static_cast<double>(mostLoadStartsWithin(500ms)), loadsPerSecond_ * 0.5 * 1.1 + 3);
+}
+
+// Guards against a new placement owner that starts loads which the previous owner's have left no room for.
+TEST_F(OrderDispatcherTest, StartsNoLoadFromTheStoreRightAfterATermBegins)
+{
+    addEngine("t1", {"m1"});
+    loadsPerSecond_ = 2;
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        pollFor(dispatcher, 600ms);
+        EXPECT_GE(dispatcher.availableStoreLoads(), 1);
+        dispatcher.endTerm();
+        const TimePoint begin = currentTime();
+        dispatcher.beginTerm(records_);
+        pollFor(dispatcher, 100ms);
+        dispatcher.sendOrders({{TargetId("t1"), fleet::ModelOrderKind::Load, ModelId("m2"), fleet::PlanReason::Missing,
+            true, 20ms, {}, {}}});
+        pollFor(dispatcher, 5s, 1);
+        ASSERT_EQ(FakeEngines::instance().loadStarts.size(), 1u);
+        EXPECT_GE(FakeEngines::instance().loadStarts.front() - begin, 490ms);
+    });
+}
+
+// Guards against a load that uses up the limit of the store twice because its answer was lost, and against one that is
+// no longer counted although it may still begin.
+TEST_F(OrderDispatcherTest, CountsALoadWithALostAnswerOnce)
+{
+    addEngine("t1", {"m1"});
+    loadsPerSecond_ = 2;
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        pollFor(dispatcher, 1600ms);
+        ASSERT_EQ(dispatcher.availableStoreLoads(), 2);
+        FakeEngines::instance().unanswered = 1;
+        FakeEngines::instance().takesEffect = false;
+        const std::vector<fleet::ModelOrder> orders{{TargetId("t1"), fleet::ModelOrderKind::Load, ModelId("m2"),
+            fleet::PlanReason::Missing, true, 20ms, {}, {}}};
+        dispatcher.sendOrders(orders);
+        pollFor(dispatcher, 1600ms);
+        // Without the lost order, two loads could start by now.
+        EXPECT_EQ(dispatcher.availableStoreLoads(), 1);
+        FakeEngines::instance().takesEffect = true;
+        dispatcher.sendOrders(orders);
+        pollFor(dispatcher, 5s, 1);
+        EXPECT_EQ(FakeEngines::instance().loadStarts.size(), 1u);
+        EXPECT_GE(dispatcher.availableStoreLoads(), 1);
+        pollFor(dispatcher, 1600ms);
+        EXPECT_EQ(dispatcher.availableStoreLoads(), 2);
+    });
+}
+
 // Guards against an adapter that waits until a model is unloaded on its engine.
 TEST_F(OrderDispatcherTest, LoadsAdaptersWhileAnUnloadTakesTime)
 {
--- a/tests/unit/LoadRateLimiterTest.cpp
+++ b/tests/unit/LoadRateLimiterTest.cpp
@@ -3,7 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
+#include <optional>
+#include <vector>
 
 namespace lychee::fleet {
 namespace {
@@ -33,6 +36,101 @@
 // Guards against a new placement owner that starts with tokens which the previous owner has already used.
 TEST(LoadRateLimiter, StartsEmpty) { EXPECT_EQ(LoadRateLimiter(2.1, at(100)).available(at(100)), 0); }
 
+// Guards against more loads in a window than the weight store allows, when loads begin long after their orders because
+// the answers were lost.
+TEST(LoadRateLimiter, StaysBelowTheCeilingWithLoadsThatBeginLate)
+{
+    constexpr double rate = 2;
+    constexpr double window = 5;
+    constexpr double step = 0.01;
+    LoadRateLimiter limiter(rate, at(0));
+    std::vector<double> starts;
+    std::deque<double> late;
+    int ordered = 0;
+    for (int i = 0; i * step < 240; ++i) {
+        const double now = i * step;
+        // Two orders in a row of every 20 are not answered; their loads begin 8 s later.
+        while (!late.empty() && late.front() <= now) {
+            late.pop_front();
+            limiter.confirm(at(now));
+            starts.push_back(now);
+        }
+        if (static_cast<int>(now / 7) % 3 == 2 || limiter.available(at(now)) == 0)
+            continue;
+        limiter.order(at(now));
+        if (ordered++ % 20 < 2) {
+            late.push_back(now + 8);
+            continue;
+        }
+        limiter.confirm(at(now));
+        starts.push_back(now);
+    }
+    EXPECT_GT(starts.size(), 240u);
+    for (const double begin : starts) {
+        const auto inWindow = std::count_if(
+            starts.begin(), starts.end(), [&](double start) { return start >= begin && start < begin + window; });
+        EXPECT_LE(static_cast<double>(inWindow), rate * window * 1.1 + 3) << begin;
+    }
+}
+
+// Guards against refused orders that use up the limit, and against tokens above the burst when they are returned.
+TEST(LoadRateLimiter, ReturnsTheTokenOfARefusedOrder)
+{
+    LoadRateLimiter limiter(2, at(0));
+    ASSERT_EQ(limiter.available(at(10)), 2);
+    for (int i = 0; i < 5; ++i) {
+        limiter.order(at(10));
+        EXPECT_LT(limiter.available(at(10)), 2);
+        limiter.cancel(at(10));
+        EXPECT_EQ(limiter.available(at(10)), 2);
+    }
+    limiter.order(at(10));
+    limiter.cancel(at(20));
+    EXPECT_EQ(limiter.available(at(20)), 2);
+}
+
+// Guards against targets out of reach, whose orders are never answered, that stop all loads.
+TEST(LoadRateLimiter, GoesOnWhileManyOrdersAreUnanswered)
+{
+    LoadRateLimiter limiter(2, at(0));
+    for (int i = 0; i < 10; ++i) {
+        ASSERT_GE(limiter.available(at(10 + i)), 1) << i;
+        limiter.order(at(10 + i));
+    }
+}
+
+// Guards against a rate that stays at that of the configuration with which the term began, and against tokens that a
+// change of the configuration creates.
+TEST(LoadRateLimiter, FollowsAChangeOfTheRate)
+{
+    LoadRateLimiter limiter(10, at(0));
+    limiter.setRate(0.5, at(0.05));
+    EXPECT_EQ(limiter.available(at(0.9)), 0);
+    EXPECT_EQ(limiter.available(at(1.1)), 1);
+}
+
+// Guards against more loads in a window than the weight store allows, when placement changes hands within the window.
+TEST(LoadRateLimiter, StaysBelowTheCeilingWhenTheOwnerChanges)
+{
+    constexpr double rate = 2;
+    constexpr double window = 5;
+    for (double change = 10; change < 15; change += 0.25) {
+        std::vector<double> starts;
+        std::optional<LoadRateLimiter> limiter;
+        limiter.emplace(rate, at(0));
+        for (double now = 10; now < 15; now += 0.01) {
+            if (now >= change && now < change + 0.01)
+                limiter.emplace(rate, at(now));
+            while (limiter->available(at(now)) > 0) {
+                limiter->order(at(now));
+                limiter->confirm(at(now));
+                starts.push_back(now);
+            }
+        }
+        EXPECT_LE(static_cast<double>(starts.size()), rate * window * 1.1 + 3) << change;
+    }
+}
+
 // Guards against noticing a rise of demand too late, and against unloading copies during a short pause.
 TEST(DemandMeter, SeesARiseFastAndForgetsSlowly)
 {
