Take the cached weights of an engine from its reports only

Found while looking for other ways past the limit of the weight store: a load that is taken for one from disk takes no token.

Cause: OrderDispatcher::update() keeps the holdings of the last report when an entry of the platform's table arrives, but replaced the lists of cached weights, although the entry may be older than the report. A load evicts copies from memory and disk, so an old list may name weights that are gone.

Change: the lists are kept like the holdings. An entry with a newer sequence leads to a new report before the next order, as before.

Result: KeepsTheReportedCachedWeightsWhenAnOlderEntryArrives failed before; OrderDispatcherTest 13 of 13, GatewayProcessTest 7 of 7.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -71,9 +71,12 @@
             state->record = record;
             return;
         }
-        fleet::Holdings known = std::move(state->record.holdings);
+        // The entry may be older than the last report. A newer one leads to a new report.
+        fleet::TargetRecord known = std::move(state->record);
         state->record = record;
-        state->record.holdings = std::move(known);
+        state->record.holdings = std::move(known.holdings);
+        state->record.weightsInMemory = std::move(known.weightsInMemory);
+        state->record.weightsOnDisk = std::move(known.weightsOnDisk);
         if (record.holdings.sequence > state->record.holdings.sequence)
             state->synced = false;
     }
--- a/tests/gateway/OrderDispatcherTest.cpp
+++ b/tests/gateway/OrderDispatcherTest.cpp
@@ -19,6 +19,7 @@
         // The engine waits for the last request of this model until `unloadedAt` and holds it until then.
         ModelId unloading;
         TimePoint unloadedAt;
+        std::set<ModelId> weightsOnDisk;
         std::size_t adapterPlaces = 2;
         std::size_t modelPlaces = 2;
         bool overcommitted = false;
@@ -82,7 +83,7 @@
         FakeEngines& fake = FakeEngines::instance();
         FakeEngines::State& state = fake.engines[target.id];
         fake.settle(state);
-        fleet::EngineReport report{target.incarnation, state.holdings, {}, {}};
+        fleet::EngineReport report{target.incarnation, state.holdings, {}, state.weightsOnDisk};
         report.holdings.busy = !state.busyWith.empty() || !state.unloading.empty();
         return report;
     }
@@ -467,6 +468,23 @@
     EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a1"});
 }
 
+// Guards against a load from the weight store that is taken for one from disk, and so escapes the limit of the store,
+// because an entry of the platform's table that is older than the last report still lists the weights.
+TEST_F(OrderDispatcherTest, KeepsTheReportedCachedWeightsWhenAnOlderEntryArrives)
+{
+    addEngine("t1", {"m1"});
+    FakeEngines::instance().engines[TargetId("t1")].weightsOnDisk = {ModelId("m1")};
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        ASSERT_EQ(engineNamed(dispatcher, "t1").weightsOnDisk, std::set<ModelId>{ModelId("m1")});
+        fleet::TargetRecord entry = records_.back();
+        entry.weightsInMemory = {ModelId("m2")};
+        entry.weightsOnDisk = {ModelId("m2")};
+        dispatcher.update(entry);
+        EXPECT_EQ(engineNamed(dispatcher, "t1").weightsOnDisk, std::set<ModelId>{ModelId("m1")});
+        EXPECT_TRUE(engineNamed(dispatcher, "t1").weightsInMemory.empty());
+    });
+}
+
 // Guards against orders of an instance that may no longer hold the lease.
 TEST_F(OrderDispatcherTest, SendsNothingWithoutAuthority)
 {
