Keep other answers out of a stream that has started

What callers saw: a stream broke off, its next target answered the request for the rest with something else, and the caller got a second HTTP head in the middle of its chunks, or events that were none, or a stream that ended as complete before its last event.

Cause: a 400 with X-Not-Executed was answered without regard to the header that the caller already had. A 204 or an answer of another content type with a seal was relayed as the rest of the stream.

Change: an answer to a resumed stream continues it only if its status is 200 and its type, where it has one, is text/event-stream; any other one counts as a failed send. A resumed stream that is rejected without having run goes to another target, as after a refusal. Local answers and whole answers abort a stream that has started, at one place for each.

--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -28,6 +28,8 @@
     bool notRun = false;
     // The target is not the one that was addressed, or does not hold the model or adapter of the request.
     bool misdirected = false;
+    // The answer can continue a stream of events.
+    bool eventStream = false;
     // The load that the target reports, if it does.
     std::optional<fleet::ReportedLoad> load;
 };
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -288,6 +288,11 @@
             return resendOrFinish(attempt, fleet::SendResult::OutcomeUnknown,
                 "the answer carries no proof that it comes unchanged from a target");
         }
+        if (success && streamStarted_ && !answer.eventStream) {
+            endSend(attempt, fleet::SendOutcome::Failed);
+            return resendOrFinish(
+                attempt, fleet::SendResult::OutcomeUnknown, "the answer to a resumed stream is not a stream of events");
+        }
         context_.registry.prefillDone(attempt.send, currentTime());
         if (success && route_->kind == fleet::RequestKind::Streaming)
             return relayStream(attempt);
@@ -302,7 +307,7 @@
             = adapterLoadedAt_ && adapterRetries_ < RelayLimits::maxAdapterRetries && status != 429;
         endSend(attempt,
             answer.misdirected || adapterStillLoading ? fleet::SendOutcome::Declined : fleet::SendOutcome::Full);
-        if (status == 400)
+        if (status == 400 && !streamStarted_)
             return reject(400, "the target rejected the request");
         if (answer.misdirected && caller_.generation && !adapterStillLoading) {
             context_.registry.recordMissing(attempt.target.target, *caller_.generation);
@@ -401,13 +406,13 @@
             return resendOrFinish(
                 attempt, fleet::SendResult::TargetFailed, fmt::format("the target answered with status {}", status));
         }
-        if (streamStarted_)
-            return abortStream("the target did not resume the stream");
         deliver(response, success);
     }
 
     void deliver(const HttpResponse& response, bool success)
     {
+        if (streamStarted_)
+            return abortStream("the target did not resume the stream");
         const absl::Status status = exchange_.respond(response);
         answerStatus_ = response.status;
         if (!status.ok())
@@ -520,6 +525,9 @@
 
     void answer(const LocalResponse& response, RelayOutcome outcome)
     {
+        // A second header would be read as a part of the stream.
+        if (streamStarted_)
+            return abortStream(response.reason);
         answerStatus_ = response.status;
         outcome_ = exchange_.respond(Dialect::localResponse(response)).ok() ? outcome : RelayOutcome::CallerLeft;
     }
