Send an attempt again to a target only on another connection

What callers saw: a 503, or no answer, for a request that its target was running, after the target had written its refusal of the first send once more on the kept connection.

Cause: an attempt may go to the same target twice, after an adapter was loaded or a stream waited for a target. The second send took the connection of the first one from the pool, and a repeated refusal there bears the right attempt id, so it counted as the answer to the second send.

Change: a further send of an attempt to an endpoint that has received it opens a new connection. RelayFixture has targets that write their answers byte by byte.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -230,6 +230,9 @@
         limits.interByteTimeout = deadline_ - now;
         limits.maxIdle = route_->isRepeatable() ? RelayLimits::maxIdleRepeatable : RelayLimits::maxIdleNonRepeatable;
         limits.cancellation = cancellation_;
+        // A faulty target may repeat its answer to an earlier send of this attempt on the same connection.
+        limits.freshConnection
+            = std::find(usedEndpoints_.begin(), usedEndpoints_.end(), target.endpoint) != usedEndpoints_.end();
         limits.belongs = [id = caller_.attempt](const HttpHeaders& headers) { return Dialect::belongs(headers, id); };
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
@@ -242,6 +245,8 @@
         attempt.stream = std::move(outcome.answer);
         attempt.status = outcome.status;
         attempt.sent = outcome.sent;
+        if (attempt.sent)
+            usedEndpoints_.push_back(target.endpoint);
         return attempt;
     }
 
@@ -564,6 +569,8 @@
     TimePoint deadline_;
     fleet::SendHistory history_;
     std::vector<TargetId> excludedTargets_;
+    // Endpoints to which the request was sent.
+    std::vector<Endpoint> usedEndpoints_;
     EventSplitter splitter_;
     // The header of a streamed answer was sent to the caller.
     bool streamStarted_ = false;
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -4,6 +4,11 @@
 #include "gateway/RequestRelay.h"
 #include "platform/Headers.h"
 #include "tests/support/TestHttpClient.h"
+#include "transport/SocketOperation.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 
 #include <gtest/gtest.h>
 
@@ -23,6 +28,108 @@
     std::atomic<int> cancelled{0};
 };
 
+// A connection of a target whose answers a test writes byte by byte.
+class RawTargetConnection {
+public:
+    explicit RawTargetConnection(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+    }
+
+    // The next request, or nothing when the peer has closed the connection.
+    std::optional<HttpRequest> readRequest()
+    {
+        boost::beast::http::request<boost::beast::http::string_body> message;
+        boost::system::error_code error;
+        boost::beast::http::async_read(socket_, buffer_, message, FiberToken{error});
+        if (error)
+            return std::nullopt;
+        ++requestCount_;
+        HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, message.body()};
+        for (const auto& field : message)
+            request.headers.add(std::string(field.name_string()), std::string(field.value()));
+        return request;
+    }
+
+    // Number of requests that were read on this connection.
+    int requestCount() const { return requestCount_; }
+
+    // Returns false when the peer has closed the connection.
+    bool write(std::string_view bytes)
+    {
+        boost::system::error_code error;
+        boost::asio::async_write(socket_, boost::asio::buffer(bytes.data(), bytes.size()), FiberToken{error});
+        return !error;
+    }
+
+    // Ends the connection in the regular way.
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+    // Ends the connection by a reset.
+    void reset()
+    {
+        boost::system::error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
+private:
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    int requestCount_ = 0;
+};
+
+// Accepts connections and hands each request on them to a script of the test.
+class RawTarget : public std::enable_shared_from_this<RawTarget> {
+public:
+    using Script = std::function<void(RawTargetConnection&, const HttpRequest&)>;
+
+    RawTarget(Duty& duty, Script script)
+        : duty_(duty)
+        , acceptor_(openAcceptor(duty.io(), "127.0.0.1", 0).value())
+        , script_(std::move(script))
+    {
+    }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    void acceptLoop()
+    {
+        while (acceptor_.is_open()) {
+            boost::system::error_code error;
+            boost::asio::ip::tcp::socket socket(duty_.io());
+            acceptor_.async_accept(socket, FiberToken{error});
+            if (error)
+                return;
+            auto connection = std::make_shared<RawTargetConnection>(std::move(socket));
+            connections_.push_back(connection);
+            duty_.spawn([self = shared_from_this(), connection] {
+                while (const auto request = connection->readRequest())
+                    self->script_(*connection, *request);
+            });
+        }
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& connection : connections_)
+            connection->close();
+    }
+
+private:
+    Duty& duty_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    Script script_;
+    std::vector<std::shared_ptr<RawTargetConnection>> connections_;
+};
+
 // A relay, its caller and scripted targets in one process.
 class RelayFixture : public testing::Test {
 protected:
@@ -33,6 +140,10 @@
         callers_.reset();
         for (auto& target : targets_)
             target->server.reset();
+        targetDuty_->run([&] {
+            for (auto& target : rawTargets_)
+                target->close();
+        });
         std::this_thread::sleep_for(50ms);
     }
 
@@ -45,10 +156,24 @@
                   target.requests.push_back(exchange.request());
                   script(target, exchange);
               }).value();
+        registerTarget(service, fmt::format("t{}", targets_.size() - 1), target.server->port());
+    }
+
+    // Adds a target whose script writes the bytes of its answers itself.
+    void addRawTarget(const ServiceId& service, RawTarget::Script script)
+    {
+        auto target = std::make_shared<RawTarget>(*targetDuty_, std::move(script));
+        rawTargets_.push_back(target);
+        targetDuty_->spawn([target] { target->acceptLoop(); });
+        registerTarget(service, fmt::format("raw{}", rawTargets_.size() - 1), target->port());
+    }
+
+    void registerTarget(const ServiceId& service, const std::string& id, std::uint16_t port)
+    {
         fleet::TargetRecord record;
-        record.id = TargetId(fmt::format("t{}", targets_.size() - 1));
+        record.id = TargetId(id);
         record.service = service;
-        record.endpoint = {"127.0.0.1", target.server->port()};
+        record.endpoint = {"127.0.0.1", port};
         record.incarnation = fleet::TargetIncarnation(1);
         record.slots = 8;
         record.holdings.models.push_back({ModelId("m"), 1, {}});
@@ -57,7 +182,7 @@
 
     void start()
     {
-        std::vector<fleet::Route> routes(4);
+        std::vector<fleet::Route> routes(5);
         routes[0] = {fleet::RouteId("stream"), "a", "/stream/", fleet::RequestKind::Streaming, 3s, 300ms, 100ms, 0,
             {{engineService, 1}}, 2, true};
         routes[1] = {fleet::RouteId("safe"), "a", "/safe/", fleet::RequestKind::Idempotent, 2s, 300ms, 1s, 0,
@@ -66,6 +191,8 @@
             {{plainService, 1}}, 2, false};
         routes[3] = {fleet::RouteId("patient"), "a", "/patient/", fleet::RequestKind::Streaming, 6s, 1s, 600ms, 0,
             {{engineService, 1}}, 2, true};
+        routes[4] = {fleet::RouteId("once"), "a", "/once/", fleet::RequestKind::Streaming, 2s, 300ms, 100ms, 0,
+            {{engineService, 1}}, 2, false};
         std::vector<fleet::Service> services(2);
         services[0].id = engineService;
         services[0].engine.emplace();
@@ -134,6 +261,12 @@
         };
     }
 
+    // The bytes of an answer with a length. `head` has the status and further header lines, each with its line end.
+    static std::string rawAnswer(std::string_view head, std::string_view body)
+    {
+        return fmt::format("HTTP/1.1 {}Content-Length: {}\r\n\r\n{}", head, body.size(), body);
+    }
+
     static std::string expectedEvents(int count)
     {
         std::string text;
@@ -155,6 +288,7 @@
     std::unique_ptr<Duty> targetDuty_ = Duty::start("targets", clock_).value();
     RelayContext context_;
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
+    std::vector<std::shared_ptr<RawTarget>> rawTargets_;
     std::unique_ptr<HttpServer> callers_;
 };
 
