Skip answers without an attempt id on reused connections

What callers saw: a 503 for a request that its target was running, a second run of it at another target, or the answer to another request, after a faulty target had written an earlier answer once more on a kept connection.

Cause: an answer without X-Attempt-Id counted as the answer to the current request on every connection.

Change: such an answer counts only on a connection that has carried no other request. On a reused one it is skipped, as an answer with another id is, and the relay waits for the answer that bears the id. Targets echo the id in their answers (PROTOCOL.md, Workers); the stand-in of the worker now does so in its refusals too.

Result: RefusalWithoutAnIdProvesNothingOnAReusedConnection and AnswerWithoutAnIdIsNotDeliveredOnAReusedConnection of RepeatedRefusalTest fail without the change (503 and two runs; "answer to another") and pass with it.

--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -3,7 +3,7 @@
 
 #include "fleet/CallerRequest.h"
 #include "fleet/TargetRegistry.h"
-#include "transport/HttpMessage.h"
+#include "transport/HttpClient.h"
 
 #include <concepts>
 
@@ -44,7 +44,7 @@
 
 template <typename Dialect>
 concept RelayDialect = requires(const HttpRequest& request, const HttpHeaders& headers,
-    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response)
+    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response, ConnectionUse use)
 {
     {
         Dialect::readRequest(request)
@@ -56,7 +56,7 @@
         Dialect::readAnswer(int{}, headers)
         } -> std::same_as<TargetAnswer>;
     {
-        Dialect::belongs(headers, attempt)
+        Dialect::belongs(headers, attempt, use)
         } -> std::same_as<bool>;
     {
         Dialect::callerHeaders(headers)
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -233,7 +233,9 @@
         // A faulty target may repeat its answer to an earlier send of this attempt on the same connection.
         limits.freshConnection
             = std::find(usedEndpoints_.begin(), usedEndpoints_.end(), target.endpoint) != usedEndpoints_.end();
-        limits.belongs = [id = caller_.attempt](const HttpHeaders& headers) { return Dialect::belongs(headers, id); };
+        limits.belongs = [id = caller_.attempt](const HttpHeaders& headers, ConnectionUse use) {
+            return Dialect::belongs(headers, id, use);
+        };
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
             if (route_->kind == fleet::RequestKind::Streaming)
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -82,7 +82,7 @@
 
     TimePoint idleSince_;
     Duration announcedIdle_ = Duration::max();
-    bool reused_ = false;
+    ConnectionUse use_ = ConnectionUse::First;
 };
 
 class HttpClient::Pool {
@@ -98,7 +98,7 @@
             connection = std::move(idle.back());
             idle.pop_back();
             if (!connection->isSpoiled()) {
-                connection->reused_ = true;
+                connection->use_ = ConnectionUse::Reused;
                 break;
             }
             connection = nullptr;
@@ -167,7 +167,7 @@
             absl::Status status = readNextHeader();
             if (!status.ok())
                 return status;
-            if (!limits_.belongs || limits_.belongs(headers_))
+            if (!limits_.belongs || limits_.belongs(headers_, connection_->use_))
                 return status;
             status = skipBody();
             if (!status.ok())
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -32,6 +32,9 @@
     std::function<void()> abort_;
 };
 
+// Whether a connection has carried requests before the current one.
+enum class ConnectionUse { First, Reused };
+
 struct HttpCallLimits {
     // When the whole answer must have arrived.
     TimePoint deadline = TimePoint::max();
@@ -58,7 +61,7 @@
     std::shared_ptr<HttpCancellation> cancellation;
     // Whether an answer belongs to this request. An answer that does not is skipped, because a faulty peer may send
     // a second answer to an earlier request first. Empty accepts every answer.
-    std::function<bool(const HttpHeaders&)> belongs;
+    std::function<bool(const HttpHeaders&, ConnectionUse)> belongs;
     std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 };
 
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -134,8 +134,12 @@
     EXPECT_TRUE(CallerDialect::readAnswer(503, {{"X-Not-Executed", "1"}}).notRun);
     EXPECT_FALSE(CallerDialect::readAnswer(503, {}).notRun);
     EXPECT_TRUE(CallerDialect::readAnswer(421, {}).notRun);
-    EXPECT_TRUE(CallerDialect::belongs({{"X-Attempt-Id", "id-1"}}, RequestId("id-1")));
-    EXPECT_FALSE(CallerDialect::belongs({{"X-Attempt-Id", "id-0"}}, RequestId("id-1")));
+    for (const ConnectionUse use : {ConnectionUse::First, ConnectionUse::Reused}) {
+        EXPECT_TRUE(CallerDialect::belongs({{"X-Attempt-Id", "id-1"}}, RequestId("id-1"), use));
+        EXPECT_FALSE(CallerDialect::belongs({{"X-Attempt-Id", "id-0"}}, RequestId("id-1"), use));
+    }
+    EXPECT_TRUE(CallerDialect::belongs({}, RequestId("id-1"), ConnectionUse::First));
+    EXPECT_FALSE(CallerDialect::belongs({}, RequestId("id-1"), ConnectionUse::Reused));
 }
 
 // Guards against an instance that does not start with the settings that the platform's template renders.
--- a/tests/gateway/RepeatedRefusalTest.cpp
+++ b/tests/gateway/RepeatedRefusalTest.cpp
@@ -76,5 +76,43 @@
     EXPECT_EQ(runs_["id-1"], 1);
 }
 
+// Guards against a refusal without an attempt id that is taken for the answer to a request that is running: its caller
+// is told that it has not run, or it runs at a second target.
+TEST_F(RepeatedRefusalTest, RefusalWithoutAnIdProvesNothingOnAReusedConnection)
+{
+    for (const int targets : {1, 2}) {
+        context_.registry = {};
+        for (int i = 0; i < targets; ++i)
+            addRawTarget(plainService,
+                extraAnswerOnReuse(rawAnswer("503 Service Unavailable\r\nX-Not-Executed: 1\r\n", "full")));
+        start();
+        for (int i = 0; i < 6; ++i) {
+            const std::string attempt = fmt::format("id-{}-{}", targets, i);
+            const auto answer = client().send(requestAs("/unsafe/x", attempt));
+            ASSERT_TRUE(answer.ok()) << answer.status();
+            EXPECT_EQ(answer->status, 200);
+            EXPECT_EQ(answer->body, "answer to " + attempt);
+            EXPECT_EQ(runs_[attempt], 1);
+        }
+        callers_.reset();
+    }
+    EXPECT_GT(repeated_, 0);
+}
+
+// Guards against an answer without an attempt id on a reused connection that reaches another caller.
+TEST_F(RepeatedRefusalTest, AnswerWithoutAnIdIsNotDeliveredOnAReusedConnection)
+{
+    addRawTarget(
+        plainService, extraAnswerOnReuse(rawAnswer("200 OK\r\nX-Response-Seal: seal\r\n", "answer to another")));
+    start();
+    for (int i = 0; i < 3; ++i) {
+        const std::string attempt = fmt::format("id-{}", i);
+        const auto answer = client().send(requestAs("/safe/x", attempt));
+        ASSERT_TRUE(answer.ok()) << answer.status();
+        EXPECT_EQ(answer->body, "answer to " + attempt);
+    }
+    EXPECT_EQ(repeated_, 2);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -11,6 +11,12 @@
 namespace {
 
 // The value of X-Response-Seal; the gateway checks only that the header is present.
+Response misdirected(const Request& request, std::string_view reason)
+{
+    return Response::json(421, {{"error", reason}},
+        {{"X-Attempt-Id", request.header("X-Attempt-Id").value_or("")}, {"X-Not-Executed", "1"}});
+}
+
 std::string responseSeal(const std::string& id, const std::string& attempt) { return id + "." + attempt; }
 
 } // namespace
@@ -38,7 +44,7 @@
     const std::string path = request.path();
     const auto addressed = request.header("X-Target-Instance");
     if (addressed && *addressed != options_.id) {
-        connection.write(Response::json(421, {{"error", "another instance"}}, {{"X-Not-Executed", "1"}}));
+        connection.write(misdirected(request, "another instance"));
         return;
     }
     if (path == "/v1/report") {
@@ -48,7 +54,7 @@
     if (request.method == "POST" && path == "/v1/order")
         return order(request, connection);
     if (servesModels() && !holds(request)) {
-        connection.write(Response::json(421, {{"error", "not held"}}, {{"X-Not-Executed", "1"}}));
+        connection.write(misdirected(request, "not held"));
         return;
     }
     serve(request, connection);
