Treat a stream without a length that ends inside an event as broken

What callers saw: a stream that ended as complete in the middle of an event, after a target had closed a connection on which it streamed with neither a length nor chunks.

Cause: the end of such a stream looks like the end of its connection. The relay forwarded the incomplete event and ended the answer as complete.

Change: HttpStream::isDelimited() tells whether a body has a length or chunks. Without them, a stream that ends inside an event, or before its first one, has been broken off: it is resumed where the route allows, and otherwise aborted, or answered with 502 if it has not started. One that ends between events with a plain close is complete, and one that is reset is not. Streams with a length or chunks keep their bytes. A connection with such an answer does not count as reusable, which had relied on the check for closed connections.

Result: UndelimitedAnswerTest, 7 tests. Before the change 3 failed (StreamThatEndsInsideAnEventIsAborted, StreamThatEndsBeforeItsFirstEventIsAnError, BrokenStreamIsResumedWhereTheRouteAllows); the others show what held already. After it all 7 pass.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -444,11 +444,8 @@
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
-            if (!chunk.ok()) {
-                attempt.status = chunk.status();
-                splitter_.dropRest();
-                return afterFailedSend(attempt);
-            }
+            if (!chunk.ok())
+                return breakStream(attempt, chunk.status());
             if (!chunk->has_value())
                 return endStream(attempt);
             const std::string events = splitter_.feed(**chunk);
@@ -457,6 +454,14 @@
         }
     }
 
+    // Handles a stream that broke off: drops the incomplete event, which a resumed stream repeats.
+    void breakStream(Attempt& attempt, absl::Status status)
+    {
+        attempt.status = std::move(status);
+        splitter_.dropRest();
+        afterFailedSend(attempt);
+    }
+
     bool forward(Attempt& attempt, const std::string& events)
     {
         absl::Status status;
@@ -480,6 +485,9 @@
     void endStream(Attempt& attempt)
     {
         const std::string rest = splitter_.rest();
+        if (!attempt.stream->isDelimited() && (!streamStarted_ || !rest.empty()))
+            return breakStream(
+                attempt, makeError(TransportError::ConnectionClosed, "the stream ends before the end of an event"));
         if (!streamStarted_ || !rest.empty()) {
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -180,6 +180,8 @@
 
     const HttpHeaders& headers() const override { return headers_; }
 
+    bool isDelimited() const override { return !parser_->need_eof(); }
+
     absl::StatusOr<std::optional<std::string>> read() override
     {
         absl::StatusOr<std::optional<std::string>> piece = readPiece();
@@ -210,7 +212,7 @@
 
     absl::Status skipBody()
     {
-        if (!parser_->get().keep_alive())
+        if (!parser_->keep_alive())
             return makeError(TransportError::ConnectionClosed, "the connection ends with an answer to another request");
         while (true) {
             const auto piece = readPiece();
@@ -282,7 +284,7 @@
     // Only a connection whose answer was read to its end may carry another request.
     void recycle()
     {
-        if (!connection_ || !wholeRequestSent_ || !parser_->get().keep_alive() || connection_->buffer_.size() != 0)
+        if (!connection_ || !wholeRequestSent_ || !parser_->keep_alive() || connection_->buffer_.size() != 0)
             return;
         connection_->announcedIdle_ = announcedIdle();
         pool_->put(endpoint_, std::move(connection_));
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -76,6 +76,9 @@
 
     // The next piece of the body, or nothing at its end. Fails with TransportError.
     virtual absl::StatusOr<std::optional<std::string>> read() = 0;
+
+    // Whether the body has a length or chunks. Otherwise it ends with its connection, and may have been cut.
+    virtual bool isDelimited() const = 0;
 };
 
 // The outcome of a call that may have failed on the way.
--- /dev/null
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -0,0 +1,152 @@
+// Answers with neither a length nor chunks, which end with their connection.
+#include "tests/gateway/RelayFixture.h"
+
+namespace lychee::gateway {
+namespace {
+
+class UndelimitedAnswerTest : public RelayFixture {
+protected:
+    enum class End { Close, Reset };
+
+    // Answers without a length. The first request gets `first` and ends so; later ones get the events after
+    // Last-Event-Id up to the sixth.
+    RawTarget::Script stream(const std::string& first, End end)
+    {
+        return [this, first, end](RawTargetConnection& connection, const HttpRequest& request) {
+            const bool isFirst = ++requests_ == 1;
+            std::string body = first;
+            if (!isFirst) {
+                body.clear();
+                const int after = std::stoi(std::string(request.headers.find("Last-Event-Id").value_or("0")));
+                for (int id = after + 1; id <= 6; ++id)
+                    body += fmt::format("id: {}\ndata: e{}\n\n", id, id);
+            }
+            connection.write(head("Connection: close\r\n") + body);
+            sleepFor(20ms);
+            if (isFirst && end == End::Reset)
+                connection.reset();
+            else
+                connection.close();
+        };
+    }
+
+    static std::string head(const std::string& lines)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: seal\r\n" + lines + "\r\n";
+    }
+
+    absl::StatusOr<std::string> bodyOf(const std::string& path)
+    {
+        auto stream = client().open(request(path));
+        if (!stream.ok())
+            return stream.status();
+        return (*stream)->readBody();
+    }
+
+    int requests_ = 0;
+};
+
+// Guards against a stream that ends between two events and is not delivered as complete.
+TEST_F(UndelimitedAnswerTest, StreamThatEndsBetweenEventsIsComplete)
+{
+    addRawTarget(engineService, stream(expectedEvents(4), End::Close));
+    start();
+    EXPECT_EQ(bodyOf("/once/x").value(), expectedEvents(4));
+    EXPECT_EQ(requests_, 1);
+}
+
+// Guards against a stream that ends inside an event and reaches the caller as complete.
+TEST_F(UndelimitedAnswerTest, StreamThatEndsInsideAnEventIsAborted)
+{
+    addRawTarget(engineService, stream(expectedEvents(3) + "id: 4\nda", End::Close));
+    start();
+    EXPECT_FALSE(bodyOf("/once/x").ok());
+    EXPECT_EQ(requests_, 1);
+}
+
+// Guards against the same before the first event is complete: an answer with a success but no event.
+TEST_F(UndelimitedAnswerTest, StreamThatEndsBeforeItsFirstEventIsAnError)
+{
+    for (const char* body : {"id: 1\nda", ""}) {
+        addRawTarget(engineService, stream(body, End::Close));
+        start();
+        const auto answer = client().open(request("/once/x"));
+        ASSERT_TRUE(answer.ok()) << answer.status();
+        EXPECT_EQ((*answer)->status(), 502) << body;
+        callers_.reset();
+        context_.registry = {};
+        requests_ = 0;
+    }
+}
+
+// Guards against a stream that is not resumed, loses or repeats a part, after its target closed or reset it inside or
+// between events.
+TEST_F(UndelimitedAnswerTest, BrokenStreamIsResumedWhereTheRouteAllows)
+{
+    for (const auto& [rest, end] :
+        {std::pair("id: 4\nda", End::Close), std::pair("id: 4\nda", End::Reset), std::pair("", End::Reset)}) {
+        for (int i = 0; i < 2; ++i)
+            addRawTarget(engineService, stream(expectedEvents(3) + rest, end));
+        start();
+        const auto body = bodyOf("/stream/x");
+        ASSERT_TRUE(body.ok()) << body.status();
+        EXPECT_EQ(*body, expectedEvents(6));
+        EXPECT_EQ(requests_, 2);
+        callers_.reset();
+        context_.registry = {};
+        requests_ = 0;
+    }
+}
+
+// Guards against a reset stream that reaches the caller as complete because it was reset between two events.
+TEST_F(UndelimitedAnswerTest, ResetStreamIsNotComplete)
+{
+    addRawTarget(engineService, stream(expectedEvents(3), End::Reset));
+    start();
+    EXPECT_FALSE(bodyOf("/once/x").ok());
+}
+
+// Guards against bytes that are lost or an error when a stream with a length or chunks ends without an empty line.
+TEST_F(UndelimitedAnswerTest, DelimitedStreamKeepsItsLastBytes)
+{
+    const std::string body = expectedEvents(2) + "id: 3\ndata: e3\n";
+    int received = 0;
+    addRawTarget(engineService, [&](RawTargetConnection& connection, const HttpRequest&) {
+        if (++received == 1)
+            connection.write(head(fmt::format("Content-Length: {}\r\n", body.size())) + body);
+        else
+            connection.write(
+                head("Transfer-Encoding: chunked\r\n") + fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body));
+    });
+    start();
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(bodyOf("/once/x").value(), body);
+}
+
+// Guards against a plain answer without a length that is cut, or is delivered as complete after a reset.
+TEST_F(UndelimitedAnswerTest, PlainAnswerEndsWithItsConnection)
+{
+    End end = End::Close;
+    addRawTarget(plainService, [&](RawTargetConnection& connection, const HttpRequest&) {
+        connection.write(head("") + "part one,");
+        sleepFor(20ms);
+        connection.write(" part two");
+        sleepFor(20ms);
+        if (end == End::Close)
+            connection.close();
+        else
+            connection.reset();
+    });
+    start();
+    for (int i = 0; i < 2; ++i) {
+        const auto whole = client().send(request("/unsafe/x"));
+        ASSERT_TRUE(whole.ok()) << whole.status();
+        EXPECT_EQ(whole->status, 200);
+        EXPECT_EQ(whole->body, "part one, part two");
+    }
+    end = End::Reset;
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+}
+
+} // namespace
+} // namespace lychee::gateway
