Forward 408 and 429 only with the proof of a target

What callers saw: a 408 or 429, which promises that the request has not run and never will, from bytes of a faulty target without its seal and without X-Not-Executed. The request may have run.

Cause: only an unsealed 503 was replaced by 502.

Change: every status that is such a promise is forwarded only with the seal; otherwise the caller gets 502.

Result: RepeatedRefusalTest.UnsealedStatusIsNotForwardedAsAPromise fails without the change (408 and 429 forwarded) and passes with it.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -420,6 +420,10 @@
     {
         if (streamStarted_)
             return abortStream("the target did not resume the stream");
+        // Without the proof that it comes from a target, the status could be taken as a promise that the request has
+        // not run.
+        if (promisesNotRun(response.status) && !Dialect::readAnswer(response.status, response.headers).genuine)
+            return fail(502, "the answer carries no proof that it comes unchanged from a target");
         const absl::Status status = exchange_.respond(response);
         answerStatus_ = response.status;
         if (!status.ok())
@@ -428,15 +432,9 @@
             outcome_ = success ? RelayOutcome::Delivered : RelayOutcome::Failed;
     }
 
-    void forwardTargetFailure()
-    {
-        // Without the proof that it comes from a target, a 503 could be taken as a promise that the request has not
-        // run.
-        const TargetAnswer answer = Dialect::readAnswer(targetFailure_->status, targetFailure_->headers);
-        if (!answer.genuine && targetFailure_->status == 503)
-            return fail(502, lastProblem_);
-        deliver(*targetFailure_, false);
-    }
+    void forwardTargetFailure() { deliver(*targetFailure_, false); }
+
+    static bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
     void relayStream(Attempt& attempt)
     {
--- a/tests/gateway/RepeatedRefusalTest.cpp
+++ b/tests/gateway/RepeatedRefusalTest.cpp
@@ -114,5 +114,24 @@
     EXPECT_EQ(repeated_, 2);
 }
 
+// Guards against a status without a seal that promises the caller that a request has not run, although the target has
+// not stated it.
+TEST_F(RepeatedRefusalTest, UnsealedStatusIsNotForwardedAsAPromise)
+{
+    const std::array<int, 4> promises{408, 421, 429, 503};
+    int current = 0;
+    addTarget(plainService, [&](ScriptedTarget&, HttpExchange& exchange) {
+        exchange.respond({current, {{"X-Attempt-Id", "id-1"}}, "no seal"}).IgnoreError();
+    });
+    start();
+    for (const int status : promises) {
+        current = status;
+        const auto answer = client().send(request("/unsafe/x"));
+        ASSERT_TRUE(answer.ok()) << answer.status();
+        // Only 421 states by itself that the request has not run.
+        EXPECT_EQ(answer->status, status == 421 ? 503 : 502) << status;
+    }
+}
+
 } // namespace
 } // namespace lychee::gateway
