Bound endless answers of targets

What callers saw, with a target that writes bytes without end: an instance that answered nobody for seconds, a request held until its time limit although its refusal was known, an interim answer (status 100) delivered as the answer.

Cause: the limit of the header does not cover the extension of a chunk and the trailer, and the limit of the body does not either, so the receive buffer grew without bound and was scanned anew with each read. The rest of a refusal and of an answer to another request was read for as long as it came. Interim answers counted as answers.

Change: the receive buffer has a limit of 128 KB. An event may have 256 KB and is searched for its end only once. The rest of a refusal is read up to 64 KB and 100 ms, that of an answer to another request up to 1 MB. Up to 8 interim answers are skipped; a switch of the protocol is malformed.

--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -28,6 +28,11 @@
     // Shortest time to wait for the answer of a target when the request may still be sent to another one. Also the
     // Retry-After of refusals after a failed send or a timeout.
     static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(300);
+    // The rest of a refusal is read only to reuse its connection.
+    static constexpr std::size_t maxRefusalBytes = 65536;
+    static constexpr Duration maxRefusalTime = std::chrono::milliseconds(100);
+    // Longest event of a stream; an event holds a few tokens.
+    static constexpr std::size_t maxEventBytes = 262144;
     // Retry-After of requests that arrive before the instance has a configuration, or whose service is missing from it.
     // A new instance reads the configuration in less time.
     static constexpr Duration noConfigurationRetryAfter = std::chrono::milliseconds(500);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -309,7 +309,7 @@
     void afterNotRun(Attempt& attempt, const TargetAnswer& answer)
     {
         const int status = attempt.stream->status();
-        readToEnd(attempt);
+        attempt.stream->drain(RelayLimits::maxRefusalBytes, RelayLimits::maxRefusalTime);
         const bool adapterStillLoading
             = adapterLoadedAt_ && adapterRetries_ < RelayLimits::maxAdapterRetries && status != 429;
         endSend(attempt,
@@ -346,16 +346,6 @@
         return true;
     }
 
-    // Reads the rest of an answer, so that its connection can be reused.
-    void readToEnd(Attempt& attempt)
-    {
-        while (true) {
-            const auto chunk = attempt.stream->read();
-            if (!chunk.ok() || !chunk->has_value())
-                return;
-        }
-    }
-
     // Handles a send that gave no usable answer: leaves the request to be sent again, or ends it.
     void resendOrFinish(const Attempt& attempt, fleet::SendResult result, std::string_view problem)
     {
@@ -447,6 +437,9 @@
             if (!chunk->has_value())
                 return endStream(attempt);
             const std::string events = splitter_.feed(**chunk);
+            if (splitter_.rest().size() > RelayLimits::maxEventBytes)
+                return breakStream(
+                    attempt, makeError(TransportError::MessageTooLarge, "an event of the stream does not end"));
             if (!events.empty() && !forward(attempt, events))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
         }
--- a/src/protocol/EventSplitter.cpp
+++ b/src/protocol/EventSplitter.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Length of the longest line ends that close an event.
+constexpr std::size_t maxEventEndBytes = 3;
+
 // Position after the last empty line; zero when there is none. Lines end with LF or CR LF.
 std::size_t endOfLastEvent(std::string_view text)
 {
@@ -21,8 +24,11 @@
 
 std::string EventSplitter::feed(std::string_view piece)
 {
+    // The rest of earlier pieces has no end of an event, except for one that the new piece completes.
+    const std::size_t from = pending_.size() - std::min(pending_.size(), maxEventEndBytes);
     pending_ += piece;
-    const std::size_t end = endOfLastEvent(pending_);
+    const std::size_t endInPiece = endOfLastEvent(std::string_view(pending_).substr(from));
+    const std::size_t end = endInPiece == 0 ? 0 : from + endInPiece;
     std::string events = pending_.substr(0, end);
     pending_.erase(0, end);
     readIds(events);
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -30,9 +30,16 @@
 
 // Answers to earlier requests that are skipped on one connection before it is given up.
 constexpr int maxSkippedAnswers = 2;
+constexpr std::size_t maxSkippedBytes = std::size_t{1} << 20;
+
+// Interim answers (status 1xx) that may precede an answer.
+constexpr int maxInterimAnswers = 8;
+constexpr int firstFinalStatus = 200;
 
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint32_t maxHeaderBytes = 32768;
+// The header limit does not cover the extension of a chunk and the trailer after the last one.
+constexpr std::size_t maxBufferBytes = std::size_t{4} * maxHeaderBytes;
 
 // The age of idle connections counts suspension of the machine, in which the peer may have closed them.
 TimePoint poolTime() { return Duty::current()->clock()->nowWithSuspension(); }
@@ -62,7 +69,7 @@
     }
 
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{maxBufferBytes};
     // Whether the peer has closed the connection or has sent bytes that nobody asked for.
     bool isSpoiled() { return peekPeer(socket_) != PeerSign::Silent; }
 
@@ -163,10 +170,15 @@
     // Reads the header of the answer that belongs to the request.
     absl::Status readHeader()
     {
+        int interim = 0;
         for (int skipped = 0; skipped <= maxSkippedAnswers; ++skipped) {
             absl::Status status = readNextHeader();
+            while (status.ok() && isInterim() && interim++ < maxInterimAnswers)
+                status = readNextHeader();
             if (!status.ok())
                 return status;
+            if (this->status() < firstFinalStatus)
+                return makeError(TransportError::MessageMalformed, "the answer has no final status");
             if (!limits_.belongs || limits_.belongs(headers_, connection_->use_))
                 return status;
             status = skipBody();
@@ -182,6 +194,18 @@
 
     bool isDelimited() const override { return !parser_->need_eof(); }
 
+    void drain(std::size_t maxBytes, Duration maxTime) override
+    {
+        limits_.deadline = std::min(limits_.deadline, currentTime() + maxTime);
+        limits_.mayGiveUp = nullptr;
+        for (std::size_t bytes = 0; bytes <= maxBytes;) {
+            const auto piece = read();
+            if (!piece.ok() || !piece->has_value())
+                return;
+            bytes += (*piece)->size();
+        }
+    }
+
     absl::StatusOr<std::optional<std::string>> read() override
     {
         absl::StatusOr<std::optional<std::string>> piece = readPiece();
@@ -191,6 +215,12 @@
     }
 
 private:
+    // Whether the header is that of an interim answer, other than a switch to another protocol.
+    bool isInterim() const
+    {
+        return status() < firstFinalStatus && parser_->get().result() != http::status::switching_protocols;
+    }
+
     absl::Status readNextHeader()
     {
         parser_.emplace();
@@ -214,13 +244,15 @@
     {
         if (!parser_->keep_alive())
             return makeError(TransportError::ConnectionClosed, "the connection ends with an answer to another request");
-        while (true) {
+        for (std::size_t bytes = 0; bytes <= maxSkippedBytes;) {
             const auto piece = readPiece();
             if (!piece.ok())
                 return piece.status();
             if (!piece->has_value())
                 return absl::OkStatus();
+            bytes += (*piece)->size();
         }
+        return makeError(TransportError::MessageTooLarge, "the answer to another request is too long to be skipped");
     }
 
     absl::StatusOr<std::optional<std::string>> readPiece()
@@ -273,7 +305,8 @@
         // Connections that went silent together are not tried one after another.
         if (error == boost::asio::error::timed_out)
             pool_->forget(endpoint_);
-        if (error == http::error::body_limit || error == http::error::header_limit)
+        if (error == http::error::body_limit || error == http::error::header_limit
+            || error == http::error::buffer_overflow)
             return makeError(TransportError::MessageTooLarge, error.message());
         if (error.category() == http::make_error_code(http::error::bad_version).category()
             && error != http::error::end_of_stream && error != http::error::partial_message)
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -79,6 +79,10 @@
 
     // Whether the body has a length or chunks. Otherwise it ends with its connection, and may have been cut.
     virtual bool isDelimited() const = 0;
+
+    // Reads the rest of a body that is not needed, so that its connection can be reused. Gives up a body that is longer
+    // or takes longer.
+    virtual void drain(std::size_t maxBytes, Duration maxTime) = 0;
 };
 
 // The outcome of a call that may have failed on the way.
