--- /dev/null
+++ b/tests/gateway/StoreClientTest.cpp
@@ -0,0 +1,65 @@
+// Answers of the store with unusual rows.
+#include "platform/StoreClient.h"
+#include "tests/gateway/RelayFixture.h"
+
+namespace lychee::gateway {
+namespace {
+
+class StoreClientTest : public RelayFixture {
+protected:
+    // Lists a table of a store that gives these bodies one after another.
+    absl::StatusOr<RowPage> list(std::vector<std::string> bodies)
+    {
+        const auto answered = std::make_shared<std::size_t>(0);
+        addRawTarget(
+            plainService, [this, bodies, answered](RawTargetConnection& connection, const HttpRequest& request) {
+                targetsOfRequests_.push_back(request.target);
+                connection.write(rawAnswer("200 OK\r\n", bodies[std::min((*answered)++, bodies.size() - 1)]));
+            });
+        absl::StatusOr<RowPage> page;
+        relayDuty_->run([&] {
+            platform::StoreClient store({"127.0.0.1", rawTargets_.back()->port()});
+            page = store.list("servers", currentTime() + 500ms);
+        });
+        return page;
+    }
+
+    std::vector<std::string> targetsOfRequests_;
+};
+
+// Guards against a table that cannot be read any more because the last key of a page has a character that is not
+// allowed in a URL.
+TEST_F(StoreClientTest, ContinuesAfterAKeyWithAnyCharacters)
+{
+    const auto page = list({R"({"rows":[{"key":"a b&c=%","rowVersion":3,"value":""}],"hasMore":true,"rowVersion":5})",
+        R"({"rows":[{"key":"b","rowVersion":4,"value":""}],"hasMore":false,"rowVersion":5})"});
+    ASSERT_TRUE(page.ok()) << page.status();
+    EXPECT_EQ(page->rows.size(), 2u);
+    ASSERT_EQ(targetsOfRequests_.size(), 2u);
+    EXPECT_TRUE(targetsOfRequests_[1].ends_with("&from=a%20b%26c%3D%25%00")) << targetsOfRequests_[1];
+}
+
+// Guards against a process that ends because a field of an answer has another type.
+TEST_F(StoreClientTest, FieldsOfAnotherTypeAreAnError)
+{
+    for (const char* version : {R"("5")", "-1", "1.5", "null", "[]", "1180591620717411303424"})
+        EXPECT_FALSE(list({fmt::format(R"({{"rows":[],"hasMore":false,"rowVersion":{}}})", version)}).ok()) << version;
+    EXPECT_FALSE(list({R"({"rows":[],"hasMore":"no","rowVersion":5})"}).ok());
+}
+
+// Guards against rows that hide the others of their page.
+TEST_F(StoreClientTest, RowsThatCannotBeReadDoNotHideOthers)
+{
+    const auto page
+        = list({R"({"rows":[7,null,{},{"key":5,"rowVersion":1},{"key":"x","rowVersion":-1},)"
+                R"({"key":"n","rowVersion":2,"value":"%%% no base64"},{"key":"t","rowVersion":3,"value":[]},)"
+                R"({"key":"good","rowVersion":4,"value":"e30="}],"hasMore":false,"rowVersion":5})"});
+    ASSERT_TRUE(page.ok()) << page.status();
+    ASSERT_EQ(page->rows.size(), 3u);
+    EXPECT_TRUE(page->rows[0].value.empty());
+    EXPECT_TRUE(page->rows[1].value.empty());
+    EXPECT_EQ(page->rows[2].value, "{}");
+}
+
+} // namespace
+} // namespace lychee::gateway
