--- a/tests/gateway/GatewayProcessTest.cpp
+++ b/tests/gateway/GatewayProcessTest.cpp
@@ -141,5 +141,46 @@
     deployment_.store().process().resume();
 }
 
+// Guards against a process that ends, or stops following the list of workers, because of rows by another writer.
+TEST_F(GatewayProcessTest, FollowsTheWorkersBesideRowsOfAnotherWriter)
+{
+    std::string nested;
+    for (int level = 0; level < 100000; ++level)
+        nested += "{\"a\":[";
+    const std::string desk = R"("service":"desk","zone":"a","state":"ready")";
+    const std::vector<std::string> values{"", "\xff\xfe", "[]", nested,
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":4,"models":)" + nested,
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":1e400})",
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":-1})",
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":1180591620717411303424})",
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":4,"sequence":1180591620717411303424})",
+        "{" + desk + R"(,"address":"127.0.0.1:1","slots":4,"born":-1e400})",
+        "{" + desk + R"(,"address":"127.0.0.1:70000","slots":4})",
+        "{" + desk + R"(,"address":"127.0.0.1:0","slots":4})", "{" + desk + R"(,"address":"nowhere:80","slots":4})",
+        "{" + desk + R"(,"address":[],"slots":{}})"};
+    for (std::size_t i = 0; i < values.size(); ++i)
+        deployment_.writeWorkerRow(fmt::format("odd{}", i), values[i]);
+    deployment_.writeEncodedWorkerRow("odd-text", "%%% no base64 %%%");
+    deployment_.writeWorkerRow("odd&key=1 %", "{}");
+    deployment_.writeWorkerRow("d0", "{}");
+    // The last row is a sound one, at the address of a worker that has another id.
+    deployment_.writeWorkerRow("late",
+        fmt::format(
+            R"({{{},"address":"{}","slots":4,"born":7}})", desk, deployment_.worker("e0").endpoint().toString()));
+    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i) {
+        EXPECT_TRUE(eventually([&] {
+            return deployment_.instance(i).process->logText().find("target=late") != std::string::npos;
+        })) << deployment_.instance(i).process->logText();
+        EXPECT_TRUE(eventually([&] { return deployment_.send(i, "/safe/x", "beside").status == 200; }));
+        EXPECT_EQ(deployment_.send(i, "/stream/x", fmt::format("s{}", i)).body, GatewayDeployment::expectedEvents());
+        // A process that starts reads the whole table, a running one only the changes.
+        deployment_.instance(i).process->kill();
+        deployment_.launchInstance(i);
+        EXPECT_TRUE(
+            eventually([&] { return GatewayDeployment::statusOf(deployment_.instance(i).readiness, "/") == 200; }));
+        EXPECT_TRUE(eventually([&] { return deployment_.send(i, "/safe/x", "again").status == 200; }));
+    }
+}
+
 } // namespace
 } // namespace lychee::test
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -85,6 +85,43 @@
     }
 }
 
+// Guards against a row by another writer that ends the process, or that is used although one of its values cannot be
+// that of a target.
+TEST(PlatformDocuments, RejectsRowsWithValuesOutOfRange)
+{
+    const auto decodeWith = [](const std::string& address, const std::string& slots, const std::string& more) {
+        return decodeTarget("i-1",
+            fmt::format(
+                R"({{"service":"s","address":{},"zone":"a","slots":{},"state":"ready"{}}})", address, slots, more));
+    };
+    const std::string sound = R"("10.1.0.9:80")";
+    ASSERT_TRUE(decodeWith(sound, "64", R"(,"born":1786215518120,"sequence":4)").ok());
+    for (const char* address : {R"("10.1.0.9:0")", R"("10.1.0.9:65536")", R"("10.1.0.9:-1")", R"("10.1.0.9:1e3")",
+             R"("10.1.0.9:99999999999999999999")", R"("10.1.0.9")", R"("10.1.0:80")", R"("host.example:80")",
+             R"(":80")", R"("10.1.0.9:80\r\nX: 1")", R"("")", "7", "null", "{}"})
+        EXPECT_FALSE(decodeWith(address, "64", "").ok()) << address;
+    for (const char* slots :
+        {"0", "-1", "1e400", "-1e400", "1180591620717411303424", "1000000000", "1.5", "\"64\"", "null", "[64]"})
+        EXPECT_FALSE(decodeWith(sound, slots, "").ok()) << slots;
+    for (const char* field : {"born", "sequence"}) {
+        for (const char* value : {"-1", "1e400", "1180591620717411303424", "1.5", "\"7\"", "{}"})
+            EXPECT_FALSE(decodeWith(sound, "64", fmt::format(R"(,"{}":{})", field, value)).ok()) << field << value;
+    }
+    for (const std::string open : {"[", "{\"a\":"}) {
+        std::string nested;
+        for (int level = 0; level < 100000; ++level)
+            nested += open;
+        EXPECT_FALSE(decodeTarget("i-1", nested).ok());
+        EXPECT_FALSE(decodeWith(sound, "64", R"(,"models":)" + nested).ok());
+    }
+    EXPECT_FALSE(decodeWith("\"10.1.0.9:80\xff\"", "64", "").ok());
+    EXPECT_FALSE(decodeWith(sound, "64", ",\"note\":\"\xc3\x28\"").ok());
+    const std::string good = R"({"service":"s","address":"10.1.0.9:80","zone":"a","slots":64,"state":"ready"})";
+    // The key becomes a header of each request to the target.
+    for (const char* key : {"", "i 1", "i-1\r\nX-Hold: h", "i-\xc3\xa9"})
+        EXPECT_FALSE(decodeTarget(key, good).ok()) << key;
+}
+
 HttpRequest callerRequest()
 {
     HttpRequest request;
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -76,11 +76,15 @@
 }
 
 void GatewayDeployment::writeRow(const std::string& table, const std::string& key, const std::string& value)
+{
+    writeEncodedRow(table, key, absl::Base64Escape(absl::string_view(value.data(), value.size())));
+}
+
+void GatewayDeployment::writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded)
 {
     HttpRequest write;
     write.method = "POST";
     write.target = "/v1/rows-tx";
-    const std::string encoded = absl::Base64Escape(absl::string_view(value.data(), value.size()));
     const json body{{"expected", json::array()},
         {"setKeys", {{{"table", table}, {"part", ""}, {"key", key}, {"value", encoded}}}}, {"remove", json::array()}};
     write.body = body.dump();
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -38,6 +38,15 @@
     // engines, all others to the plain workers; "/unsafe/" is not idempotent.
     void writeConfiguration(int version, const std::vector<std::string>& prefixes);
 
+    // Writes a row to the table of the workers, as another writer may.
+    void writeWorkerRow(const std::string& key, const std::string& value) { writeRow("servers", key, value); }
+
+    // The same with a value that need not be valid base64.
+    void writeEncodedWorkerRow(const std::string& key, const std::string& encoded)
+    {
+        writeEncodedRow("servers", key, encoded);
+    }
+
     // Sets the `limits` object of the configurations that are written from now on.
     void setCallerLimits(nlohmann::json limits) { callerLimits_ = std::move(limits); }
 
@@ -85,6 +94,7 @@
 private:
     void addWorker(const std::string& id, const std::string& service, const std::string& models);
     void writeRow(const std::string& table, const std::string& key, const std::string& value);
+    void writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded);
     void startInstance(int index);
     std::filesystem::path recordPath(const std::string& worker) const;
 
