Resume a stream whose target trickles an event

What callers saw: a stream that stalled inside an event until the time limit of the route and was then aborted, while another target could have continued it.

Cause: the silence of a target counted from its last byte, so that a byte now and then kept a stalled stream.

Change: a stream that may be resumed is also given up when its bytes have completed no event for the same time, and another target can take it.

UndelimitedAnswerTest.AnswerShorterThanItsLengthIsAnError is new and guards what holds already; it was run with the change only.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -44,6 +44,8 @@
         std::unique_ptr<HttpStream> stream;
         absl::Status status;
         bool sent = false;
+        // Time without a complete event after which the stream may be given up.
+        Duration maxSilence = Duration::max();
     };
 
     bool accept()
@@ -219,7 +221,7 @@
 
     Attempt open(const fleet::ChosenTarget& target)
     {
-        Attempt attempt{target, {}, nullptr, {}, false};
+        Attempt attempt{target, {}, nullptr, {}};
         const TimePoint now = currentTime();
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
@@ -238,8 +240,10 @@
         };
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
-            if (route_->kind == fleet::RequestKind::Streaming)
+            if (route_->kind == fleet::RequestKind::Streaming) {
                 limits.interByteTimeout = std::max(limits.headerTimeout, fleet::maxTargetSilence(*route_));
+                attempt.maxSilence = limits.interByteTimeout;
+            }
             limits.mayGiveUp = [this, silent = target.target] { return canBeSentElsewhere(silent); };
         }
         auto outcome
@@ -428,6 +432,7 @@
 
     void relayStream(Attempt& attempt)
     {
+        TimePoint eventAt = currentTime();
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
@@ -440,8 +445,14 @@
             if (splitter_.rest().size() > RelayLimits::maxEventBytes)
                 return breakStream(
                     attempt, makeError(TransportError::MessageTooLarge, "an event of the stream does not end"));
-            if (!events.empty() && !forward(attempt, events))
-                return endSend(attempt, fleet::SendOutcome::Abandoned);
+            if (!events.empty()) {
+                if (!forward(attempt, events))
+                    return endSend(attempt, fleet::SendOutcome::Abandoned);
+                eventAt = currentTime();
+            } else if (currentTime() - eventAt > attempt.maxSilence && canBeSentElsewhere(attempt.target.target)) {
+                return breakStream(
+                    attempt, makeError(TransportError::TimedOut, "the bytes of the stream complete no event"));
+            }
         }
     }
 
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -141,5 +141,22 @@
     expectWhole(5, 9, "/patient/x");
 }
 
+// Guards against a stalled stream that is not resumed on another target because its target sends a byte now and then.
+TEST_F(SilentTargetTest, TrickledEventIsResumedOnAnotherTarget)
+{
+    const auto script = [this](ScriptedTarget& target, HttpExchange& exchange) {
+        if (receivedRequests() != 1)
+            return events(5)(target, exchange);
+        exchange.beginStream(200, sealedHeaders(exchange.request())).IgnoreError();
+        exchange.write(expectedEvents(2) + "id: 3\ndata: ").IgnoreError();
+        while (exchange.write("e").ok() && !exchange.isPeerGone())
+            sleepFor(50ms);
+    };
+    addTarget(engineService, script);
+    addTarget(engineService, script);
+    start();
+    expectWhole(5, 2);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -148,5 +148,16 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
 }
 
+// Guards against an answer that reaches the caller as complete although it is shorter than its length.
+TEST_F(UndelimitedAnswerTest, AnswerShorterThanItsLengthIsAnError)
+{
+    addRawTarget(plainService, [&](RawTargetConnection& connection, const HttpRequest&) {
+        connection.write(head("Content-Length: 100\r\n") + "ten bytes.");
+        connection.close();
+    });
+    start();
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+}
+
 } // namespace
 } // namespace lychee::gateway
