--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -3,7 +3,7 @@
 
 #include "fleet/CallerRequest.h"
 #include "fleet/TargetRegistry.h"
-#include "transport/HttpMessage.h"
+#include "transport/HttpClient.h"
 
 #include <concepts>
 
@@ -32,6 +32,8 @@
     bool leaving = false;
     // The target has declined the request and wants no further one for this time.
     std::optional<Duration> declinesFor;
+    // The answer can continue a stream of events.
+    bool eventStream = false;
     // The load that the target reports, if it does.
     std::optional<fleet::ReportedLoad> load;
 };
@@ -46,7 +48,7 @@
 
 template <typename Dialect>
 concept RelayDialect = requires(const HttpRequest& request, const HttpHeaders& headers,
-    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response)
+    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response, ConnectionUse use)
 {
     {
         Dialect::readRequest(request)
@@ -58,7 +60,7 @@
         Dialect::readAnswer(int{}, headers)
         } -> std::same_as<TargetAnswer>;
     {
-        Dialect::belongs(headers, attempt)
+        Dialect::belongs(headers, attempt, use)
         } -> std::same_as<bool>;
     {
         Dialect::callerHeaders(headers)
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -48,8 +48,8 @@
         bool begun = false;
         // A piece of the stream was passed on.
         bool forwarded = false;
-        // The stream is continued on another target when this one is silent for too long.
-        bool maySilenceEnd = false;
+        // Time without a complete event after which the stream may be given up.
+        Duration maxSilence = Duration::max();
     };
 
     bool accept()
@@ -300,14 +300,19 @@
         limits.interByteTimeout = deadline_ - now;
         limits.maxIdle = route_->isRepeatable() ? RelayLimits::maxIdleRepeatable : RelayLimits::maxIdleNonRepeatable;
         limits.cancellation = cancellation_;
-        limits.belongs = [id = caller_.attempt](const HttpHeaders& headers) { return Dialect::belongs(headers, id); };
+        // A faulty target may repeat its answer to an earlier send of this attempt on the same connection.
+        limits.freshConnection
+            = std::find(usedEndpoints_.begin(), usedEndpoints_.end(), target.endpoint) != usedEndpoints_.end();
+        limits.belongs = [id = caller_.attempt](const HttpHeaders& headers, ConnectionUse use) {
+            return Dialect::belongs(headers, id, use);
+        };
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
             if (route_->kind == fleet::RequestKind::Streaming) {
                 const Duration silence = std::min(fleet::maxTargetSilence(*route_), (deadline_ - now) / 2);
                 limits.headerTimeout = std::max(limits.headerTimeout, silence);
                 limits.interByteTimeout = limits.headerTimeout;
-                attempt.maySilenceEnd = true;
+                attempt.maxSilence = limits.interByteTimeout;
             }
             limits.mayGiveUp = [this, silent = target.target] { return canBeSentElsewhere(silent); };
         }
@@ -316,6 +321,8 @@
         attempt.stream = std::move(outcome.answer);
         attempt.status = outcome.status;
         attempt.sent = outcome.sent;
+        if (attempt.sent)
+            usedEndpoints_.push_back(target.endpoint);
         return attempt;
     }
 
@@ -365,6 +372,11 @@
             return resendOrFinish(attempt, fleet::SendResult::OutcomeUnknown,
                 "the answer carries no proof that it comes unchanged from a target");
         }
+        if (success && streamStarted_ && !answer.eventStream) {
+            endSend(attempt, fleet::SendOutcome::Failed);
+            return resendOrFinish(
+                attempt, fleet::SendResult::OutcomeUnknown, "the answer to a resumed stream is not a stream of events");
+        }
         context_.registry.prefillDone(attempt.send, currentTime());
         if (!caller_.generation && status < 500)
             recordBegun(attempt);
@@ -388,12 +400,12 @@
     void afterNotRun(Attempt& attempt, const TargetAnswer& answer)
     {
         const int status = attempt.stream->status();
-        readToEnd(attempt);
+        attempt.stream->drain(RelayLimits::maxRefusalBytes, RelayLimits::maxRefusalTime);
         const bool adapterStillLoading
             = adapterLoadedAt_ && adapterRetries_ < RelayLimits::maxAdapterRetries && status != 429;
         endSend(attempt,
             answer.misdirected || adapterStillLoading ? fleet::SendOutcome::Declined : fleet::SendOutcome::Full);
-        if (status == 400)
+        if (status == 400 && !streamStarted_)
             return reject(400, "the target rejected the request");
         if (answer.misdirected && caller_.generation && !adapterStillLoading) {
             context_.registry.recordMissing(attempt.target.target, *caller_.generation);
@@ -425,16 +437,6 @@
         return true;
     }
 
-    // Reads the rest of an answer, so that its connection can be reused.
-    void readToEnd(Attempt& attempt)
-    {
-        while (true) {
-            const auto chunk = attempt.stream->read();
-            if (!chunk.ok() || !chunk->has_value())
-                return;
-        }
-    }
-
     // Handles a send that gave no usable answer: leaves the request to be sent again, or ends it.
     void resendOrFinish(const Attempt& attempt, fleet::SendResult result, std::string_view problem)
     {
@@ -496,13 +498,17 @@
             return resendOrFinish(
                 attempt, fleet::SendResult::TargetFailed, fmt::format("the target answered with status {}", status));
         }
-        if (streamStarted_)
-            return abortStream("the target did not resume the stream");
         deliver(response, success);
     }
 
     void deliver(const HttpResponse& response, bool success)
     {
+        if (streamStarted_)
+            return abortStream("the target did not resume the stream");
+        // Without the proof that it comes from a target, the status could be taken as a promise that the request has
+        // not run.
+        if (promisesNotRun(response.status) && !Dialect::readAnswer(response.status, response.headers).genuine)
+            return fail(502, "the answer carries no proof that it comes unchanged from a target");
         const absl::Status status = exchange_.respond(response);
         answerStatus_ = response.status;
         if (!status.ok())
@@ -511,35 +517,44 @@
             outcome_ = success ? RelayOutcome::Delivered : RelayOutcome::Failed;
     }
 
-    void forwardTargetFailure()
-    {
-        // Without the proof that it comes from a target, a 503 could be taken as a promise that the request has not
-        // run.
-        const TargetAnswer answer = Dialect::readAnswer(targetFailure_->status, targetFailure_->headers);
-        if (!answer.genuine && targetFailure_->status == 503)
-            return fail(502, lastProblem_);
-        deliver(*targetFailure_, false);
-    }
+    void forwardTargetFailure() { deliver(*targetFailure_, false); }
+
+    static bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
     void relayStream(Attempt& attempt)
     {
+        TimePoint eventAt = currentTime();
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
-            if (!chunk.ok()) {
-                attempt.status = chunk.status();
-                splitter_.dropRest();
-                return afterFailedSend(attempt);
-            }
+            if (!chunk.ok())
+                return breakStream(attempt, chunk.status());
             if (!chunk->has_value())
                 return endStream(attempt);
             const std::string events = splitter_.feed(**chunk);
-            if (!events.empty() && !forward(attempt, events))
-                return endSend(attempt, fleet::SendOutcome::Abandoned);
+            if (splitter_.rest().size() > RelayLimits::maxEventBytes)
+                return breakStream(
+                    attempt, makeError(TransportError::MessageTooLarge, "an event of the stream does not end"));
+            if (!events.empty()) {
+                if (!forward(attempt, events))
+                    return endSend(attempt, fleet::SendOutcome::Abandoned);
+                eventAt = currentTime();
+            } else if (currentTime() - eventAt > attempt.maxSilence && canBeSentElsewhere(attempt.target.target)) {
+                return breakStream(
+                    attempt, makeError(TransportError::TimedOut, "the bytes of the stream complete no event"));
+            }
         }
     }
 
+    // Handles a stream that broke off: drops the incomplete event, which a resumed stream repeats.
+    void breakStream(Attempt& attempt, absl::Status status)
+    {
+        attempt.status = std::move(status);
+        splitter_.dropRest();
+        afterFailedSend(attempt);
+    }
+
     bool forward(Attempt& attempt, const std::string& events)
     {
         absl::Status status;
@@ -552,10 +567,12 @@
             longestGap_ = std::max(longestGap_, currentTime() - lastEventAt_);
         }
         // The first piece of a stream may leave a target that crashes as it begins.
-        if (std::exchange(attempt.forwarded, true))
+        if (std::exchange(attempt.forwarded, true)) {
             recordBegun(attempt);
-        else if (attempt.maySilenceEnd)
-            attempt.stream->setInterByteTimeout(fleet::maxTargetSilence(*route_));
+        } else if (attempt.maxSilence != Duration::max()) {
+            attempt.maxSilence = fleet::maxTargetSilence(*route_);
+            attempt.stream->setInterByteTimeout(attempt.maxSilence);
+        }
         if (status.ok())
             status = exchange_.write(events);
         lastEventAt_ = currentTime();
@@ -568,6 +585,9 @@
     void endStream(Attempt& attempt)
     {
         const std::string rest = splitter_.rest();
+        if (!attempt.stream->isDelimited() && (!streamStarted_ || !rest.empty()))
+            return breakStream(
+                attempt, makeError(TransportError::ConnectionClosed, "the stream ends before the end of an event"));
         if (!streamStarted_ || !rest.empty()) {
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
@@ -632,6 +652,9 @@
 
     void answer(const LocalResponse& response, RelayOutcome outcome)
     {
+        // A second header would be read as a part of the stream.
+        if (streamStarted_)
+            return abortStream(response.reason);
         answerStatus_ = response.status;
         outcome_ = exchange_.respond(Dialect::localResponse(response)).ok() ? outcome : RelayOutcome::CallerLeft;
     }
@@ -672,6 +695,8 @@
     bool isTrial_ = false;
     fleet::SendHistory history_;
     std::vector<TargetId> excludedTargets_;
+    // Endpoints to which the request was sent.
+    std::vector<Endpoint> usedEndpoints_;
     EventSplitter splitter_;
     // The header of a streamed answer was sent to the caller.
     bool streamStarted_ = false;
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -32,6 +32,9 @@
     std::function<void()> abort_;
 };
 
+// Whether a connection has carried requests before the current one.
+enum class ConnectionUse { First, Reused };
+
 struct HttpCallLimits {
     // When the whole answer must have arrived.
     TimePoint deadline = TimePoint::max();
@@ -58,7 +61,7 @@
     std::shared_ptr<HttpCancellation> cancellation;
     // Whether an answer belongs to this request. An answer that does not is skipped, because a faulty peer may send
     // a second answer to an earlier request first. Empty accepts every answer.
-    std::function<bool(const HttpHeaders&)> belongs;
+    std::function<bool(const HttpHeaders&, ConnectionUse)> belongs;
     std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 };
 
@@ -76,6 +79,13 @@
 
     // Changes the longest silence of the peer for the pieces that follow.
     virtual void setInterByteTimeout(Duration limit) = 0;
+
+    // Whether the body has a length or chunks. Otherwise it ends with its connection, and may have been cut.
+    virtual bool isDelimited() const = 0;
+
+    // Reads the rest of a body that is not needed, so that its connection can be reused. Gives up a body that is longer
+    // or takes longer.
+    virtual void drain(std::size_t maxBytes, Duration maxTime) = 0;
 };
 
 // The outcome of a call that may have failed on the way.
