Let stand-ins pause, cut and end streams in more ways

Cause: the soak cannot play a worker that pauses inside a stream, breaks off inside an event, or ends an answer without length or chunks with its connection. Change: the fault delay takes after_events, drop_answer takes inside_event, and no_length is new; the test client tells whether the other side has closed its connection, and a child process can be sent SIGHUP.

--- a/tests/standins/common/FaultTable.cpp
+++ b/tests/standins/common/FaultTable.cpp
@@ -18,6 +18,7 @@
         {"honour_fencing", FaultKind::HonourFencing},
         {"silence", FaultKind::Silence},
         {"not_run", FaultKind::NotRun},
+        {"no_length", FaultKind::NoLength},
     };
     const auto found = kinds.find(text);
     return found == kinds.end() ? std::nullopt : std::optional(found->second);
@@ -53,6 +54,7 @@
         fault.body = json.value("body", "");
         fault.afterEffect = when == "after_effect";
         fault.afterEvents = json.value("after_events", 0);
+        fault.insideEvent = json.value("inside_event", false);
         fault.openConnections = scope == "open_connections";
         if (fault.kind == FaultKind::CrashOnBody && fault.body.empty())
             return std::nullopt;
--- a/tests/standins/common/FaultTable.h
+++ b/tests/standins/common/FaultTable.h
@@ -22,6 +22,7 @@
     HonourFencing,
     Silence,
     NotRun,
+    NoLength,
 };
 
 struct Fault {
@@ -34,8 +35,10 @@
     std::string body;
     // `Delay` applies before the answer instead of before the effect.
     bool afterEffect = false;
-    // Events of a stream that are sent before `DropAnswer` or `Silence` applies.
+    // Events of a stream that are sent before `DropAnswer`, `Silence` or `Delay` after the effect applies.
     int afterEvents = 0;
+    // `DropAnswer` sends half of the next event of a stream first.
+    bool insideEvent = false;
     // `Silence` applies to the connections that are open now instead of to requests.
     bool openConnections = false;
 
--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -96,10 +96,11 @@
             message.set(field.name, field.value);
         message.body() = response.body;
         message.keep_alive(keepAlive_);
-        message.prepare_payload();
+        if (!fault_.noLength)
+            message.prepare_payload();
         error_code error;
         http::write(socket_, message, error);
-        return finish(error, !keepAlive_);
+        return finish(error, !keepAlive_ || fault_.noLength);
     }
 
     bool beginStream(const std::vector<HeaderField>& headers) override
@@ -109,7 +110,7 @@
         http::response<http::empty_body> message{http::status::ok, http11};
         for (const HeaderField& field : headers)
             message.set(field.name, field.value);
-        message.chunked(true);
+        message.chunked(!fault_.noLength);
         http::response_serializer<http::empty_body> serializer{message};
         error_code error;
         http::write_header(socket_, serializer, error);
@@ -120,10 +121,13 @@
     {
         if (const WriteAction action = applyAnswerFault(); action != WriteAction::Send)
             return action == WriteAction::Discard;
+        if (fault_.drop && fault_.insideEvent && eventsSent_ >= fault_.afterEvents) {
+            writePiece(text.substr(0, text.size() / 2));
+            close();
+            return false;
+        }
         ++eventsSent_;
-        error_code error;
-        asio::write(socket_, http::make_chunk(asio::buffer(text)), error);
-        return finish(error, false);
+        return finish(writePiece(text), false);
     }
 
     bool endStream() override
@@ -131,8 +135,9 @@
         if (const WriteAction action = applyAnswerFault(); action != WriteAction::Send)
             return action == WriteAction::Discard;
         error_code error;
-        asio::write(socket_, http::make_chunk_last(), error);
-        return finish(error, !keepAlive_);
+        if (!fault_.noLength)
+            asio::write(socket_, http::make_chunk_last(), error);
+        return finish(error, !keepAlive_ || fault_.noLength);
     }
 
     bool isPeerClosed() override
@@ -164,18 +169,38 @@
 
     WriteAction applyAnswerFault()
     {
-        if (fault_.delay.count() > 0)
+        if (fault_.delay.count() > 0 && eventsSent_ >= fault_.delayAfterEvents)
             std::this_thread::sleep_for(std::exchange(fault_.delay, {}));
         const bool due = eventsSent_ >= fault_.afterEvents;
         if (fault_.silence && due)
             silent_ = true;
         if (silent_)
             return WriteAction::Discard;
-        if (fault_.drop && due)
-            close();
+        if (fault_.drop && due && !fault_.insideEvent)
+            drop();
         return socket_.is_open() ? WriteAction::Send : WriteAction::Closed;
     }
 
+    // Without an orderly end when that would make the answer complete.
+    void drop()
+    {
+        if (!fault_.noLength)
+            return close();
+        error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
+    error_code writePiece(const std::string& text)
+    {
+        error_code error;
+        if (fault_.noLength)
+            asio::write(socket_, asio::buffer(text), error);
+        else
+            asio::write(socket_, http::make_chunk(asio::buffer(text)), error);
+        return error;
+    }
+
     bool finish(const error_code& error, bool closeAfter)
     {
         if (error || closeAfter)
--- a/tests/standins/common/Http.h
+++ b/tests/standins/common/Http.h
@@ -47,10 +47,17 @@
 // The fault applied to the answer of one request, after the request took effect.
 struct AnswerFault {
     std::chrono::milliseconds delay{0};
+    // Events of a stream that are sent before `delay` applies.
+    int delayAfterEvents = 0;
     bool drop = false;
     bool silence = false;
     // Events of a stream that are sent before `drop` or `silence` applies.
     int afterEvents = 0;
+    // `drop` sends half of the next event of a stream first.
+    bool insideEvent = false;
+    // The answer has neither a length nor chunks and ends with its connection. `drop` then resets the connection,
+    // unless it ends inside an event, because its end would make the answer complete.
+    bool noLength = false;
 };
 
 // One accepted connection. Only `silence` may be called by other threads.
--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -82,14 +82,20 @@
         for (const Fault& fault : faults_.take(request.path(), request.body)) {
             switch (fault.kind) {
             case FaultKind::Delay:
-                if (fault.afterEffect)
+                if (fault.afterEffect) {
                     answerFault.delay = fault.delay;
-                else
+                    answerFault.delayAfterEvents = fault.afterEvents;
+                } else {
                     std::this_thread::sleep_for(fault.delay);
+                }
                 break;
             case FaultKind::DropAnswer:
                 answerFault.drop = true;
                 answerFault.afterEvents = fault.afterEvents;
+                answerFault.insideEvent = fault.insideEvent;
+                break;
+            case FaultKind::NoLength:
+                answerFault.noLength = true;
                 break;
             case FaultKind::Silence:
                 answerFault.silence = true;
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -115,6 +115,8 @@
 
 void ChildProcess::terminate() { signal(SIGTERM); }
 
+void ChildProcess::reload() { signal(SIGHUP); }
+
 void ChildProcess::kill()
 {
     if (!isRunning())
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -45,6 +45,9 @@
     // Sends SIGTERM without waiting.
     void terminate();
 
+    // Sends SIGHUP.
+    void reload();
+
     // Sends SIGKILL and reaps the process.
     void kill();
 
--- a/tests/support/TestHttpClient.cpp
+++ b/tests/support/TestHttpClient.cpp
@@ -8,6 +8,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace lychee::test {
 
 namespace {
@@ -129,6 +133,13 @@
 
     void setLimit(std::chrono::milliseconds limit) { limit_ = limit; }
 
+    bool isClosedByPeer()
+    {
+        char byte = 0;
+        const ssize_t size = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
 private:
     // Beast applies time limits only to asynchronous operations, so each one is started and run to its end.
     template <typename Start> error_code block(const Start& start)
@@ -250,6 +261,8 @@
 
 void TestHttpClient::close() { connection_.reset(); }
 
+bool TestHttpClient::isClosedByPeer() { return connection_ && connection_->isClosedByPeer(); }
+
 void TestHttpClient::setLimit(std::chrono::milliseconds limit)
 {
     limit_ = limit;
--- a/tests/support/TestHttpClient.h
+++ b/tests/support/TestHttpClient.h
@@ -57,6 +57,12 @@
 
     void close();
 
+    // Whether a connection is open.
+    bool isOpen() const { return connection_ != nullptr; }
+
+    // Whether the other side has closed the open connection.
+    bool isClosedByPeer();
+
     // Changes the limit of later steps, also of the open connection.
     void setLimit(std::chrono::milliseconds limit);
 
