Soak: pauses of sound workers and planned work by themselves

Cause: no run had a sound worker that falls silent inside an answer and goes on, and planned work was almost never alone, so a request lost around it was excused by another trouble. Change: new troubles are a paused worker (0.5 to 1.6 s, as a whole or inside each answer) and SIGHUP. One seed in four has only these, SIGTERM and configurations. A new check asks that each request gets a complete answer around them. The time at which a trouble really ended is written back, because a stop may hold up the steps after it.

--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -13,6 +13,8 @@
 constexpr Millis routeTimeout{5000};
 constexpr Millis lateBy{500};
 constexpr Millis lease{500};
+// A request that meets the close of its connection and was not passed on ends within this time.
+constexpr Millis lossSlack{200};
 constexpr Millis thawSlack{300};
 // Workers on which one attempt may run.
 constexpr int attempts = 2;
@@ -29,6 +31,7 @@
     checkAnswers();
     checkTimes();
     checkStops();
+    checkLosses();
     checkConfiguration();
     checkHolders();
     expect(run_.overcommits == 0, fmt::format("{} loads beyond the places of a worker", run_.overcommits));
@@ -71,6 +74,11 @@
     });
 }
 
+bool Promises::isCalm(Millis begin, Millis end) const
+{
+    return !disturbed(begin, end, inTouchAfter, [](const Trouble& trouble) { return !isHarmless(trouble.kind); });
+}
+
 bool Promises::isInstanceDisturbed(std::size_t instance, Millis begin, Millis end, Millis after) const
 {
     return disturbed(begin, end, after, [&](const Trouble& trouble) {
@@ -140,6 +148,18 @@
     }
 }
 
+// Around planned work and pauses of sound workers, each request gets a complete answer before its time is over.
+void Promises::checkLosses()
+{
+    for (const CallRecord& call : run_.calls) {
+        const Millis took = call.endedAt - call.sentAt;
+        if (took >= routeTimeout || !isCalm(call.sentAt, call.endedAt))
+            continue;
+        const bool crossedClose = runsOf(call) == 0 && took <= lossSlack;
+        expect(call.complete || crossedClose, "lost without an unplanned trouble", call);
+    }
+}
+
 void Promises::checkConfiguration()
 {
     const auto storeDisturbed = [&](Millis begin, Millis end) {
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -54,6 +54,7 @@
     void checkAnswers();
     void checkTimes();
     void checkStops();
+    void checkLosses();
     void checkConfiguration();
     void checkHolders();
     void expect(bool holds, std::string_view text);
@@ -64,6 +65,8 @@
     int runsOf(const CallRecord& call) const;
     // Whether a trouble that `matters` was under way between two times, or had ended less than `after` before.
     template <typename Predicate> bool disturbed(Millis begin, Millis end, Millis after, Predicate matters) const;
+    // Whether only harmless troubles were under way between two times, and for a while before.
+    bool isCalm(Millis begin, Millis end) const;
     bool isInstanceDisturbed(std::size_t instance, Millis begin, Millis end, Millis after) const;
 
     const RunRecord& run_;
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -19,14 +19,24 @@
 constexpr int shortestMillis = 200;
 // An instance that is stopped answers new connections until the balancer has taken it out.
 constexpr Millis stopTime{3500};
+constexpr int shortestPauseMillis = 500;
+constexpr int longestPauseMillis = 1600;
 
+constexpr std::uint64_t variants = 1000000;
 constexpr int longestSeries = 3;
 constexpr int longestGapMillis = 800;
 
 constexpr std::array kinds{TroubleKind::InstanceKilled, TroubleKind::InstanceStopped, TroubleKind::InstanceFrozen,
     TroubleKind::WorkerKilled, TroubleKind::WorkerFrozen, TroubleKind::WorkerAnswersLost, TroubleKind::OrdersLate,
     TroubleKind::StreamsBroken, TroubleKind::StoreFrozen, TroubleKind::StoreSlow, TroubleKind::StoreAnswersLost,
-    TroubleKind::StoreRefuses, TroubleKind::StoreLink, TroubleKind::WorkerLink, TroubleKind::ConfigurationChanged};
+    TroubleKind::StoreRefuses, TroubleKind::StoreLink, TroubleKind::WorkerLink, TroubleKind::ConfigurationChanged,
+    TroubleKind::InstanceReloaded, TroubleKind::WorkerPaused};
+
+constexpr std::array harmlessKinds{TroubleKind::InstanceStopped, TroubleKind::InstanceReloaded,
+    TroubleKind::WorkerPaused, TroubleKind::ConfigurationChanged};
+
+// One seed in so many has harmless troubles only.
+constexpr std::uint64_t harmlessSeeds = 4;
 
 constexpr std::array links{
     LinkFault::Delay, LinkFault::Silence, LinkFault::SilenceUp, LinkFault::SilenceDown, LinkFault::Reset};
@@ -43,10 +53,12 @@
     case TroubleKind::InstanceKilled:
     case TroubleKind::InstanceStopped:
     case TroubleKind::InstanceFrozen:
+    case TroubleKind::InstanceReloaded:
     case TroubleKind::StoreLink:
         return Subject::Instance;
     case TroubleKind::WorkerKilled:
     case TroubleKind::WorkerFrozen:
+    case TroubleKind::WorkerPaused:
     case TroubleKind::WorkerAnswersLost:
     case TroubleKind::OrdersLate:
     case TroubleKind::StreamsBroken:
@@ -64,13 +76,24 @@
 
 bool isLink(TroubleKind kind) { return kind == TroubleKind::StoreLink || kind == TroubleKind::WorkerLink; }
 
+Millis lengthOf(const Trouble& trouble, Millis drawn)
+{
+    if (trouble.kind == TroubleKind::InstanceStopped)
+        return stopTime;
+    return trouble.freezesWorker() ? trouble.pause() : drawn;
+}
+
+// Whether a trouble has no length.
+bool isMomentary(TroubleKind kind)
+{
+    return kind == TroubleKind::ConfigurationChanged || kind == TroubleKind::InstanceReloaded;
+}
+
 // Whether two troubles act on the same process, or the same link.
 bool excludes(const Trouble& one, const Trouble& other)
 {
-    const bool operation
-        = one.kind == TroubleKind::ConfigurationChanged || other.kind == TroubleKind::ConfigurationChanged;
-    if (operation || subjectOf(one.kind) != subjectOf(other.kind) || one.subject != other.subject
-        || isLink(one.kind) != isLink(other.kind))
+    if (isMomentary(one.kind) || isMomentary(other.kind) || subjectOf(one.kind) != subjectOf(other.kind)
+        || one.subject != other.subject || isLink(one.kind) != isLink(other.kind))
         return false;
     return one.begin < other.end && other.begin < one.end;
 }
@@ -86,10 +109,14 @@
         return "instance stopped";
     case TroubleKind::InstanceFrozen:
         return "instance frozen";
+    case TroubleKind::InstanceReloaded:
+        return "instance reloaded";
     case TroubleKind::WorkerKilled:
         return "worker killed";
     case TroubleKind::WorkerFrozen:
         return "worker frozen";
+    case TroubleKind::WorkerPaused:
+        return "sound worker paused";
     case TroubleKind::WorkerAnswersLost:
         return "answers of a worker lost";
     case TroubleKind::OrdersLate:
@@ -114,10 +141,23 @@
     return "unknown";
 }
 
+bool isHarmless(TroubleKind kind)
+{
+    return std::find(harmlessKinds.begin(), harmlessKinds.end(), kind) != harmlessKinds.end();
+}
+
+bool isHarmlessSeed(std::uint64_t seed) { return seed % harmlessSeeds == 0; }
+
+Millis Trouble::pause() const
+{
+    constexpr std::uint64_t span = longestPauseMillis - shortestPauseMillis + 1;
+    return Millis(shortestPauseMillis + static_cast<int>(variant % span));
+}
+
 std::string Trouble::text() const
 {
-    return fmt::format(
-        "{:5} to {:5} ms  {} {} {}", begin.count(), end.count(), nameOf(kind), subject, static_cast<int>(link));
+    return fmt::format("{:5} to {:5} ms  {} {} link {} variant {}", begin.count(), end.count(), nameOf(kind), subject,
+        static_cast<int>(link), variant);
 }
 
 std::vector<Trouble> drawTroubles(std::uint64_t seed, Millis length, std::size_t instances, std::size_t workers)
@@ -132,18 +172,20 @@
     // A trouble that excludes an earlier one is not drawn again, so the number of draws is bounded.
     for (std::size_t tries = 0; tries < 4 * wanted && troubles.size() < wanted; ++tries) {
         Trouble trouble;
-        trouble.kind = kinds[random() % kinds.size()];
+        trouble.kind
+            = isHarmlessSeed(seed) ? harmlessKinds[random() % harmlessKinds.size()] : kinds[random() % kinds.size()];
         const Subject subject = subjectOf(trouble.kind);
         const std::size_t subjects = subject == Subject::Instance ? instances
             : subject == Subject::Worker                          ? workers
                                                                   : 1;
         trouble.subject = random() % subjects;
         trouble.link = isLink(trouble.kind) ? links[random() % links.size()] : LinkFault::None;
+        trouble.variant = random() % variants;
         trouble.begin = Millis(draw(static_cast<int>(quietEdge.count()), static_cast<int>(last.count())));
         const int series = draw(1, longestSeries);
         for (int i = 0; i < series; ++i) {
             const Millis drawn(draw(shortestMillis, longestMillis));
-            trouble.end = trouble.begin + (trouble.kind == TroubleKind::InstanceStopped ? stopTime : drawn);
+            trouble.end = trouble.begin + lengthOf(trouble, drawn);
             const bool fits = trouble.end <= last
                 && std::none_of(
                     troubles.begin(), troubles.end(), [&](const Trouble& other) { return excludes(trouble, other); });
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -15,8 +15,12 @@
     InstanceKilled,
     InstanceStopped,
     InstanceFrozen,
+    // SIGHUP with unchanged settings.
+    InstanceReloaded,
     WorkerKilled,
     WorkerFrozen,
+    // A sound worker falls silent in the middle of its answers and goes on.
+    WorkerPaused,
     // Answers of a worker are lost after it has run the request.
     WorkerAnswersLost,
     // Orders to a worker take effect long after they were given up.
@@ -36,6 +40,12 @@
 
 std::string_view nameOf(TroubleKind kind);
 
+// Whether a kind is planned work or belongs to sound workers, so that no request may be lost to it.
+bool isHarmless(TroubleKind kind);
+
+// Whether all troubles of a seed are harmless.
+bool isHarmlessSeed(std::uint64_t seed);
+
 struct Trouble {
     TroubleKind kind = TroubleKind::ConfigurationChanged;
     // Which instance or worker; 0 for the store.
@@ -43,6 +53,14 @@
     Millis begin{0};
     Millis end{0};
     LinkFault link = LinkFault::None;
+    // Decides what the kind leaves open.
+    std::uint64_t variant = 0;
+
+    // How long a paused worker is silent.
+    Millis pause() const;
+
+    // Whether a paused worker is stopped as a whole; otherwise, each of its answers pauses.
+    bool freezesWorker() const { return kind == TroubleKind::WorkerPaused && variant % 2 == 0; }
 
     // For logs.
     std::string text() const;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -59,7 +59,7 @@
 void SoakRun::playTroubles()
 {
     std::vector<Step> steps;
-    for (const Trouble& trouble : record_.troubles) {
+    for (Trouble& trouble : record_.troubles) {
         if (trouble.kind == TroubleKind::ConfigurationChanged)
             continue;
         steps.push_back({trouble.begin, &trouble, true});
@@ -69,10 +69,13 @@
         steps.begin(), steps.end(), [](const Step& left, const Step& right) { return left.at < right.at; });
     for (const Step& step : steps) {
         std::this_thread::sleep_for(std::max(step.at - clock_.now(), Millis(0)));
-        if (step.begins)
+        if (step.begins) {
             apply(*step.trouble);
-        else
-            lift(*step.trouble);
+            continue;
+        }
+        lift(*step.trouble);
+        // Later than drawn when an earlier step has taken long.
+        step.trouble->end = std::max(step.trouble->end, clock_.now());
     }
     std::this_thread::sleep_for(std::max(options_.length - clock_.now(), Millis(0)));
 }
@@ -109,10 +112,14 @@
         return terminateInstance(trouble.subject);
     case TroubleKind::InstanceFrozen:
         return deployment_.instance(trouble.subject).process->freeze();
+    case TroubleKind::InstanceReloaded:
+        return reloadInstance(trouble.subject);
     case TroubleKind::WorkerKilled:
         return workerOf(trouble).process().kill();
     case TroubleKind::WorkerFrozen:
         return workerOf(trouble).process().freeze();
+    case TroubleKind::WorkerPaused:
+        return trouble.freezesWorker() ? workerOf(trouble).process().freeze() : pauseAnswers(trouble);
     case TroubleKind::WorkerAnswersLost:
         return workerOf(trouble).postFault({{"kind", "drop_answer"}, {"count", -1}});
     case TroubleKind::OrdersLate:
@@ -152,6 +159,8 @@
         return workerOf(trouble).restart();
     case TroubleKind::WorkerFrozen:
         return workerOf(trouble).process().resume();
+    case TroubleKind::WorkerPaused:
+        return trouble.freezesWorker() ? workerOf(trouble).process().resume() : workerOf(trouble).clearFaults();
     case TroubleKind::WorkerAnswersLost:
     case TroubleKind::OrdersLate:
     case TroubleKind::StreamsBroken:
@@ -166,11 +175,22 @@
         return deployment_.instance(trouble.subject).storeProxy->setFault(LinkFault::None);
     case TroubleKind::WorkerLink:
         return deployment_.workerProxy(workers_[trouble.subject]).setFault(LinkFault::None);
+    case TroubleKind::InstanceReloaded:
     case TroubleKind::ConfigurationChanged:
         return;
     }
 }
 
+// Orders and reports of the worker are answered at once all the while.
+void SoakRun::pauseAnswers(const Trouble& trouble)
+{
+    const int event = static_cast<int>(trouble.variant % GatewayDeploymentOptions().events);
+    for (const char* path : {"/stream", "/safe", "/unsafe", "/extra"}) {
+        workerOf(trouble).postFault({{"path", path}, {"kind", "delay"}, {"when", "after_effect"}, {"count", -1},
+            {"delay_ms", trouble.pause().count()}, {"after_events", std::string_view(path) == "/stream" ? event : 0}});
+    }
+}
+
 void SoakRun::launchInstance(std::size_t index)
 {
     deployment_.launchInstance(index);
@@ -179,11 +199,22 @@
 
 void SoakRun::terminateInstance(std::size_t index)
 {
-    // A process that has only just been started dies by the signal before it can watch for it, and has taken nothing.
-    std::this_thread::sleep_for(std::max(launchedAt_[index] + startTime - clock_.now(), Millis(0)));
+    awaitStart(index);
     deployment_.instance(index).process->terminate();
 }
 
+void SoakRun::reloadInstance(std::size_t index)
+{
+    awaitStart(index);
+    deployment_.instance(index).process->reload();
+}
+
+// A process that has only just been started dies by a signal before it can watch for it, and has taken nothing.
+void SoakRun::awaitStart(std::size_t index)
+{
+    std::this_thread::sleep_for(std::max(launchedAt_[index] + startTime - clock_.now(), Millis(0)));
+}
+
 void SoakRun::stopInstance(std::size_t index)
 {
     const auto exit = deployment_.instance(index).process->wait(stopLimit);
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -27,7 +27,7 @@
 private:
     struct Step {
         Millis at{0};
-        const Trouble* trouble = nullptr;
+        Trouble* trouble = nullptr;
         bool begins = true;
     };
 
@@ -38,6 +38,9 @@
     void launchInstance(std::size_t index);
     void terminateInstance(std::size_t index);
     void stopInstance(std::size_t index);
+    void reloadInstance(std::size_t index);
+    void awaitStart(std::size_t index);
+    void pauseAnswers(const Trouble& trouble);
     void checkRunning();
     void awaitRecovery();
     bool servesEverything(std::size_t instance);
