Soak: callers reuse idle connections while the limit changes

Cause: callers paused for 60 ms at most and the limit for idle connections was never changed, so no run could show an instance that closes a connection which a caller may still use. Change: one call in sixteen follows a pause of three to eight tenths of the limit, which each configuration raises or lowers. A caller that finds its connection closed opens another; a close before four fifths of the lowest limit that may be in force, by an instance that is not stopped, breaks a promise.

--- a/tests/soak/CallRecord.h
+++ b/tests/soak/CallRecord.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
     // What is wrong with the content of a success; empty when nothing is.
     std::string wrong;
 
+    // Since when the open connection had been idle before the call.
+    std::optional<Millis> idleSince;
+    // The instance had closed that connection though it was idle for less than the limit allows.
+    bool closedEarly = false;
+
     bool isStream() const { return path.starts_with("/stream/"); }
 
     // Whether it may run once only.
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -22,6 +22,28 @@
     std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
 };
 
+// What the operator allows callers as idle time of a connection. Thread-safe.
+class IdleLimits {
+public:
+    // A limit that is about to be written.
+    void add(Millis limit);
+
+    // The limit that was added last is acknowledged; earlier ones hold until instances have to apply it.
+    void acknowledge(Millis now);
+
+    // The lowest limit that may have been in force at some time since then.
+    Millis lowestSince(Millis begin);
+
+private:
+    struct Entry {
+        Millis limit;
+        Millis until;
+    };
+
+    std::mutex mutex_;
+    std::vector<Entry> entries_;
+};
+
 class Callers {
 public:
     // Starts the threads. `deployment` and `clock` must outlive this object.
@@ -32,15 +54,23 @@
     // Calls may go to this path too from now on. Thread-safe.
     void addPath(const std::string& path);
 
+    IdleLimits& idleLimits() { return idleLimits_; }
+
     // Ends the threads after their present call and returns what they saw.
     std::vector<CallRecord> stop();
 
 private:
     void run(std::uint64_t seed, std::size_t index);
+    // Pauses for a share of the limit of idle connections, in thousandths.
+    void stayIdle(std::int64_t share);
+    // Closes a connection that was idle for longer than the limit allows or that the instance has closed, and fills in
+    // what `record` says of it.
+    void checkIdle(TestHttpClient& client, Millis idleSince, CallRecord& record);
     std::string pickPath(std::uint64_t draw);
 
     const GatewayDeployment& deployment_;
     const RunClock& clock_;
+    IdleLimits idleLimits_;
     std::atomic<bool> stopping_{false};
     std::mutex mutex_;
     std::vector<std::string> paths_{"/unsafe/x", "/unsafe/y", "/safe/x", "/stream/x", "/stream/y"};
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -32,6 +32,7 @@
     checkTimes();
     checkStops();
     checkLosses();
+    checkIdleConnections();
     checkConfiguration();
     checkHolders();
     expect(run_.overcommits == 0, fmt::format("{} loads beyond the places of a worker", run_.overcommits));
@@ -160,6 +161,19 @@
     }
 }
 
+// An instance that is not stopped keeps idle connections for as long as the limit allows.
+void Promises::checkIdleConnections()
+{
+    for (const CallRecord& call : run_.calls) {
+        if (!call.idleSince || !isCalm(*call.idleSince, call.sentAt))
+            continue;
+        const bool stopped = disturbed(*call.idleSince, call.sentAt, Millis(0), [&](const Trouble& trouble) {
+            return trouble.kind == TroubleKind::InstanceStopped && trouble.subject == call.instance;
+        });
+        expect(!call.closedEarly || stopped, "idle connection closed before its limit", call);
+    }
+}
+
 void Promises::checkConfiguration()
 {
     const auto storeDisturbed = [&](Millis begin, Millis end) {
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -55,6 +55,7 @@
     void checkTimes();
     void checkStops();
     void checkLosses();
+    void checkIdleConnections();
     void checkConfiguration();
     void checkHolders();
     void expect(bool holds, std::string_view text);
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -21,6 +21,9 @@
 
 constexpr int plainWorkers = 2;
 
+// Limits of idle connections that the operator sets by turns.
+constexpr std::array idleLimits{Millis(800), Millis(1500), Millis(3000)};
+
 GatewayDeploymentOptions deploymentOptions(const SoakOptions& options)
 {
     GatewayDeploymentOptions result;
@@ -80,7 +83,7 @@
     std::this_thread::sleep_for(std::max(options_.length - clock_.now(), Millis(0)));
 }
 
-// The operator adds a path with each change.
+// The operator adds a path with each change, and raises or lowers the idle time of connections.
 void SoakRun::changeConfigurations()
 {
     std::vector<std::string> prefixes{"/stream/", "/safe/", "/unsafe/"};
@@ -91,8 +94,12 @@
         std::this_thread::sleep_for(std::max(trouble.begin - clock_.now(), Millis(0)));
         version += 3;
         prefixes.push_back(fmt::format("/extra{}/", version));
+        const Millis limit = idleLimits[trouble.variant % idleLimits.size()];
+        deployment_.setCallerLimits({{"idleTimeoutMs", limit.count()}});
+        callers_->idleLimits().add(limit);
         try {
             deployment_.writeConfiguration(version, prefixes);
+            callers_->idleLimits().acknowledge(clock_.now());
             const std::string path = prefixes.back() + "x";
             record_.configurations.push_back({path, clock_.now()});
             callers_->addPath(path);
