Soak: signals and changes come in series and hold up nothing

Cause: troubles of one kind came at least a trouble's length apart and on the same instance. Change: up to six signals, kills or configurations follow one another by 20 to 400 ms, on any instance. A step that has to wait for a process is tried again, and the others go on; the end of a trouble follows its actual begin.

--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -25,6 +25,10 @@
 constexpr std::uint64_t variants = 1000000;
 constexpr int longestSeries = 3;
 constexpr int longestGapMillis = 800;
+// Several signals and changes come within a second.
+constexpr int longestSignalSeries = 6;
+constexpr int shortestSignalGapMillis = 20;
+constexpr int longestSignalGapMillis = 400;
 
 constexpr std::array kinds{TroubleKind::InstanceKilled, TroubleKind::InstanceStopped, TroubleKind::InstanceFrozen,
     TroubleKind::WorkerKilled, TroubleKind::WorkerFrozen, TroubleKind::WorkerAnswersLost, TroubleKind::OrdersLate,
@@ -76,26 +80,19 @@
 
 bool isLink(TroubleKind kind) { return kind == TroubleKind::StoreLink || kind == TroubleKind::WorkerLink; }
 
-Millis lengthOf(const Trouble& trouble, Millis drawn)
-{
-    if (trouble.kind == TroubleKind::InstanceStopped)
-        return stopTime;
-    return trouble.freezesWorker() ? trouble.pause() : drawn;
-}
-
 // Whether a trouble has no length.
 bool isMomentary(TroubleKind kind)
 {
     return kind == TroubleKind::ConfigurationChanged || kind == TroubleKind::InstanceReloaded;
 }
 
-// Whether two troubles act on the same process, or the same link.
-bool excludes(const Trouble& one, const Trouble& other)
+Millis lengthOf(const Trouble& trouble, Millis drawn)
 {
-    if (isMomentary(one.kind) || isMomentary(other.kind) || subjectOf(one.kind) != subjectOf(other.kind)
-        || one.subject != other.subject || isLink(one.kind) != isLink(other.kind))
-        return false;
-    return one.begin < other.end && other.begin < one.end;
+    if (trouble.kind == TroubleKind::InstanceStopped)
+        return stopTime;
+    if (isMomentary(trouble.kind))
+        return Millis(1);
+    return trouble.freezesWorker() ? trouble.pause() : drawn;
 }
 
 } // namespace
@@ -141,6 +138,12 @@
     return "unknown";
 }
 
+bool actOnSame(const Trouble& one, const Trouble& other)
+{
+    return !isMomentary(one.kind) && !isMomentary(other.kind) && subjectOf(one.kind) == subjectOf(other.kind)
+        && one.subject == other.subject && isLink(one.kind) == isLink(other.kind);
+}
+
 bool isHarmless(TroubleKind kind)
 {
     return std::find(harmlessKinds.begin(), harmlessKinds.end(), kind) != harmlessKinds.end();
@@ -182,16 +185,25 @@
         trouble.link = isLink(trouble.kind) ? links[random() % links.size()] : LinkFault::None;
         trouble.variant = random() % variants;
         trouble.begin = Millis(draw(static_cast<int>(quietEdge.count()), static_cast<int>(last.count())));
-        const int series = draw(1, longestSeries);
+        const bool momentary = isMomentary(trouble.kind);
+        const bool signal = trouble.kind == TroubleKind::InstanceStopped || trouble.kind == TroubleKind::InstanceKilled;
+        const int series = draw(1, momentary || signal ? longestSignalSeries : longestSeries);
         for (int i = 0; i < series; ++i) {
             const Millis drawn(draw(shortestMillis, longestMillis));
             trouble.end = trouble.begin + lengthOf(trouble, drawn);
-            const bool fits = trouble.end <= last
-                && std::none_of(
-                    troubles.begin(), troubles.end(), [&](const Trouble& other) { return excludes(trouble, other); });
+            const bool fits
+                = trouble.end <= last && std::none_of(troubles.begin(), troubles.end(), [&](const Trouble& other) {
+                      return actOnSame(trouble, other) && trouble.begin < other.end && other.begin < trouble.end;
+                  });
             if (fits)
                 troubles.push_back(trouble);
-            trouble.begin = trouble.end + Millis(draw(1, longestGapMillis));
+            if (momentary || signal)
+                trouble.begin += Millis(draw(shortestSignalGapMillis, longestSignalGapMillis));
+            else
+                trouble.begin = trouble.end + Millis(draw(1, longestGapMillis));
+            if (subject == Subject::Instance && (momentary || signal))
+                trouble.subject = random() % subjects;
+            trouble.variant = random() % variants;
         }
     }
     std::sort(troubles.begin(), troubles.end(),
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -66,6 +66,9 @@
     std::string text() const;
 };
 
+// Whether two troubles act on the same process, or the same link.
+bool actOnSame(const Trouble& one, const Trouble& other);
+
 // Sorted by begin. Troubles come in series and overlap; only those of the same process, or the same link, do not.
 std::vector<Trouble> drawTroubles(std::uint64_t seed, Millis length, std::size_t instances, std::size_t workers);
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -18,6 +18,7 @@
 
 // From the start of a process to its first instructions, beside other busy processes.
 constexpr Millis startTime{300};
+constexpr Millis retryPause{50};
 
 constexpr int plainWorkers = 2;
 
@@ -40,6 +41,7 @@
     , deployment_(options_.buildDirectory, deploymentOptions(options_))
     , workers_(deployment_.workerIds())
     , launchedAt_(deployment_.instanceCount())
+    , stopLimits_(deployment_.instanceCount())
 {
 }
 
@@ -59,30 +61,52 @@
     return std::move(record_);
 }
 
+// Steps that have to wait for a process are tried again, so that they hold up no others.
 void SoakRun::playTroubles()
 {
-    std::vector<Step> steps;
+    std::multimap<Millis, Step> steps;
     for (Trouble& trouble : record_.troubles) {
-        if (trouble.kind == TroubleKind::ConfigurationChanged)
-            continue;
-        steps.push_back({trouble.begin, &trouble, true});
-        steps.push_back({trouble.end, &trouble, false});
+        if (trouble.kind != TroubleKind::ConfigurationChanged)
+            steps.emplace(trouble.begin, Step{&trouble, true});
     }
-    std::stable_sort(
-        steps.begin(), steps.end(), [](const Step& left, const Step& right) { return left.at < right.at; });
-    for (const Step& step : steps) {
-        std::this_thread::sleep_for(std::max(step.at - clock_.now(), Millis(0)));
-        if (step.begins) {
-            apply(*step.trouble);
-            continue;
+    while (!steps.empty()) {
+        const auto [at, step] = *steps.begin();
+        steps.erase(steps.begin());
+        std::this_thread::sleep_for(std::max(at - clock_.now(), Millis(0)));
+        Trouble& trouble = *step.trouble;
+        if (step.begins ? !canBegin(trouble) : !canEnd(trouble)) {
+            steps.emplace(clock_.now() + retryPause, step);
+        } else if (step.begins) {
+            const Millis length = trouble.end - trouble.begin;
+            apply(trouble);
+            active_.insert(&trouble);
+            trouble.end = std::max(trouble.end, clock_.now() + length);
+            steps.emplace(clock_.now() + length, Step{&trouble, false});
+        } else {
+            lift(trouble);
+            active_.erase(&trouble);
+            trouble.end = std::max(trouble.end, clock_.now());
         }
-        lift(*step.trouble);
-        // Later than drawn when an earlier step has taken long.
-        step.trouble->end = std::max(step.trouble->end, clock_.now());
     }
     std::this_thread::sleep_for(std::max(options_.length - clock_.now(), Millis(0)));
 }
 
+bool SoakRun::canBegin(const Trouble& trouble) const
+{
+    // A process that has only just been started dies by a signal before it can watch for it, and has taken nothing.
+    const bool signal = trouble.kind == TroubleKind::InstanceStopped || trouble.kind == TroubleKind::InstanceReloaded;
+    if (signal && clock_.now() < launchedAt_[trouble.subject] + startTime)
+        return false;
+    return std::none_of(
+        active_.begin(), active_.end(), [&](const Trouble* other) { return actOnSame(trouble, *other); });
+}
+
+bool SoakRun::canEnd(const Trouble& trouble)
+{
+    return trouble.kind != TroubleKind::InstanceStopped || clock_.now() >= stopLimits_[trouble.subject]
+        || !deployment_.instance(trouble.subject).process->isRunning();
+}
+
 // The operator adds a path with each change, and raises or lowers the idle time of connections.
 void SoakRun::changeConfigurations()
 {
@@ -120,7 +144,7 @@
     case TroubleKind::InstanceFrozen:
         return deployment_.instance(trouble.subject).process->freeze();
     case TroubleKind::InstanceReloaded:
-        return reloadInstance(trouble.subject);
+        return deployment_.instance(trouble.subject).process->reload();
     case TroubleKind::WorkerKilled:
         return workerOf(trouble).process().kill();
     case TroubleKind::WorkerFrozen:
@@ -206,25 +230,13 @@
 
 void SoakRun::terminateInstance(std::size_t index)
 {
-    awaitStart(index);
     deployment_.instance(index).process->terminate();
-}
-
-void SoakRun::reloadInstance(std::size_t index)
-{
-    awaitStart(index);
-    deployment_.instance(index).process->reload();
-}
-
-// A process that has only just been started dies by a signal before it can watch for it, and has taken nothing.
-void SoakRun::awaitStart(std::size_t index)
-{
-    std::this_thread::sleep_for(std::max(launchedAt_[index] + startTime - clock_.now(), Millis(0)));
+    stopLimits_[index] = clock_.now() + stopLimit;
 }
 
 void SoakRun::stopInstance(std::size_t index)
 {
-    const auto exit = deployment_.instance(index).process->wait(stopLimit);
+    const auto exit = deployment_.instance(index).process->wait(Millis(0));
     if (!exit.ok()) {
         record_.badEnds.push_back(fmt::format("instance {} did not end within its grace time", index));
         deployment_.instance(index).process->kill();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -4,6 +4,8 @@
 #include "tests/soak/Callers.h"
 #include "tests/soak/Promises.h"
 
+#include <set>
+
 namespace lychee::test {
 
 struct SoakOptions {
@@ -26,20 +28,19 @@
 
 private:
     struct Step {
-        Millis at{0};
         Trouble* trouble = nullptr;
         bool begins = true;
     };
 
     void playTroubles();
+    bool canBegin(const Trouble& trouble) const;
+    bool canEnd(const Trouble& trouble);
     void changeConfigurations();
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
     void launchInstance(std::size_t index);
     void terminateInstance(std::size_t index);
     void stopInstance(std::size_t index);
-    void reloadInstance(std::size_t index);
-    void awaitStart(std::size_t index);
     void pauseAnswers(const Trouble& trouble);
     void checkRunning();
     void awaitRecovery();
@@ -54,6 +55,9 @@
     RunRecord record_;
     // When each instance was last started.
     std::vector<Millis> launchedAt_;
+    // Until when each instance that was stopped has to end.
+    std::vector<Millis> stopLimits_;
+    std::set<const Trouble*> active_;
     std::unique_ptr<Callers> callers_;
     int recoveryCalls_ = 0;
 };
