Soak: answers that end with their connection, whole and broken off

Cause: all answers of the stand-ins had a length or chunks, so no run could show a broken answer that an instance takes for complete because its connection ends. Change: two new troubles. Answers of a sound worker come without length or chunks; the same answers break off, by a reset in the middle of a body or stream or by an end inside an event. The checks of whole answers and streams apply.

--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -34,10 +34,11 @@
     TroubleKind::WorkerKilled, TroubleKind::WorkerFrozen, TroubleKind::WorkerAnswersLost, TroubleKind::OrdersLate,
     TroubleKind::StreamsBroken, TroubleKind::StoreFrozen, TroubleKind::StoreSlow, TroubleKind::StoreAnswersLost,
     TroubleKind::StoreRefuses, TroubleKind::StoreLink, TroubleKind::WorkerLink, TroubleKind::ConfigurationChanged,
-    TroubleKind::InstanceReloaded, TroubleKind::WorkerPaused};
+    TroubleKind::InstanceReloaded, TroubleKind::WorkerPaused, TroubleKind::AnswersWithoutLength,
+    TroubleKind::AnswersWithoutLengthBroken};
 
 constexpr std::array harmlessKinds{TroubleKind::InstanceStopped, TroubleKind::InstanceReloaded,
-    TroubleKind::WorkerPaused, TroubleKind::ConfigurationChanged};
+    TroubleKind::WorkerPaused, TroubleKind::ConfigurationChanged, TroubleKind::AnswersWithoutLength};
 
 // One seed in so many has harmless troubles only.
 constexpr std::uint64_t harmlessSeeds = 4;
@@ -66,6 +67,8 @@
     case TroubleKind::WorkerAnswersLost:
     case TroubleKind::OrdersLate:
     case TroubleKind::StreamsBroken:
+    case TroubleKind::AnswersWithoutLength:
+    case TroubleKind::AnswersWithoutLengthBroken:
     case TroubleKind::WorkerLink:
         return Subject::Worker;
     case TroubleKind::StoreFrozen:
@@ -120,6 +123,10 @@
         return "orders to a worker late";
     case TroubleKind::StreamsBroken:
         return "streams of a worker broken";
+    case TroubleKind::AnswersWithoutLength:
+        return "answers without length";
+    case TroubleKind::AnswersWithoutLengthBroken:
+        return "answers without length broken";
     case TroubleKind::StoreFrozen:
         return "store frozen";
     case TroubleKind::StoreSlow:
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -27,6 +27,10 @@
     OrdersLate,
     // Streams of a worker break off.
     StreamsBroken,
+    // Answers of a sound worker have neither a length nor chunks and end with their connection.
+    AnswersWithoutLength,
+    // Such answers break off: by a reset, or streams also by an end inside an event.
+    AnswersWithoutLengthBroken,
     StoreFrozen,
     StoreSlow,
     // Calls to the store are carried out and not answered.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -22,6 +22,9 @@
 
 constexpr int plainWorkers = 2;
 
+// Where requests of callers go; orders and reports go elsewhere.
+constexpr std::array requestPaths{"/stream", "/safe", "/unsafe", "/extra"};
+
 // Limits of idle connections that the operator sets by turns.
 constexpr std::array idleLimits{Millis(800), Millis(1500), Millis(3000)};
 
@@ -159,6 +162,10 @@
     case TroubleKind::StreamsBroken:
         return workerOf(trouble).postFault(
             {{"path", "/stream"}, {"kind", "drop_answer"}, {"count", -1}, {"after_events", 7}});
+    case TroubleKind::AnswersWithoutLength:
+        return endAnswersWithConnection(trouble, false);
+    case TroubleKind::AnswersWithoutLengthBroken:
+        return endAnswersWithConnection(trouble, true);
     case TroubleKind::StoreFrozen:
         return store.process().freeze();
     case TroubleKind::StoreSlow:
@@ -195,6 +202,8 @@
     case TroubleKind::WorkerAnswersLost:
     case TroubleKind::OrdersLate:
     case TroubleKind::StreamsBroken:
+    case TroubleKind::AnswersWithoutLength:
+    case TroubleKind::AnswersWithoutLengthBroken:
         return workerOf(trouble).clearFaults();
     case TroubleKind::StoreFrozen:
         return deployment_.store().process().resume();
@@ -216,12 +225,23 @@
 void SoakRun::pauseAnswers(const Trouble& trouble)
 {
     const int event = static_cast<int>(trouble.variant % GatewayDeploymentOptions().events);
-    for (const char* path : {"/stream", "/safe", "/unsafe", "/extra"}) {
+    for (const char* path : requestPaths) {
         workerOf(trouble).postFault({{"path", path}, {"kind", "delay"}, {"when", "after_effect"}, {"count", -1},
             {"delay_ms", trouble.pause().count()}, {"after_events", std::string_view(path) == "/stream" ? event : 0}});
     }
 }
 
+void SoakRun::endAnswersWithConnection(const Trouble& trouble, bool broken)
+{
+    const auto events = static_cast<std::uint64_t>(GatewayDeploymentOptions().events);
+    for (const char* path : requestPaths) {
+        workerOf(trouble).postFault({{"path", path}, {"kind", "no_length"}, {"count", -1}});
+        if (broken)
+            workerOf(trouble).postFault({{"path", path}, {"kind", "drop_answer"}, {"count", -1},
+                {"after_events", trouble.variant % events}, {"inside_event", trouble.variant / events % 2 == 0}});
+    }
+}
+
 void SoakRun::launchInstance(std::size_t index)
 {
     deployment_.launchInstance(index);
--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint64_t maxBodyBytes = 64 << 20;
 constexpr std::uint32_t maxHeaderBytes = 64 << 10;
 constexpr int http11 = 11;
+constexpr std::chrono::milliseconds timeToRead{20};
 
 int hexDigit(char c)
 {
@@ -89,6 +90,8 @@
 
     bool write(const Response& response) override
     {
+        if (fault_.drop && fault_.noLength)
+            return writeBeginning(response);
         if (const WriteAction action = applyAnswerFault(); action != WriteAction::Send)
             return action == WriteAction::Discard;
         http::response<http::string_body> message{static_cast<http::status>(response.status), http11};
@@ -181,6 +184,20 @@
         return socket_.is_open() ? WriteAction::Send : WriteAction::Closed;
     }
 
+    // Writes half of the body of an answer without length, and resets the connection after the peer could read it.
+    bool writeBeginning(const Response& response)
+    {
+        http::response<http::string_body> message{static_cast<http::status>(response.status), http11};
+        for (const HeaderField& field : response.headers)
+            message.set(field.name, field.value);
+        message.body() = response.body.substr(0, response.body.size() / 2);
+        error_code error;
+        http::write(socket_, message, error);
+        std::this_thread::sleep_for(timeToRead);
+        drop();
+        return false;
+    }
+
     // Without an orderly end when that would make the answer complete.
     void drop()
     {
