--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -179,8 +179,10 @@
     const Millis last = length - quietEdge;
     const auto wanted = static_cast<std::size_t>(troublesPerSecond * std::chrono::duration<double>(length).count());
     std::vector<Trouble> troubles;
+    // Signals and changes come in addition, so that they displace no other trouble.
+    std::size_t lasting = 0;
     // A trouble that excludes an earlier one is not drawn again, so the number of draws is bounded.
-    for (std::size_t tries = 0; tries < 4 * wanted && troubles.size() < wanted; ++tries) {
+    for (std::size_t tries = 0; tries < 4 * wanted && lasting < wanted; ++tries) {
         Trouble trouble;
         trouble.kind
             = isHarmlessSeed(seed) ? harmlessKinds[random() % harmlessKinds.size()] : kinds[random() % kinds.size()];
@@ -202,8 +204,10 @@
                 = trouble.end <= last && std::none_of(troubles.begin(), troubles.end(), [&](const Trouble& other) {
                       return actOnSame(trouble, other) && trouble.begin < other.end && other.begin < trouble.end;
                   });
-            if (fits)
+            if (fits) {
                 troubles.push_back(trouble);
+                lasting += momentary ? 0 : 1;
+            }
             if (momentary || signal)
                 trouble.begin += Millis(draw(shortestSignalGapMillis, longestSignalGapMillis));
             else
