Soak: no signal for an instance that is frozen at its start

Cause: an instance that was frozen within 0.3 s after its start got SIGHUP meanwhile. The soak waits 0.3 s after a start for that reason, but counted the time in which the process was frozen. Change: a signal waits until such an instance has run for that time.

--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -56,6 +56,8 @@
     std::size_t subject = 0;
     Millis begin{0};
     Millis end{0};
+    // When it was in force for certain.
+    Millis inForceFrom{0};
     LinkFault link = LinkFault::None;
     // Decides what the kind leaves open.
     std::uint64_t variant = 0;
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -35,6 +35,7 @@
     void playTroubles();
     bool canBegin(const Trouble& trouble) const;
     bool canEnd(const Trouble& trouble);
+    bool holdsUpStart(const Trouble& trouble) const;
     void changeConfigurations();
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
