Soak: workers that leave or refuse with a time

Cause: no run had a worker that says by header that it leaves, or one that refuses with Retry-After. Change: the worker stand-in adds Server-Leaving: 1 (fault leaving), or answers 503 with X-Not-Executed and Retry-After (not_run with retry_after), and records the time of each arrival. Two checks: an instance that has passed such an answer on sends the worker nothing that a caller sent later than 2 s after it, unless the instance was restarted or frozen; at most two requests of an instance reach the worker between 0.5 s after the 503 and the end of its time. Each mixed seed has one worker that leaves.

--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -13,6 +13,12 @@
 constexpr Millis routeTimeout{5000};
 constexpr Millis lateBy{500};
 constexpr Millis lease{500};
+constexpr Millis drainTime{2000};
+// A worker has read a request and written it down within this time.
+constexpr Millis arrivalTime{100};
+// A worker that asks for a pause gets this many requests at most, from so long after its answer.
+constexpr std::ptrdiff_t requestsInPause = 2;
+constexpr Millis pauseSlack{500};
 // A request that meets the close of its connection and was not passed on ends within this time.
 constexpr Millis lossSlack{200};
 constexpr Millis thawSlack{300};
@@ -35,6 +41,8 @@
     checkIdleConnections();
     checkConfiguration();
     checkHolders();
+    checkLeavingWorkers();
+    checkRefusingWorkers();
     expect(run_.overcommits == 0, fmt::format("{} loads beyond the places of a worker", run_.overcommits));
     for (const std::string& text : run_.badEnds)
         expect(false, text);
@@ -230,4 +238,86 @@
     }
 }
 
+std::vector<std::pair<ArrivalRecord, CallRecord>> Promises::arrivalsAt(std::size_t worker) const
+{
+    std::map<std::string, const CallRecord*> calls;
+    for (const CallRecord& call : run_.calls)
+        calls[call.attempt] = &call;
+    std::vector<std::pair<ArrivalRecord, CallRecord>> result;
+    for (const ArrivalRecord& arrival : run_.arrivals) {
+        const auto call = calls.find(arrival.attempt);
+        if (arrival.worker == run_.workers[worker] && call != calls.end())
+            result.emplace_back(arrival, *call->second);
+    }
+    return result;
+}
+
+bool Promises::isRestartedOrFrozen(std::size_t instance, Millis begin, Millis end) const
+{
+    return std::any_of(run_.troubles.begin(), run_.troubles.end(), [&](const Trouble& trouble) {
+        const bool ended = trouble.kind == TroubleKind::InstanceKilled || trouble.kind == TroubleKind::InstanceStopped;
+        const bool restarted = ended && trouble.end >= begin && trouble.end <= end;
+        const bool frozen = trouble.kind == TroubleKind::InstanceFrozen && trouble.begin <= end && trouble.end >= begin;
+        return trouble.subject == instance && (restarted || frozen);
+    });
+}
+
+// An instance that has passed on an answer of a worker that leaves sends it nothing more after the drain time.
+void Promises::checkLeavingWorkers()
+{
+    for (const Trouble& trouble : run_.troubles) {
+        if (trouble.kind != TroubleKind::WorkerLeaving)
+            continue;
+        const auto arrivals = arrivalsAt(trouble.subject);
+        // When each instance had passed on such an answer.
+        std::map<std::size_t, Millis> told;
+        for (const auto& [arrival, call] : arrivals) {
+            const bool leaving = arrival.at > trouble.inForceFrom + arrivalTime && arrival.at < trouble.inForceUntil;
+            if (!leaving || !call.complete || !call.sealed || runsOf(call) != 1)
+                continue;
+            const auto entry = told.try_emplace(call.instance, call.endedAt).first;
+            entry->second = std::min(entry->second, call.endedAt);
+        }
+        for (const auto& [arrival, call] : arrivals) {
+            const auto since = told.find(call.instance);
+            if (since == told.end() || call.sentAt <= since->second + drainTime || arrival.at >= trouble.inForceUntil)
+                continue;
+            expect(isRestartedOrFrozen(call.instance, since->second, arrival.at),
+                "sent to a worker that leaves, after the drain time", call);
+        }
+    }
+}
+
+bool Promises::isPauseExcused(std::size_t worker, std::size_t instance, Millis begin, Millis end) const
+{
+    const bool workerChanged = disturbed(begin, end, Millis(0), [&](const Trouble& trouble) {
+        return trouble.subject == worker
+            && (trouble.kind == TroubleKind::WorkerKilled || trouble.kind == TroubleKind::WorkerLeaving
+                || trouble.kind == TroubleKind::WorkerFrozen || trouble.freezesWorker());
+    });
+    const bool cut = disturbed(begin, end, inTouchAfter,
+        [&](const Trouble& trouble) { return trouble.kind == TroubleKind::WorkerLink && trouble.subject == worker; });
+    return workerChanged || cut || isRestartedOrFrozen(instance, begin, end);
+}
+
+// A worker that has turned a request away with Retry-After is left alone for that time.
+void Promises::checkRefusingWorkers()
+{
+    for (std::size_t worker = 0; worker < run_.workers.size(); ++worker) {
+        const auto arrivals = arrivalsAt(worker);
+        for (const auto& [refusal, refused] : arrivals) {
+            if (refusal.pause == Millis(0))
+                continue;
+            const std::size_t instance = refused.instance;
+            const Millis begin = refusal.at + pauseSlack;
+            const Millis end = refusal.at + refusal.pause;
+            const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& other) {
+                return other.second.instance == instance && other.first.at > begin && other.first.at < end;
+            });
+            expect(count <= requestsInPause || isPauseExcused(worker, instance, refusal.at, end),
+                fmt::format("{} requests to {} within its Retry-After", count, refusal.worker), refused);
+        }
+    }
+}
+
 } // namespace lychee::test
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -15,6 +15,15 @@
     std::string holder;
 };
 
+// A request that reached a worker.
+struct ArrivalRecord {
+    std::string worker;
+    std::string attempt;
+    Millis at{0};
+    // The Retry-After with which it was refused, or 0.
+    Millis pause{0};
+};
+
 // A configuration that the store has acknowledged; it adds one path.
 struct ConfigurationRecord {
     std::string path;
@@ -27,6 +36,9 @@
     std::vector<CallRecord> calls;
     // Runs of each attempt over all workers.
     std::map<std::string, int> runs;
+    std::vector<ArrivalRecord> arrivals;
+    // Ids of the workers, in the order of the subjects of troubles.
+    std::vector<std::string> workers;
     std::vector<OrderRecord> orders;
     std::size_t overcommits = 0;
     std::vector<ConfigurationRecord> configurations;
@@ -58,6 +70,14 @@
     void checkIdleConnections();
     void checkConfiguration();
     void checkHolders();
+    void checkLeavingWorkers();
+    void checkRefusingWorkers();
+    // Requests that reached a worker, each with its call.
+    std::vector<std::pair<ArrivalRecord, CallRecord>> arrivalsAt(std::size_t worker) const;
+    // Whether a worker asked for its pause in vain: it was started anew since, or reads late what was sent in time.
+    bool isPauseExcused(std::size_t worker, std::size_t instance, Millis begin, Millis end) const;
+    // Whether an instance was started anew or frozen between two times.
+    bool isRestartedOrFrozen(std::size_t instance, Millis begin, Millis end) const;
     void expect(bool holds, std::string_view text);
     // Names the call in the line for a break.
     void expect(bool holds, std::string_view text, const CallRecord& call);
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -19,6 +19,10 @@
 constexpr int shortestMillis = 200;
 // An instance that is stopped answers new connections until the balancer has taken it out.
 constexpr Millis stopTime{3500};
+// A worker that leaves serves on for longer than instances may use it.
+constexpr Millis leavingTime{4000};
+constexpr int shortestRefusalSeconds = 2;
+constexpr int refusalSeconds = 2;
 constexpr int shortestPauseMillis = 500;
 constexpr int longestPauseMillis = 1600;
 
@@ -35,10 +39,11 @@
     TroubleKind::StreamsBroken, TroubleKind::StoreFrozen, TroubleKind::StoreSlow, TroubleKind::StoreAnswersLost,
     TroubleKind::StoreRefuses, TroubleKind::StoreLink, TroubleKind::WorkerLink, TroubleKind::ConfigurationChanged,
     TroubleKind::InstanceReloaded, TroubleKind::WorkerPaused, TroubleKind::AnswersWithoutLength,
-    TroubleKind::AnswersWithoutLengthBroken};
+    TroubleKind::AnswersWithoutLengthBroken, TroubleKind::WorkerLeaving, TroubleKind::WorkerRefuses};
 
 constexpr std::array harmlessKinds{TroubleKind::InstanceStopped, TroubleKind::InstanceReloaded,
-    TroubleKind::WorkerPaused, TroubleKind::ConfigurationChanged, TroubleKind::AnswersWithoutLength};
+    TroubleKind::WorkerPaused, TroubleKind::ConfigurationChanged, TroubleKind::AnswersWithoutLength,
+    TroubleKind::WorkerRefuses};
 
 // One seed in so many has harmless troubles only.
 constexpr std::uint64_t harmlessSeeds = 4;
@@ -69,6 +74,8 @@
     case TroubleKind::StreamsBroken:
     case TroubleKind::AnswersWithoutLength:
     case TroubleKind::AnswersWithoutLengthBroken:
+    case TroubleKind::WorkerLeaving:
+    case TroubleKind::WorkerRefuses:
     case TroubleKind::WorkerLink:
         return Subject::Worker;
     case TroubleKind::StoreFrozen:
@@ -95,6 +102,8 @@
         return stopTime;
     if (isMomentary(trouble.kind))
         return Millis(1);
+    if (trouble.kind == TroubleKind::WorkerLeaving)
+        return leavingTime;
     return trouble.freezesWorker() ? trouble.pause() : drawn;
 }
 
@@ -127,6 +136,10 @@
         return "answers without length";
     case TroubleKind::AnswersWithoutLengthBroken:
         return "answers without length broken";
+    case TroubleKind::WorkerLeaving:
+        return "worker leaving";
+    case TroubleKind::WorkerRefuses:
+        return "worker refuses";
     case TroubleKind::StoreFrozen:
         return "store frozen";
     case TroubleKind::StoreSlow:
@@ -164,6 +177,8 @@
     return Millis(shortestPauseMillis + static_cast<int>(variant % span));
 }
 
+int Trouble::pauseSeconds() const { return shortestRefusalSeconds + static_cast<int>(variant % refusalSeconds); }
+
 std::string Trouble::text() const
 {
     return fmt::format("{:5} to {:5} ms  {} {} link {} variant {}", begin.count(), end.count(), nameOf(kind), subject,
@@ -181,6 +196,16 @@
     std::vector<Trouble> troubles;
     // Signals and changes come in addition, so that they displace no other trouble.
     std::size_t lasting = 0;
+    // The longest trouble is drawn first, because it finds no room among others.
+    if (!isHarmlessSeed(seed)) {
+        Trouble leaving;
+        leaving.kind = TroubleKind::WorkerLeaving;
+        leaving.subject = random() % workers;
+        leaving.begin = Millis(draw(
+            static_cast<int>(quietEdge.count()), static_cast<int>(std::max(quietEdge, last - leavingTime).count())));
+        leaving.end = leaving.begin + leavingTime;
+        troubles.push_back(leaving);
+    }
     // A trouble that excludes an earlier one is not drawn again, so the number of draws is bounded.
     for (std::size_t tries = 0; tries < 4 * wanted && lasting < wanted; ++tries) {
         Trouble trouble;
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -31,6 +31,10 @@
     AnswersWithoutLength,
     // Such answers break off: by a reset, or streams also by an end inside an event.
     AnswersWithoutLengthBroken,
+    // A worker says in each answer that it leaves, and ends after a while; another start follows.
+    WorkerLeaving,
+    // A sound worker turns requests away and asks for a pause of `pauseSeconds`.
+    WorkerRefuses,
     StoreFrozen,
     StoreSlow,
     // Calls to the store are carried out and not answered.
@@ -58,6 +62,7 @@
     Millis end{0};
     // When it was in force for certain.
     Millis inForceFrom{0};
+    Millis inForceUntil{0};
     LinkFault link = LinkFault::None;
     // Decides what the kind leaves open.
     std::uint64_t variant = 0;
@@ -65,6 +70,9 @@
     // How long a paused worker is silent.
     Millis pause() const;
 
+    // The Retry-After of a worker that refuses requests, in seconds.
+    int pauseSeconds() const;
+
     // Whether a paused worker is stopped as a whole; otherwise, each of its answers pauses.
     bool freezesWorker() const { return kind == TroubleKind::WorkerPaused && variant % 2 == 0; }
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -51,6 +51,7 @@
 RunRecord SoakRun::play()
 {
     clock_ = RunClock();
+    record_.workers = workers_;
     record_.troubles = drawTroubles(options_.seed, options_.length, deployment_.instanceCount(), workers_.size());
     callers_ = std::make_unique<Callers>(deployment_, clock_, options_.seed, options_.callers);
     std::thread operatorThread([this] { changeConfigurations(); });
@@ -87,6 +88,7 @@
             trouble.end = std::max(trouble.end, clock_.now() + length);
             steps.emplace(clock_.now() + length, Step{&trouble, false});
         } else {
+            trouble.inForceUntil = clock_.now();
             lift(trouble);
             active_.erase(&trouble);
             trouble.end = std::max(trouble.end, clock_.now());
@@ -175,6 +177,10 @@
         return endAnswersWithConnection(trouble, false);
     case TroubleKind::AnswersWithoutLengthBroken:
         return endAnswersWithConnection(trouble, true);
+    case TroubleKind::WorkerLeaving:
+        return workerOf(trouble).postFault({{"kind", "leaving"}, {"count", -1}});
+    case TroubleKind::WorkerRefuses:
+        return refuseRequests(trouble);
     case TroubleKind::StoreFrozen:
         return store.process().freeze();
     case TroubleKind::StoreSlow:
@@ -204,6 +210,9 @@
         if (holdsUpStart(trouble))
             launchedAt_[trouble.subject] = clock_.now();
         return deployment_.instance(trouble.subject).process->resume();
+    case TroubleKind::WorkerLeaving:
+        workerOf(trouble).process().kill();
+        [[fallthrough]];
     case TroubleKind::WorkerKilled:
         return workerOf(trouble).restart();
     case TroubleKind::WorkerFrozen:
@@ -215,6 +224,7 @@
     case TroubleKind::StreamsBroken:
     case TroubleKind::AnswersWithoutLength:
     case TroubleKind::AnswersWithoutLengthBroken:
+    case TroubleKind::WorkerRefuses:
         return workerOf(trouble).clearFaults();
     case TroubleKind::StoreFrozen:
         return deployment_.store().process().resume();
@@ -253,6 +263,13 @@
     }
 }
 
+void SoakRun::refuseRequests(const Trouble& trouble)
+{
+    for (const char* path : requestPaths)
+        workerOf(trouble).postFault(
+            {{"path", path}, {"kind", "not_run"}, {"count", -1}, {"retry_after", trouble.pauseSeconds()}});
+}
+
 void SoakRun::launchInstance(std::size_t index)
 {
     deployment_.launchInstance(index);
@@ -318,7 +335,11 @@
             const std::vector<std::string> words = absl::StrSplit(line, ' ');
             if (words[0] == "run")
                 ++record_.runs[words[1]];
-            else if (words[0] == "order")
+            if (words[0] == "run" || words[0] == "refused") {
+                const Millis pause = words[0] == "run" ? Millis(0) : std::chrono::seconds(std::stoll(words[3]));
+                const Millis at = Millis(std::stoll(words[2])) - clock_.beginOnSteadyClock();
+                record_.arrivals.push_back({worker, words[1], at, pause});
+            } else if (words[0] == "order")
                 record_.orders.push_back(
                     {worker, Millis(std::stoll(words[1])) - clock_.beginOnSteadyClock(), words[2]});
             else if (words[0] == "overcommit")
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -43,6 +43,7 @@
     void terminateInstance(std::size_t index);
     void stopInstance(std::size_t index);
     void pauseAnswers(const Trouble& trouble);
+    void refuseRequests(const Trouble& trouble);
     void endAnswersWithConnection(const Trouble& trouble, bool broken);
     void checkRunning();
     void awaitRecovery();
--- a/tests/standins/common/FaultTable.cpp
+++ b/tests/standins/common/FaultTable.cpp
@@ -19,6 +19,7 @@
         {"silence", FaultKind::Silence},
         {"not_run", FaultKind::NotRun},
         {"no_length", FaultKind::NoLength},
+        {"leaving", FaultKind::Leaving},
     };
     const auto found = kinds.find(text);
     return found == kinds.end() ? std::nullopt : std::optional(found->second);
@@ -54,6 +55,7 @@
         fault.body = json.value("body", "");
         fault.afterEffect = when == "after_effect";
         fault.afterEvents = json.value("after_events", 0);
+        fault.retryAfterSeconds = json.value("retry_after", 0);
         fault.insideEvent = json.value("inside_event", false);
         fault.openConnections = scope == "open_connections";
         if (fault.kind == FaultKind::CrashOnBody && fault.body.empty())
--- a/tests/standins/common/FaultTable.h
+++ b/tests/standins/common/FaultTable.h
@@ -23,6 +23,7 @@
     Silence,
     NotRun,
     NoLength,
+    Leaving,
 };
 
 struct Fault {
@@ -39,6 +40,8 @@
     int afterEvents = 0;
     // `DropAnswer` sends half of the next event of a stream first.
     bool insideEvent = false;
+    // `NotRun` asks for so many seconds without requests, when positive.
+    int retryAfterSeconds = 0;
     // `Silence` applies to the connections that are open now instead of to requests.
     bool openConnections = false;
 
--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -95,8 +95,7 @@
         if (const WriteAction action = applyAnswerFault(); action != WriteAction::Send)
             return action == WriteAction::Discard;
         http::response<http::string_body> message{static_cast<http::status>(response.status), http11};
-        for (const HeaderField& field : response.headers)
-            message.set(field.name, field.value);
+        setHeaders(message, response.headers);
         message.body() = response.body;
         message.keep_alive(keepAlive_);
         if (!fault_.noLength)
@@ -111,8 +110,7 @@
         if (const WriteAction action = applyAnswerFault(); action != WriteAction::Send)
             return action == WriteAction::Discard;
         http::response<http::empty_body> message{http::status::ok, http11};
-        for (const HeaderField& field : headers)
-            message.set(field.name, field.value);
+        setHeaders(message, headers);
         message.chunked(!fault_.noLength);
         http::response_serializer<http::empty_body> serializer{message};
         error_code error;
@@ -184,12 +182,19 @@
         return socket_.is_open() ? WriteAction::Send : WriteAction::Closed;
     }
 
+    template <typename Message> void setHeaders(Message& message, const std::vector<HeaderField>& headers) const
+    {
+        for (const auto* fields : {&headers, &fault_.headers}) {
+            for (const HeaderField& field : *fields)
+                message.set(field.name, field.value);
+        }
+    }
+
     // Writes half of the body of an answer without length, and resets the connection after the peer could read it.
     bool writeBeginning(const Response& response)
     {
         http::response<http::string_body> message{static_cast<http::status>(response.status), http11};
-        for (const HeaderField& field : response.headers)
-            message.set(field.name, field.value);
+        setHeaders(message, response.headers);
         message.body() = response.body.substr(0, response.body.size() / 2);
         error_code error;
         http::write(socket_, message, error);
--- a/tests/standins/common/Http.h
+++ b/tests/standins/common/Http.h
@@ -58,6 +58,8 @@
     // The answer has neither a length nor chunks and ends with its connection. `drop` then resets the connection,
     // unless it ends inside an event, because its end would make the answer complete.
     bool noLength = false;
+    // Headers that are added to the answer.
+    std::vector<HeaderField> headers;
 };
 
 // One accepted connection. Only `silence` may be called by other threads.
--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -112,10 +112,12 @@
                 handled = false;
                 break;
             case FaultKind::NotRun:
-                connection.write(
-                    Response::json(503, {{"error", {{"message", "refused by a fault"}}}}, {{"Lychee-Run", "no"}}));
+                refuse(request, fault, connection);
                 handled = false;
                 break;
+            case FaultKind::Leaving:
+                answerFault.headers.push_back({"Server-Leaving", "1"});
+                break;
             case FaultKind::IgnoreFencing:
             case FaultKind::HonourFencing:
                 break;
@@ -125,6 +127,17 @@
         return handled;
     }
 
+    void refuse(const Request& request, const Fault& fault, Connection& connection)
+    {
+        application_.refused(request, fault.retryAfterSeconds);
+        std::vector<HeaderField> headers{{"Lychee-Run", "no"}};
+        if (fault.retryAfterSeconds > 0) {
+            headers.push_back({"X-Not-Executed", "1"});
+            headers.push_back({"Retry-After", std::to_string(fault.retryAfterSeconds)});
+        }
+        connection.write(Response::json(503, {{"error", {{"message", "refused by a fault"}}}}, std::move(headers)));
+    }
+
     // Ends the process without cleanup, as a crash does. With a delay, the request runs until then.
     static void crashAfter(std::chrono::milliseconds delay)
     {
--- a/tests/standins/common/Standin.h
+++ b/tests/standins/common/Standin.h
@@ -17,6 +17,9 @@
     // The body of `GET /stats`.
     virtual nlohmann::json stats() = 0;
 
+    // Called for each request that `NotRun` refuses; 0 without a Retry-After.
+    virtual void refused(const Request&, int /*retryAfterSeconds*/) { }
+
     // Called once with the bound service port, before the ports file is written.
     virtual void listening(std::uint16_t) { }
 
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -13,6 +13,12 @@
 // The value of X-Response-Seal; the gateway checks only that the header is present.
 std::string responseSeal(const std::string& id, const std::string& attempt) { return id + "." + attempt; }
 
+std::int64_t steadyMillis()
+{
+    const auto time = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace
 
 Worker::Worker(WorkerOptions options)
@@ -54,6 +60,13 @@
     serve(request, connection);
 }
 
+void Worker::refused(const Request& request, int retryAfterSeconds)
+{
+    const std::lock_guard lock(mutex_);
+    const std::string attempt = request.header("X-Attempt-Id").value_or("");
+    appendRecord(fmt::format("refused {} {} {}", attempt, steadyMillis(), retryAfterSeconds));
+}
+
 json Worker::stats()
 {
     const std::lock_guard lock(mutex_);
@@ -84,7 +97,7 @@
         const std::lock_guard lock(mutex_);
         ++executions_[attempt];
         ++running_;
-        appendRecord("run " + attempt);
+        appendRecord(fmt::format("run {} {}", attempt, steadyMillis()));
     }
     if (servesModels())
         stream(request, connection, attempt);
@@ -127,9 +140,7 @@
     completeLoad();
     const std::string holder = order["holder"];
     ++holders_[holder];
-    const auto time
-        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
-    appendRecord(fmt::format("order {} {} {}", time.count(), holder, order["fence"].get<std::uint64_t>()));
+    appendRecord(fmt::format("order {} {} {}", steadyMillis(), holder, order["fence"].get<std::uint64_t>()));
     const std::string model = order.value("model", "");
     const std::string adapter = order.value("adapter", "");
     const bool load = order.value("operation", "") == "model_load";
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -44,6 +44,8 @@
 
     void handle(const Request& request, Connection& connection) override;
 
+    void refused(const Request& request, int retryAfterSeconds) override;
+
     nlohmann::json stats() override;
 
 private:
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -74,8 +74,8 @@
     // The proxy in front of a worker.
     FaultProxy& workerProxy(const std::string& id) { return *workerProxies_.at(id); }
 
-    // Lines that a worker has recorded since its first start: "run ATTEMPT", "order MILLISECONDS HOLDER FENCE" and
-    // "overcommit".
+    // Lines that a worker has recorded since its first start: "run ATTEMPT MILLISECONDS", "refused ATTEMPT
+    // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE" and "overcommit".
     std::vector<std::string> readRecord(const std::string& worker) const;
 
     Standin& worker(const std::string& id) { return *workers_.at(id); }
