--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -18,9 +18,16 @@
 
 // From the start of a process to its first instructions, beside other busy processes.
 constexpr Millis startTime{300};
+constexpr Millis retryPause{50};
 
 constexpr int plainWorkers = 2;
 
+// Where requests of callers go; orders and reports go elsewhere.
+constexpr std::array requestPaths{"/stream", "/safe", "/unsafe", "/extra"};
+
+// Limits of idle connections that the operator sets by turns.
+constexpr std::array idleLimits{Millis(800), Millis(1500), Millis(3000)};
+
 GatewayDeploymentOptions deploymentOptions(const SoakOptions& options)
 {
     GatewayDeploymentOptions result;
@@ -37,12 +44,14 @@
     , deployment_(options_.buildDirectory, deploymentOptions(options_))
     , workers_(deployment_.workerIds())
     , launchedAt_(deployment_.instanceCount())
+    , stopLimits_(deployment_.instanceCount())
 {
 }
 
 RunRecord SoakRun::play()
 {
     clock_ = RunClock();
+    record_.workers = workers_;
     record_.troubles = drawTroubles(options_.seed, options_.length, deployment_.instanceCount(), workers_.size());
     callers_ = std::make_unique<Callers>(deployment_, clock_, options_.seed, options_.callers);
     std::thread operatorThread([this] { changeConfigurations(); });
@@ -56,28 +65,63 @@
     return std::move(record_);
 }
 
+// Steps that have to wait for a process are tried again, so that they hold up no others.
 void SoakRun::playTroubles()
 {
-    std::vector<Step> steps;
-    for (const Trouble& trouble : record_.troubles) {
-        if (trouble.kind == TroubleKind::ConfigurationChanged)
-            continue;
-        steps.push_back({trouble.begin, &trouble, true});
-        steps.push_back({trouble.end, &trouble, false});
+    std::multimap<Millis, Step> steps;
+    for (Trouble& trouble : record_.troubles) {
+        if (trouble.kind != TroubleKind::ConfigurationChanged)
+            steps.emplace(trouble.begin, Step{&trouble, true});
     }
-    std::stable_sort(
-        steps.begin(), steps.end(), [](const Step& left, const Step& right) { return left.at < right.at; });
-    for (const Step& step : steps) {
-        std::this_thread::sleep_for(std::max(step.at - clock_.now(), Millis(0)));
-        if (step.begins)
-            apply(*step.trouble);
-        else
-            lift(*step.trouble);
+    while (!steps.empty()) {
+        const auto [at, step] = *steps.begin();
+        steps.erase(steps.begin());
+        std::this_thread::sleep_for(std::max(at - clock_.now(), Millis(0)));
+        Trouble& trouble = *step.trouble;
+        if (step.begins ? !canBegin(trouble) : !canEnd(trouble)) {
+            steps.emplace(clock_.now() + retryPause, step);
+        } else if (step.begins) {
+            const Millis length = trouble.end - trouble.begin;
+            apply(trouble);
+            trouble.inForceFrom = clock_.now();
+            active_.insert(&trouble);
+            trouble.end = std::max(trouble.end, clock_.now() + length);
+            steps.emplace(clock_.now() + length, Step{&trouble, false});
+        } else {
+            trouble.inForceUntil = clock_.now();
+            lift(trouble);
+            active_.erase(&trouble);
+            trouble.end = std::max(trouble.end, clock_.now());
+        }
     }
     std::this_thread::sleep_for(std::max(options_.length - clock_.now(), Millis(0)));
 }
 
-// The operator adds a path with each change.
+bool SoakRun::canBegin(const Trouble& trouble) const
+{
+    // A process that has only just been started dies by a signal before it can watch for it, and has taken nothing.
+    const bool signal = trouble.kind == TroubleKind::InstanceStopped || trouble.kind == TroubleKind::InstanceReloaded;
+    if (signal && clock_.now() < launchedAt_[trouble.subject] + startTime)
+        return false;
+    return std::none_of(active_.begin(), active_.end(), [&](const Trouble* other) {
+        return actOnSame(trouble, *other) || (signal && other->subject == trouble.subject && holdsUpStart(*other));
+    });
+}
+
+// Whether an instance was frozen before it could watch for signals.
+bool SoakRun::holdsUpStart(const Trouble& trouble) const
+{
+    return trouble.kind == TroubleKind::InstanceFrozen
+        && trouble.inForceFrom < launchedAt_[trouble.subject] + startTime;
+}
+
+bool SoakRun::canEnd(const Trouble& trouble)
+{
+    return trouble.kind != TroubleKind::InstanceStopped || clock_.now() >= stopLimits_[trouble.subject]
+        || !deployment_.instance(trouble.subject).process->isRunning();
+}
+
+// The operator adds a path with each change, and raises or lowers the idle time of connections.
 void SoakRun::changeConfigurations()
 {
     std::vector<std::string> prefixes{"/stream/", "/safe/", "/unsafe/"};
@@ -88,8 +132,12 @@
         std::this_thread::sleep_for(std::max(trouble.begin - clock_.now(), Millis(0)));
         version += 3;
         prefixes.push_back(fmt::format("/extra{}/", version));
+        const Millis limit = idleLimits[trouble.variant % idleLimits.size()];
+        deployment_.setCallerLimits({{"idleTimeoutMs", limit.count()}});
+        callers_->idleLimits().add(limit);
         try {
             deployment_.writeConfiguration(version, prefixes);
+            callers_->idleLimits().acknowledge(clock_.now());
             const std::string path = prefixes.back() + "x";
             record_.configurations.push_back({path, clock_.now()});
             callers_->addPath(path);
@@ -109,10 +157,14 @@
         return terminateInstance(trouble.subject);
     case TroubleKind::InstanceFrozen:
         return deployment_.instance(trouble.subject).process->freeze();
+    case TroubleKind::InstanceReloaded:
+        return deployment_.instance(trouble.subject).process->reload();
     case TroubleKind::WorkerKilled:
         return workerOf(trouble).process().kill();
     case TroubleKind::WorkerFrozen:
         return workerOf(trouble).process().freeze();
+    case TroubleKind::WorkerPaused:
+        return trouble.freezesWorker() ? workerOf(trouble).process().freeze() : pauseAnswers(trouble);
     case TroubleKind::WorkerAnswersLost:
         return workerOf(trouble).postFault({{"kind", "drop_answer"}, {"count", -1}});
     case TroubleKind::OrdersLate:
@@ -121,6 +173,14 @@
     case TroubleKind::StreamsBroken:
         return workerOf(trouble).postFault(
             {{"path", "/stream"}, {"kind", "drop_answer"}, {"count", -1}, {"after_events", 7}});
+    case TroubleKind::AnswersWithoutLength:
+        return endAnswersWithConnection(trouble, false);
+    case TroubleKind::AnswersWithoutLengthBroken:
+        return endAnswersWithConnection(trouble, true);
+    case TroubleKind::WorkerLeaving:
+        return workerOf(trouble).postFault({{"kind", "leaving"}, {"count", -1}});
+    case TroubleKind::WorkerRefuses:
+        return refuseRequests(trouble);
     case TroubleKind::StoreFrozen:
         return store.process().freeze();
     case TroubleKind::StoreSlow:
@@ -147,14 +207,24 @@
     case TroubleKind::InstanceKilled:
         return launchInstance(trouble.subject);
     case TroubleKind::InstanceFrozen:
+        if (holdsUpStart(trouble))
+            launchedAt_[trouble.subject] = clock_.now();
         return deployment_.instance(trouble.subject).process->resume();
+    case TroubleKind::WorkerLeaving:
+        workerOf(trouble).process().kill();
+        [[fallthrough]];
     case TroubleKind::WorkerKilled:
         return workerOf(trouble).restart();
     case TroubleKind::WorkerFrozen:
         return workerOf(trouble).process().resume();
+    case TroubleKind::WorkerPaused:
+        return trouble.freezesWorker() ? workerOf(trouble).process().resume() : workerOf(trouble).clearFaults();
     case TroubleKind::WorkerAnswersLost:
     case TroubleKind::OrdersLate:
     case TroubleKind::StreamsBroken:
+    case TroubleKind::AnswersWithoutLength:
+    case TroubleKind::AnswersWithoutLengthBroken:
+    case TroubleKind::WorkerRefuses:
         return workerOf(trouble).clearFaults();
     case TroubleKind::StoreFrozen:
         return deployment_.store().process().resume();
@@ -166,11 +236,40 @@
         return deployment_.instance(trouble.subject).storeProxy->setFault(LinkFault::None);
     case TroubleKind::WorkerLink:
         return deployment_.workerProxy(workers_[trouble.subject]).setFault(LinkFault::None);
+    case TroubleKind::InstanceReloaded:
     case TroubleKind::ConfigurationChanged:
         return;
     }
 }
 
+// Orders and reports of the worker are answered at once all the while.
+void SoakRun::pauseAnswers(const Trouble& trouble)
+{
+    const int event = static_cast<int>(trouble.variant % GatewayDeploymentOptions().events);
+    for (const char* path : requestPaths) {
+        workerOf(trouble).postFault({{"path", path}, {"kind", "delay"}, {"when", "after_effect"}, {"count", -1},
+            {"delay_ms", trouble.pause().count()}, {"after_events", std::string_view(path) == "/stream" ? event : 0}});
+    }
+}
+
+void SoakRun::endAnswersWithConnection(const Trouble& trouble, bool broken)
+{
+    const auto events = static_cast<std::uint64_t>(GatewayDeploymentOptions().events);
+    for (const char* path : requestPaths) {
+        workerOf(trouble).postFault({{"path", path}, {"kind", "no_length"}, {"count", -1}});
+        if (broken)
+            workerOf(trouble).postFault({{"path", path}, {"kind", "drop_answer"}, {"count", -1},
+                {"after_events", trouble.variant % events}, {"inside_event", trouble.variant / events % 2 == 0}});
+    }
+}
+
+void SoakRun::refuseRequests(const Trouble& trouble)
+{
+    for (const char* path : requestPaths)
+        workerOf(trouble).postFault(
+            {{"path", path}, {"kind", "not_run"}, {"count", -1}, {"retry_after", trouble.pauseSeconds()}});
+}
+
 void SoakRun::launchInstance(std::size_t index)
 {
     deployment_.launchInstance(index);
@@ -179,14 +278,13 @@
 
 void SoakRun::terminateInstance(std::size_t index)
 {
-    // A process that has only just been started dies by the signal before it can watch for it, and has taken nothing.
-    std::this_thread::sleep_for(std::max(launchedAt_[index] + startTime - clock_.now(), Millis(0)));
     deployment_.instance(index).process->terminate();
+    stopLimits_[index] = clock_.now() + stopLimit;
 }
 
 void SoakRun::stopInstance(std::size_t index)
 {
-    const auto exit = deployment_.instance(index).process->wait(stopLimit);
+    const auto exit = deployment_.instance(index).process->wait(Millis(0));
     if (!exit.ok()) {
         record_.badEnds.push_back(fmt::format("instance {} did not end within its grace time", index));
         deployment_.instance(index).process->kill();
@@ -237,7 +335,11 @@
             const std::vector<std::string> words = absl::StrSplit(line, ' ');
             if (words[0] == "run")
                 ++record_.runs[words[1]];
-            else if (words[0] == "order")
+            if (words[0] == "run" || words[0] == "refused") {
+                const Millis pause = words[0] == "run" ? Millis(0) : std::chrono::seconds(std::stoll(words[3]));
+                const Millis at = Millis(std::stoll(words[2])) - clock_.beginOnSteadyClock();
+                record_.arrivals.push_back({worker, words[1], at, pause});
+            } else if (words[0] == "order")
                 record_.orders.push_back(
                     {worker, Millis(std::stoll(words[1])) - clock_.beginOnSteadyClock(), words[2]});
             else if (words[0] == "overcommit")
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -4,6 +4,8 @@
 #include "tests/soak/Callers.h"
 #include "tests/soak/Promises.h"
 
+#include <set>
+
 namespace lychee::test {
 
 struct SoakOptions {
@@ -26,18 +28,23 @@
 
 private:
     struct Step {
-        Millis at{0};
-        const Trouble* trouble = nullptr;
+        Trouble* trouble = nullptr;
         bool begins = true;
     };
 
     void playTroubles();
+    bool canBegin(const Trouble& trouble) const;
+    bool canEnd(const Trouble& trouble);
+    bool holdsUpStart(const Trouble& trouble) const;
     void changeConfigurations();
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
     void launchInstance(std::size_t index);
     void terminateInstance(std::size_t index);
     void stopInstance(std::size_t index);
+    void pauseAnswers(const Trouble& trouble);
+    void refuseRequests(const Trouble& trouble);
+    void endAnswersWithConnection(const Trouble& trouble, bool broken);
     void checkRunning();
     void awaitRecovery();
     bool servesEverything(std::size_t instance);
@@ -51,6 +58,9 @@
     RunRecord record_;
     // When each instance was last started.
     std::vector<Millis> launchedAt_;
+    // Until when each instance that was stopped has to end.
+    std::vector<Millis> stopLimits_;
+    std::set<const Trouble*> active_;
     std::unique_ptr<Callers> callers_;
     int recoveryCalls_ = 0;
 };
