Let the stand-in of a worker name the request that it refuses

The stand-in refused without X-Attempt-Id, which workers echo in all their answers. Change: the stand-in echoes the id.

--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -135,6 +135,8 @@
             headers.push_back({"X-Not-Executed", "1"});
             headers.push_back({"Retry-After", std::to_string(fault.retryAfterSeconds)});
         }
+        if (const auto attempt = request.header("X-Attempt-Id"))
+            headers.push_back({"X-Attempt-Id", *attempt});
         connection.write(Response::json(503, {{"error", {{"message", "refused by a fault"}}}}, std::move(headers)));
     }
 
