--- a/src/gateway/CrashWatch.cpp
+++ b/src/gateway/CrashWatch.cpp
@@ -58,7 +58,7 @@
 void CrashWatch::record(const fleet::CrashSuspect& suspect, bool ownObservation)
 {
     for (const fleet::RequestTrait trait : attribution_.recordSuspect(suspect, ownObservation, currentTime())) {
-        logChannel.warning("trait={:x} kind={} blocked, last crash target={} born={}", trait.value(),
+        logChannel.warning("trait={:x} kind=\"{}\" blocked, last crash target={} born={}", trait.value(),
             trait == suspect.request.content ? "request" : "prompt part", suspect.crash.target,
             suspect.crash.incarnation);
     }
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -104,12 +104,7 @@
     // Refuses a request that would probably crash its target.
     void refuseBlocked()
     {
-        constexpr std::string_view reason = "targets crashed on requests like this one";
-        if (streamStarted_)
-            return abortStream(reason);
-        if (history_.possibleRuns > 0)
-            return fail(502, reason);
-        refuse(reason, context_.crashes.blockedFor(traits()));
+        giveUp("targets crashed on requests like this one", 502, context_.crashes.blockedFor(traits()));
     }
 
     // Records that the target has begun to answer, which shows that the request does not crash targets.
@@ -605,25 +600,21 @@
         context_.registry.endSend(attempt.send, outcome, currentTime());
     }
 
-    void finishAtDeadline()
-    {
-        lastProblem_ = "the time limit has passed";
-        if (streamStarted_)
-            return abortStream(lastProblem_);
-        if (history_.possibleRuns > 0)
-            return fail(504, lastProblem_);
-        refuse(lastProblem_, RelayLimits::minAnswerTimeout);
-    }
+    void finishAtDeadline() { giveUp("the time limit has passed", 504, RelayLimits::minAnswerTimeout); }
 
     // No further send can be answered before the process ends.
-    void finishAtStop()
+    void finishAtStop() { giveUp("the instance is stopping", 502, RelayLimits::minAnswerTimeout); }
+
+    // Ends a request that is not sent again, without claiming more than is known: aborts a stream that has started,
+    // answers with `unknownStatus` after a possible run, and refuses otherwise.
+    void giveUp(std::string_view reason, int unknownStatus, Duration retryAfter)
     {
-        lastProblem_ = "the instance is stopping";
+        lastProblem_ = std::string(reason);
         if (streamStarted_)
             return abortStream(lastProblem_);
         if (history_.possibleRuns > 0)
-            return fail(502, lastProblem_);
-        refuse(lastProblem_, RelayLimits::minAnswerTimeout);
+            return fail(unknownStatus, lastProblem_);
+        refuse(lastProblem_, retryAfter);
     }
 
     void abortStream(std::string_view problem)
