Count evidence on crashes anew when a block ends, and let it expire

Cause: found by a review from the code. Crashes that a blocked part explained were no evidence for good, also after the block had turned out wrong and was cleared. Evidence expired only when another crash came, so one crash cost each later request a hash of its body, and a joining instance took old evidence for new. An answer that does not show that a target ran the request, for example 404, cleared its traits. A trial counted as made although its request was not sent. Change: whether a crash is explained follows from the blocks in force; old evidence is dropped whenever it is asked for; only genuine successes clear traits; a trial is over when its request was sent and failed.

--- a/src/fleet/CrashAttribution.cpp
+++ b/src/fleet/CrashAttribution.cpp
@@ -50,60 +50,68 @@
     const CrashSuspect& suspect, bool ownObservation, TimePoint now)
 {
     forgetOld(now);
-    Crash& crash = crashes_.try_emplace(suspect.crash, Crash{now, {}, false}).first->second;
+    Crash& crash = crashes_.try_emplace(suspect.crash, Crash{now, {}}).first->second;
     const auto sameContent = [&](const RequestTraits& request) { return request.content == suspect.request.content; };
-    if (crash.explained || crash.suspects.size() >= maxSuspectsPerCrash
+    if (crash.suspects.size() >= maxSuspectsPerCrash
         || std::any_of(crash.suspects.begin(), crash.suspects.end(), sameContent))
         return {};
-    if (std::any_of(suspect.request.promptParts.begin(), suspect.request.promptParts.end(),
-            [&](RequestTrait part) { return blocks_.contains(part); })) {
-        crash.explained = true;
-        return {};
-    }
     crash.suspects.push_back(suspect.request);
-    return convict(ownObservation, now);
+    return blockByEvidence(ownObservation, now);
+}
+
+std::vector<RequestTrait> CrashAttribution::blockByEvidence(bool ownObservation, TimePoint now)
+{
+    std::vector<RequestTrait> blocked;
+    // Each part that is blocked explains its crashes, which may leave too few against the next one.
+    for (std::vector<RequestTrait> parts = mostSuspectedParts(); !parts.empty(); parts = mostSuspectedParts()) {
+        for (const RequestTrait part : parts)
+            addBlock(part, now + blockLifetime, ownObservation, now);
+        blocked.insert(blocked.end(), parts.begin(), parts.end());
+    }
+    std::map<RequestTrait, std::size_t> crashesByContent;
+    for (const auto& [id, crash] : crashes_) {
+        if (isExplained(crash))
+            continue;
+        for (const RequestTraits& request : crash.suspects)
+            ++crashesByContent[request.content];
+    }
+    for (const auto& [content, count] : crashesByContent) {
+        if (count < crashesToBlockContent || blocks_.contains(content))
+            continue;
+        addBlock(content, now + blockLifetime, ownObservation, now);
+        blocked.push_back(content);
+    }
+    return blocked;
 }
 
-std::vector<RequestTrait> CrashAttribution::convict(bool ownObservation, TimePoint now)
+std::vector<RequestTrait> CrashAttribution::mostSuspectedParts() const
 {
-    std::vector<RequestTrait> convicted;
+    std::vector<RequestTrait> parts;
     std::size_t most = crashesToBlockPart;
     for (const auto& [part, evidence] : gatherPartEvidence()) {
         if (evidence.contents.size() < requestsToBlockPart || evidence.crashes.size() < most)
             continue;
         if (evidence.crashes.size() > most)
-            convicted.clear();
+            parts.clear();
         most = evidence.crashes.size();
-        convicted.push_back(part);
+        parts.push_back(part);
     }
-    for (auto& [id, crash] : crashes_) {
-        crash.explained = crash.explained
-            || std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const RequestTraits& request) {
-                   return std::any_of(
-                       convicted.begin(), convicted.end(), [&](RequestTrait part) { return request.contains(part); });
-               });
-    }
-    std::set<RequestTrait> contents;
-    for (const auto& [id, crash] : crashes_) {
-        if (crash.explained)
-            continue;
-        for (const RequestTraits& request : crash.suspects)
-            contents.insert(request.content);
-    }
-    for (const RequestTrait content : contents) {
-        if (!blocks_.contains(content) && crashesWithContent(content) >= crashesToBlockContent)
-            convicted.push_back(content);
-    }
-    for (const RequestTrait trait : convicted)
-        addBlock(trait, now + blockLifetime, ownObservation, now);
-    return convicted;
+    return parts;
+}
+
+bool CrashAttribution::isExplained(const Crash& crash) const
+{
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const RequestTraits& request) {
+        return std::any_of(request.promptParts.begin(), request.promptParts.end(),
+            [&](RequestTrait part) { return blocks_.contains(part); });
+    });
 }
 
 std::map<RequestTrait, CrashAttribution::Evidence> CrashAttribution::gatherPartEvidence() const
 {
     std::map<RequestTrait, Evidence> evidence;
     for (const auto& [id, crash] : crashes_) {
-        if (crash.explained)
+        if (isExplained(crash))
             continue;
         for (const RequestTraits& request : crash.suspects) {
             for (const RequestTrait part : request.promptParts) {
@@ -115,15 +123,6 @@
     return evidence;
 }
 
-std::size_t CrashAttribution::crashesWithContent(RequestTrait content) const
-{
-    return static_cast<std::size_t>(std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
-        const Crash& crash = entry.second;
-        const auto hasContent = [&](const RequestTraits& request) { return request.content == content; };
-        return !crash.explained && std::any_of(crash.suspects.begin(), crash.suspects.end(), hasContent);
-    }));
-}
-
 std::vector<RequestTrait> CrashAttribution::recordAnswered(const RequestTraits& request)
 {
     if (crashes_.empty() && blocks_.empty())
@@ -221,8 +220,15 @@
         visitIfBlocked(part);
 }
 
-std::vector<CrashSuspect> CrashAttribution::suspects() const
+bool CrashAttribution::isEmpty(TimePoint now)
 {
+    forgetOld(now);
+    return crashes_.empty() && blocks_.empty();
+}
+
+std::vector<CrashSuspect> CrashAttribution::suspects(TimePoint now)
+{
+    forgetOld(now);
     std::vector<CrashSuspect> result;
     for (const auto& [id, crash] : crashes_) {
         for (const RequestTraits& request : crash.suspects)
--- a/src/fleet/CrashAttribution.h
+++ b/src/fleet/CrashAttribution.h
@@ -5,8 +5,7 @@
 // shares with a request that a target began to answer is cleared: the cause crashes each target before the answer
 // begins. What remains in several crashes is blocked, and requests that have it are refused on all instances.
 //
-// Instances exchange each crash and each clearing. Neither depends on the order of arrival: a crash is counted once,
-// whoever reports it.
+// Instances exchange each crash and each clearing. A crash is counted once, whoever reports it and in whatever order.
 #pragma once
 
 #include "fleet/CallerRequest.h"
@@ -25,7 +24,7 @@
 struct RequestTraits {
     // The path and the body.
     RequestTrait content;
-    // The parts of the prompt but the last, which no other request has.
+    // The parts of the prompt but the last, which belongs to the request or its session.
     std::vector<RequestTrait> promptParts;
 
     bool contains(RequestTrait trait) const;
@@ -85,7 +84,8 @@
     // Blocks a trait on the word of a peer.
     void block(const BlockedTrait& blocked, TimePoint now);
 
-    bool isEmpty() const { return crashes_.empty() && blocks_.empty(); }
+    // Drops what is too old to count, and returns whether nothing is suspected or blocked.
+    bool isEmpty(TimePoint now);
 
     bool knows(const TargetCrash& crash) const { return crashes_.contains(crash); }
 
@@ -99,15 +99,13 @@
     Duration blockedFor(const RequestTraits& request, TimePoint now) const;
 
     // What an instance that joins has to know.
-    std::vector<CrashSuspect> suspects() const;
+    std::vector<CrashSuspect> suspects(TimePoint now);
     std::vector<BlockedTrait> blockedTraits(TimePoint now) const;
 
 private:
     struct Crash {
         TimePoint seenAt;
         std::vector<RequestTraits> suspects;
-        // A blocked prompt part has caused the crash, so that it is no evidence against anything else.
-        bool explained = false;
     };
 
     struct Block {
@@ -123,9 +121,12 @@
         std::set<RequestTrait> contents;
     };
 
-    std::vector<RequestTrait> convict(bool ownObservation, TimePoint now);
+    // Blocks what the crashes are evidence against, and returns it.
+    std::vector<RequestTrait> blockByEvidence(bool ownObservation, TimePoint now);
+    std::vector<RequestTrait> mostSuspectedParts() const;
+    // Whether a blocked prompt part has caused the crash, so that it is no evidence against anything else.
+    bool isExplained(const Crash& crash) const;
     std::map<RequestTrait, Evidence> gatherPartEvidence() const;
-    std::size_t crashesWithContent(RequestTrait content) const;
     void addBlock(RequestTrait trait, TimePoint until, bool sendsTrials, TimePoint now);
     bool erase(RequestTrait trait);
     void forgetOld(TimePoint now);
--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -27,7 +27,7 @@
     void setOutputs(CrashWatchOutputs outputs) { outputs_ = std::move(outputs); }
 
     // Whether nothing is suspected or blocked, so that the traits of requests need not be computed.
-    bool isQuiet() const { return attribution_.isEmpty(); }
+    bool isQuiet() { return attribution_.isEmpty(currentTime()); }
 
     fleet::CrashAdmission admit(const fleet::RequestTraits& request)
     {
@@ -54,7 +54,10 @@
     void clearingReported(std::span<const fleet::RequestTrait> traits) { attribution_.clear(traits); }
     void blockReported(const fleet::BlockedTrait& blocked) { attribution_.block(blocked, currentTime()); }
 
-    CrashKnowledge knowledge() const { return {attribution_.suspects(), attribution_.blockedTraits(currentTime())}; }
+    CrashKnowledge knowledge()
+    {
+        return {attribution_.suspects(currentTime()), attribution_.blockedTraits(currentTime())};
+    }
 
 private:
     void record(const fleet::CrashSuspect& suspect, bool ownObservation);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -248,7 +248,7 @@
 
     void sendTo(const fleet::ChosenTarget& target)
     {
-        if (!std::exchange(isTrial_, false) && !context_.crashes.isQuiet() && context_.crashes.isBlocked(traits()))
+        if (!isTrial_ && !context_.crashes.isQuiet() && context_.crashes.isBlocked(traits()))
             return refuseBlocked();
         if (target.adapterMissing && !ensureAdapter(target))
             return;
@@ -343,6 +343,7 @@
             return resendOrFinish(attempt, fleet::SendResult::NotSent, messageOf(attempt.status));
         }
         endSend(attempt, timedOut ? fleet::SendOutcome::NoAnswer : fleet::SendOutcome::Failed);
+        isTrial_ = false;
         if (!attempt.begun && errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed)
             context_.crashes.connectionLost(caller_.attempt, attempt.target, traits());
         if (timedOut && currentTime() >= deadline_) {
@@ -373,7 +374,7 @@
                 attempt, fleet::SendResult::OutcomeUnknown, "the answer to a resumed stream is not a stream of events");
         }
         context_.registry.prefillDone(attempt.send, currentTime());
-        if (!caller_.generation && status < 500)
+        if (!caller_.generation && success)
             recordBegun(attempt);
         if (success && route_->kind == fleet::RequestKind::Streaming)
             return relayStream(attempt);
@@ -484,7 +485,7 @@
             response.body += **chunk;
         }
         const bool targetFailed = response.status >= 500;
-        if (!targetFailed)
+        if (success)
             recordBegun(attempt);
         endSend(attempt, targetFailed ? fleet::SendOutcome::Failed : fleet::SendOutcome::Answered);
         if (targetFailed) {
--- a/tests/unit/CrashAttributionTest.cpp
+++ b/tests/unit/CrashAttributionTest.cpp
@@ -161,7 +161,7 @@
     known.recordSuspect({crashOf(4), request(21, {8})}, true, start);
     known.recordSuspect({crashOf(5), request(22, {8})}, true, start);
     CrashAttribution joined;
-    for (const CrashSuspect& suspect : known.suspects())
+    for (const CrashSuspect& suspect : known.suspects(start + 10s))
         joined.recordSuspect(suspect, false, start + 10s);
     for (const BlockedTrait& blocked : known.blockedTraits(start + 10s))
         joined.block(blocked, start + 10s);
@@ -169,6 +169,32 @@
     EXPECT_EQ(joined.recordSuspect({crashOf(6), request(23, {8})}, true, start + 10s), std::vector{RequestTrait(8)});
 }
 
+// Guards against a part that goes on crashing targets because its crashes were put down to another part, which turned
+// out to be sound.
+TEST(CrashAttribution, EvidenceCountsAgainWhenTheBlockThatExplainedItEnds)
+{
+    CrashAttribution attribution;
+    attribution.recordSuspect({crashOf(4), request(14, {1})}, true, start);
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        attribution.recordSuspect({crashOf(i), request(10 + i, {1, 7})}, true, start);
+    EXPECT_TRUE(attribution.isBlocked(request(50, {1}), start));
+    attribution.recordAnswered(request(51, {1}));
+    EXPECT_FALSE(attribution.isBlocked(request(50, {1}), start));
+    attribution.recordSuspect({crashOf(5), request(15, {7})}, true, start);
+    EXPECT_TRUE(attribution.isBlocked(request(52, {7}), start));
+}
+
+// Guards against old evidence that costs time with each request, and that an instance that joins takes for new.
+TEST(CrashAttribution, EvidenceExpiresWithoutFurtherCrashes)
+{
+    CrashAttribution attribution;
+    attribution.recordSuspect({crashOf(1), request(11, {7})}, true, start);
+    EXPECT_FALSE(attribution.isEmpty(start + 30s));
+    EXPECT_EQ(attribution.suspects(start + 30s).size(), 1u);
+    EXPECT_TRUE(attribution.suspects(start + 2min).empty());
+    EXPECT_TRUE(attribution.isEmpty(start + 2min));
+}
+
 // Guards against blocks of sound requests while targets crash for another reason.
 TEST(CrashAttribution, UnrelatedCrashesBlockNothing)
 {
