--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -18,10 +18,10 @@
 constexpr const char* crashingBody = "a request that ends each worker that runs it";
 constexpr milliseconds contact{3000};
 
-// The machines and zones of cwmtaf-hire.
+// The machines, zones and engines of cwmtaf-hire.
 constexpr std::array<int, 7> zoneOfFront{1, 1, 2, 2, 3, 3, 4};
 constexpr int zones = 4;
-constexpr int engines = 8;
+constexpr int engines = 18;
 
 // Traffic starts 10 s after the machines.
 constexpr milliseconds lead{10000};
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,4 +1,5 @@
-// Connections to the store go silent; later the machine that forwards changes is killed beside a new configuration.
+// Connections to the store go silent. Later the holder of the placement lease is restarted, and the configuration
+// changes.
 #include "../common/Configuration.h"
 #include "../common/Deployment.h"
 #include "../common/SilencingProxy.h"
@@ -24,11 +25,10 @@
 
 // Traffic starts 10 s after the machines.
 constexpr milliseconds lead{10000};
-// From the silence to the kill: longer than `contactMs`, so that all machines are in touch again.
-constexpr milliseconds silenceToKill{4000};
-constexpr milliseconds killToChange{300};
-// A process that is killed is started again after a short delay.
-constexpr milliseconds killToStart{500};
+// Longer than `contactMs`, so that all machines are in touch again.
+constexpr milliseconds silenceToStop{4000};
+// From the stop of the holder to the change; another machine holds the lease by then.
+constexpr milliseconds stopToChange{6000};
 constexpr milliseconds observed{30000};
 
 nlohmann::json configurationWith(int version, const std::string& service)
@@ -114,30 +114,29 @@
             count += proxy->silenceOpenConnections();
         record.line("silence open_connections_to_the_store=" + std::to_string(count));
     }
-    std::this_thread::sleep_for(silenceToKill);
+    std::this_thread::sleep_for(silenceToStop);
     const std::string holder = leaseHolder(store);
-    Front* killed = nullptr;
+    Front* restarted = nullptr;
     for (const auto& front : deployment.fronts()) {
         if (front->name == holder)
-            killed = front.get();
+            restarted = front.get();
     }
-    if (!killed)
+    if (!restarted)
         return exitCouldNotRun;
-    if (trouble)
-        deployment.kill(*killed);
-    std::this_thread::sleep_for(killToChange);
+    const auto stoppedAt = Clock::now();
+    deployment.stop(*restarted);
+    deployment.start(*restarted);
+    std::this_thread::sleep_until(stoppedAt + stopToChange);
+    record.line("lease holder_before=" + holder + " holder_now=" + leaseHolder(store));
     store.put("op", "config", configurationWith(2, "booking-new").dump());
     const std::int64_t acknowledgedAt = record.now();
     record.line("configuration version=2 acknowledged");
-    std::this_thread::sleep_for(killToStart - killToChange);
-    if (trouble)
-        deployment.start(*killed);
     std::this_thread::sleep_for(observed);
     ending = true;
     for (std::thread& thread : callers)
         thread.join();
 
-    // The machines in touch: all but the one that was killed, from `contactMs` after the silence on.
+    // The machines in touch: all but the one that was restarted, from `contactMs` after the silence on.
     int judged = 0;
     int stale = 0;
     std::int64_t lastStale = 0;
@@ -154,7 +153,7 @@
         if (kind != "run")
             continue;
         const auto found = sent.find(attempt.substr(attempt.find('=') + 1));
-        if (found == sent.end() || found->second.machine == killed->name
+        if (found == sent.end() || found->second.machine == restarted->name
             || found->second.at <= acknowledgedAt + configApplyMs || found->second.at <= silencedAt + contactMs)
             continue;
         ++judged;
--- a/review/common/Deployment.cpp
+++ b/review/common/Deployment.cpp
@@ -20,6 +20,9 @@
 const Headers bounds{{"bounds.retryBudgetRatio", "0.2"}, {"bounds.retrySlack", "54"}, {"bounds.budgetWindowS", "10"},
     {"bounds.leaseMs", "3000"}, {"bounds.graceS", "8"}};
 
+// `graceS` of the deployment.
+constexpr milliseconds graceTime{8000};
+
 std::string readFile(const std::string& path)
 {
     std::ifstream file(path);
@@ -155,6 +158,22 @@
     record_.line("start machine=" + front.name);
 }
 
+void Deployment::stop(Front& front)
+{
+    ::kill(front.process, SIGTERM);
+    record_.line("stop machine=" + front.name);
+    const auto limit = Clock::now() + graceTime;
+    while (Clock::now() < limit) {
+        if (::waitpid(front.process, nullptr, WNOHANG) == front.process) {
+            front.process = 0;
+            record_.line("stopped machine=" + front.name);
+            return;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    kill(front);
+}
+
 void Deployment::kill(Front& front)
 {
     ::kill(front.process, SIGKILL);
--- a/review/common/Deployment.h
+++ b/review/common/Deployment.h
@@ -28,6 +28,9 @@
 
     void start(Front& front);
 
+    // Sends SIGTERM and waits for the end; sends SIGKILL after the grace time.
+    void stop(Front& front);
+
     // Sends SIGKILL and waits for the end.
     void kill(Front& front);
 
--- a/review/common/Worker.cpp
+++ b/review/common/Worker.cpp
@@ -134,14 +134,25 @@
     exchange.beginStream(streamHeaders);
     const std::string after = header(request, "Last-Event-Id");
     int made = 0;
+    bool paused = false;
     for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= options_.events; ++id) {
         std::this_thread::sleep_for(options_.eventPause);
+        if (options_.eventsBeforePause > 0 && made == options_.eventsBeforePause && !paused) {
+            paused = true;
+            record_.line("preempted attempt=" + attempt + " worker=" + options_.name);
+            std::this_thread::sleep_for(options_.pause);
+        }
         const std::string number = std::to_string(id);
-        if (exchange.isPeerGone() || !exchange.write("id: " + number + "\ndata: token-" + number + "\n\n")) {
+        const bool reached
+            = !exchange.isPeerGone() && exchange.write("id: " + number + "\ndata: token-" + number + "\n\n");
+        if (!reached && options_.dropsClosedRequests) {
             --active_;
             return;
         }
-        if (crashes && ++made == options_.eventsBeforeCrash) {
+        if (paused)
+            record_.line("works attempt=" + attempt + " worker=" + options_.name + " event=" + number);
+        ++made;
+        if (crashes && made == options_.eventsBeforeCrash) {
             --active_;
             // The events reach the other side before the process ends.
             std::this_thread::sleep_for(options_.eventPause);
--- a/review/common/Worker.h
+++ b/review/common/Worker.h
@@ -22,6 +22,11 @@
     std::string crashingBody;
     int eventsBeforeCrash = 0;
     milliseconds downTime{3000};
+    // A stream is preempted once after this many events and read anew, which takes `pause`; 0 for never.
+    int eventsBeforePause = 0;
+    milliseconds pause{0};
+    // Whether a run ends when its connection is closed. Most workers drop such a request, some do not.
+    bool dropsClosedRequests = true;
 };
 
 // Registers itself in the store every 1.2 s, as long as it runs. Writes each run and each crash to the record.
