--- a/review/common/Worker.cpp
+++ b/review/common/Worker.cpp
@@ -123,9 +123,15 @@
     record_.line("run attempt=" + attempt + " worker=" + options_.name + " service=" + options_.service);
     const Headers headers{{"X-Attempt-Id", attempt}, {"X-Response-Seal", "seal." + options_.name + "." + attempt},
         {"X-Run-By", options_.service}};
-    if (options_.models.empty())
+    const std::string target(request.target().data(), request.target().size());
+    const bool crashes = (!options_.crashingBody.empty() && request.body() == options_.crashingBody)
+        || (!options_.crashingTarget.empty() && target == options_.crashingTarget);
+    if (options_.models.empty()) {
+        if (crashes)
+            return crash(attempt);
+        std::this_thread::sleep_for(options_.workTime);
         return exchange.respond(200, headers, "answered by " + options_.service);
-    const bool crashes = !options_.crashingBody.empty() && request.body() == options_.crashingBody;
+    }
     if (crashes && options_.eventsBeforeCrash == 0)
         return crash(attempt);
     ++active_;
--- a/review/common/Worker.h
+++ b/review/common/Worker.h
@@ -18,8 +18,12 @@
     int events = 13;
     milliseconds eventPause{20};
     milliseconds loadTime{800};
-    // A request whose body is this one ends the worker once it has made this many events; empty for none.
+    // How long a plain worker works on a request.
+    milliseconds workTime{0};
+    // A request with this body, or with this path and query, ends the worker: a plain one at once, an engine after it
+    // has made `eventsBeforeCrash` events. Empty for none.
     std::string crashingBody;
+    std::string crashingTarget;
     int eventsBeforeCrash = 0;
     milliseconds downTime{3000};
     // A stream is preempted once after this many events and read anew, which takes `pause`; 0 for never.
