--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -16,6 +16,8 @@
 
 constexpr const char* model = "m0";
 constexpr const char* crashingBody = "a request that ends each worker that runs it";
+// With CRASHING_PART=1, requests that are no two alike share this part of their prompt, which ends the workers.
+constexpr const char* crashingPart = "dead1:100";
 constexpr milliseconds contact{3000};
 
 // The machines, zones and engines of cwmtaf-hire.
@@ -76,6 +78,9 @@
 int play(const std::string& repository, const std::string& directory, const std::string& recordPath)
 {
     const bool trouble = environmentNumber("TROUBLE", 1) != 0;
+    const bool byPart = environmentNumber("CRASHING_PART", 0) != 0;
+    // Requests are counted from `contact` after this crash on.
+    const std::size_t countedCrash = byPart ? 5 : 3;
     Record record(recordPath);
     Store store;
     const std::uint16_t storePort = store.start();
@@ -92,8 +97,8 @@
         options.slots = 64;
         options.models = {model};
         if (trouble)
-            options.crashingBody = crashingBody;
-        options.eventsBeforeCrash = environmentNumber("EVENTS_BEFORE_CRASH", 3);
+            (byPart ? options.crashingPart : options.crashingBody) = byPart ? crashingPart : crashingBody;
+        options.eventsBeforeCrash = environmentNumber("EVENTS_BEFORE_CRASH", 2);
         workers.push_back(std::make_unique<Worker>(store, record, options));
         workers.back()->start();
     }
@@ -139,7 +144,10 @@
             }
             record.line("sent attempt=" + attempt + " machine=" + front.name);
             const Answer answer = send(front.address, deployment.callerPort(), "POST", "/pack/x",
-                requestHeaders(attempt, "aa11:800,bb22:90"), crashingBody, milliseconds(6000));
+                requestHeaders(attempt,
+                    byPart ? "5c1e07a2:700," + std::string(crashingPart) + "," + std::to_string(i + 10) + ":90"
+                           : "aa11:800,bb22:90"),
+                byPart ? "pack " + attempt : crashingBody, milliseconds(6000));
             record.line("answered attempt=" + attempt + " status=" + std::to_string(answer.status)
                 + (answer.complete ? " complete" : " broken off"));
         });
@@ -153,14 +161,15 @@
 
     const Runs runs = readRuns(recordPath);
     int late = 0;
-    if (runs.crashes.size() >= 3) {
+    if (runs.crashes.size() >= countedCrash) {
         for (const auto& [attempt, sentAt] : observations.crashingSent)
-            late += sentAt > runs.crashes[2] + contact.count() && runs.firstRun.contains(attempt);
+            late += sentAt > runs.crashes[countedCrash - 1] + contact.count() && runs.firstRun.contains(attempt);
     }
     record.line("result crashes=" + std::to_string(runs.crashes.size())
-        + " retries_that_reached_workers_later_than_3_s_after_the_third_crash=" + std::to_string(late) + " others="
-        + std::to_string(observations.others) + " others_served=" + std::to_string(observations.othersServed));
-    if (trouble && runs.crashes.size() < 3)
+        + " retries_that_reached_workers_later_than_3_s_after_crash_" + std::to_string(countedCrash) + "="
+        + std::to_string(late) + " others=" + std::to_string(observations.others)
+        + " others_served=" + std::to_string(observations.othersServed));
+    if (trouble && runs.crashes.size() < countedCrash)
         return exitCouldNotRun;
     return late > 3 ? exitBroken : exitHeld;
 }
--- a/review/common/Worker.cpp
+++ b/review/common/Worker.cpp
@@ -125,7 +125,9 @@
         {"X-Run-By", options_.service}};
     const std::string target(request.target().data(), request.target().size());
     const bool crashes = (!options_.crashingBody.empty() && request.body() == options_.crashingBody)
-        || (!options_.crashingTarget.empty() && target == options_.crashingTarget);
+        || (!options_.crashingTarget.empty() && target == options_.crashingTarget)
+        || (!options_.crashingPart.empty()
+            && header(request, "X-Prompt-Prefix").find(options_.crashingPart) != std::string::npos);
     if (options_.models.empty()) {
         if (crashes)
             return crash(attempt);
--- a/review/common/Worker.h
+++ b/review/common/Worker.h
@@ -24,6 +24,8 @@
     // has made `eventsBeforeCrash` events. Empty for none.
     std::string crashingBody;
     std::string crashingTarget;
+    // A part of the prompt, as ID:TOKENS, that does the same.
+    std::string crashingPart;
     int eventsBeforeCrash = 0;
     milliseconds downTime{3000};
     // A stream is preempted once after this many events and read anew, which takes `pause`; 0 for never.
