Clear a crash suspect by its whole answer, not by its beginning

Cause: the second piece of a stream, or the head of a plain answer, counted as proof that the request is harmless. It cleared the evidence on all instances, and a connection lost after it was no evidence. With the crash before the second event the case passed, and no `part=crash` line named the request otherwise.

Now only a complete answer clears. All requests that a target was working on are suspects, many of them sound, so the decision takes more: runs after the beginning of an answer weigh less, runs count together only if each began after the crash before, a request that shares all its crashes with another is not blocked until a crash tells them apart, and the end of a target that is leaving is no evidence. Instances report all suspects of a crash in one message after one probe, with the times of the runs; the mesh protocol has a new version for it.

--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -161,6 +161,14 @@
     applyNotice(id);
 }
 
+bool TargetRegistry::isLeaving(const TargetId& id, TargetIncarnation incarnation) const
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return true;
+    return found->second->record.incarnation == incarnation && !found->second->isInService();
+}
+
 void TargetRegistry::recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until)
 {
     Notice& notice = noticeOf(id, incarnation);
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -117,6 +117,9 @@
     // Records that a target has said in an answer that it is about to leave.
     void recordLeaving(const TargetId& id, TargetIncarnation incarnation);
 
+    // Whether this incarnation of a target is about to leave or no longer listed, so that its end is no crash.
+    bool isLeaving(const TargetId& id, TargetIncarnation incarnation) const;
+
     // Records that a target has declined a request and wants no further one for a time.
     void recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until);
 
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -30,7 +30,7 @@
     // A configuration has come into force.
     std::function<void(const fleet::RouteTable&)> configurationChanged;
     // What a peer has observed of crashes.
-    std::function<void(const fleet::CrashSuspect&)> crashSuspectReported;
+    std::function<void(const std::vector<fleet::CrashSuspect>&)> crashSuspectsReported;
     std::function<void(const std::vector<fleet::RequestTrait>&)> traitsCleared;
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
@@ -133,7 +133,11 @@
     }
 
     // Tells all peers what this instance has observed of crashes.
-    void announce(const fleet::CrashSuspect& suspect) { mesh_->broadcast(toMessage(suspect)); }
+    void announce(const std::vector<fleet::CrashSuspect>& suspects)
+    {
+        for (const MeshCrash& message : toMessages(suspects))
+            mesh_->broadcast(message);
+    }
     void announceCleared(const std::vector<fleet::RequestTrait>& traits)
     {
         mesh_->broadcast(MeshTraitsCleared{traits});
@@ -338,8 +342,8 @@
     void sendCrashKnowledge(const InstanceId& peer)
     {
         const CrashKnowledge knowledge = relay_.readCrashKnowledge();
-        for (const fleet::CrashSuspect& suspect : knowledge.suspects)
-            mesh_->send(peer, toMessage(suspect)).IgnoreError();
+        for (const MeshCrash& message : toMessages(knowledge.suspects))
+            mesh_->send(peer, message).IgnoreError();
         for (const fleet::BlockedTrait& blocked : knowledge.blocked)
             mesh_->send(peer, toMessage(blocked)).IgnoreError();
     }
@@ -499,10 +503,7 @@
         pending.done.notify();
     }
 
-    void handle(const InstanceId&, const MeshCrashSuspect& message)
-    {
-        relay_.crashSuspectReported(fromMessage(message));
-    }
+    void handle(const InstanceId&, const MeshCrash& message) { relay_.crashSuspectsReported(fromMessage(message)); }
 
     void handle(const InstanceId&, const MeshTraitsCleared& message) { relay_.traitsCleared(message.traits); }
 
--- a/src/gateway/CrashWatch.cpp
+++ b/src/gateway/CrashWatch.cpp
@@ -31,36 +31,60 @@
 
 } // namespace
 
-void CrashWatch::connectionLost(
-    const RequestId& attempt, const fleet::ChosenTarget& target, const fleet::RequestTraits& request)
+void CrashWatch::connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run)
 {
-    const fleet::TargetCrash crash{target.target, target.incarnation};
-    const bool crashed = attribution_.knows(crash) || refusesConnections(target.endpoint);
-    logChannel.info("request={} target={} born={} connection lost before the answer, crashed={}", attempt,
-        target.target, target.incarnation, crashed);
-    if (!crashed)
-        return;
-    const fleet::CrashSuspect suspect{crash, request};
-    record(suspect, true);
-    if (outputs_.suspectFound)
-        outputs_.suspectFound(suspect);
+    const fleet::CrashSuspect suspect{
+        {target.target, target.incarnation}, run.request, run.begun, currentTime() - run.sentAt};
+    logChannel.info("request={} target={} born={} begun={} ran_ms={} connection lost before the end of the answer",
+        attempt, target.target, target.incarnation, run.begun,
+        std::chrono::duration_cast<std::chrono::milliseconds>(suspect.ran).count());
+    if (attribution_.knows(suspect.crash))
+        return recordOwn({suspect});
+    const auto running = probes_.find(suspect.crash);
+    if (running == probes_.end())
+        return probe(target, suspect);
+    FiberEvent done;
+    running->second.suspects.push_back(suspect);
+    running->second.waiters.push_back(&done);
+    done.wait();
 }
 
-void CrashWatch::answerBegan(const fleet::RequestTraits& request)
+void CrashWatch::probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect)
+{
+    probes_[suspect.crash].suspects.push_back(suspect);
+    const bool crashed = refusesConnections(target.endpoint);
+    const Probe probe = std::move(probes_.extract(suspect.crash).mapped());
+    logChannel.info("target={} born={} lost_requests={} crashed={}", target.target, target.incarnation,
+        probe.suspects.size(), crashed);
+    if (crashed)
+        recordOwn(probe.suspects);
+    for (FiberEvent* waiter : probe.waiters)
+        waiter->notify();
+}
+
+void CrashWatch::recordOwn(const std::vector<fleet::CrashSuspect>& suspects)
+{
+    record(suspects, true);
+    if (outputs_.suspectsFound)
+        outputs_.suspectsFound(suspects);
+}
+
+void CrashWatch::answerCompleted(const fleet::RequestTraits& request)
 {
     const std::vector<fleet::RequestTrait> cleared = attribution_.recordAnswered(request);
     if (!cleared.empty() && outputs_.traitsCleared)
         outputs_.traitsCleared(cleared);
 }
 
-void CrashWatch::suspectReported(const fleet::CrashSuspect& suspect) { record(suspect, false); }
+void CrashWatch::suspectsReported(std::span<const fleet::CrashSuspect> suspects) { record(suspects, false); }
 
-void CrashWatch::record(const fleet::CrashSuspect& suspect, bool ownObservation)
+void CrashWatch::record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation)
 {
-    for (const fleet::RequestTrait trait : attribution_.recordSuspect(suspect, ownObservation, currentTime())) {
+    for (const fleet::RequestTrait trait : attribution_.recordSuspects(suspects, ownObservation, currentTime())) {
+        const bool isContent = std::any_of(suspects.begin(), suspects.end(),
+            [&](const fleet::CrashSuspect& suspect) { return suspect.request.content == trait; });
         logChannel.warning("trait={:x} kind=\"{}\" blocked, last crash target={} born={}", trait.value(),
-            trait == suspect.request.content ? "request" : "prompt part", suspect.crash.target,
-            suspect.crash.incarnation);
+            isContent ? "request" : "prompt part", suspects.front().crash.target, suspects.front().crash.incarnation);
     }
 }
 
--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -4,6 +4,7 @@
 #include "fleet/CrashAttribution.h"
 #include "fleet/TargetChoice.h"
 #include "transport/Duty.h"
+#include "transport/FiberEvent.h"
 
 #include <functional>
 
@@ -11,7 +12,8 @@
 
 // Functions that tell the peers what this instance has observed. They do not suspend the fiber.
 struct CrashWatchOutputs {
-    std::function<void(const fleet::CrashSuspect&)> suspectFound;
+    // The suspects of one crash.
+    std::function<void(const std::vector<fleet::CrashSuspect>&)> suspectsFound;
     std::function<void(const std::vector<fleet::RequestTrait>&)> traitsCleared;
 };
 
@@ -21,6 +23,14 @@
     std::vector<fleet::BlockedTrait> blocked;
 };
 
+// A run of a request whose answer did not end.
+struct LostRun {
+    fleet::RequestTraits request;
+    TimePoint sentAt;
+    // The target had begun to answer.
+    bool begun = false;
+};
+
 // Accessed on the relay duty only.
 class CrashWatch {
 public:
@@ -41,16 +51,15 @@
         return attribution_.blockedFor(request, currentTime());
     }
 
-    // Records that the connection to a target was lost before the target began to answer the request. Finds out whether
-    // the target has crashed, which suspends the fiber.
-    void connectionLost(
-        const RequestId& attempt, const fleet::ChosenTarget& target, const fleet::RequestTraits& request);
+    // Records that the connection to a target was lost before the end of its answer. Finds out whether the target has
+    // crashed, which suspends the fiber.
+    void connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
 
-    // Records that a target began to answer the request.
-    void answerBegan(const fleet::RequestTraits& request);
+    // Records that a target answered the request to the end.
+    void answerCompleted(const fleet::RequestTraits& request);
 
     // Applies what a peer has observed.
-    void suspectReported(const fleet::CrashSuspect& suspect);
+    void suspectsReported(std::span<const fleet::CrashSuspect> suspects);
     void clearingReported(std::span<const fleet::RequestTrait> traits) { attribution_.clear(traits); }
     void blockReported(const fleet::BlockedTrait& blocked) { attribution_.block(blocked, currentTime()); }
 
@@ -60,9 +69,18 @@
     }
 
 private:
-    void record(const fleet::CrashSuspect& suspect, bool ownObservation);
+    // Requests that were lost on the same target wait for one probe of it.
+    struct Probe {
+        std::vector<fleet::CrashSuspect> suspects;
+        std::vector<FiberEvent*> waiters;
+    };
+
+    void probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
+    void recordOwn(const std::vector<fleet::CrashSuspect>& suspects);
+    void record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation);
 
     fleet::CrashAttribution attribution_;
+    std::map<fleet::TargetCrash, Probe> probes_;
     CrashWatchOutputs outputs_;
 };
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -94,8 +94,8 @@
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
                                      TimePoint deadline) { return ensureAdapter(target, model, adapter, deadline); };
-        context_.crashes.setOutputs({[this](const fleet::CrashSuspect& suspect) {
-                                         postToControl([this, suspect] { control_->announce(suspect); });
+        context_.crashes.setOutputs({[this](const std::vector<fleet::CrashSuspect>& suspects) {
+                                         postToControl([this, suspects] { control_->announce(suspects); });
                                      },
             [this](const std::vector<fleet::RequestTrait>& traits) {
                 postToControl([this, traits] { control_->announceCleared(traits); });
@@ -184,8 +184,8 @@
             });
         };
         port.configurationChanged = [this](const fleet::RouteTable& table) { applyLimits(table.limits()); };
-        port.crashSuspectReported = [this](const fleet::CrashSuspect& suspect) {
-            postToRelay([this, suspect] { context_.crashes.suspectReported(suspect); });
+        port.crashSuspectsReported = [this](const std::vector<fleet::CrashSuspect>& suspects) {
+            postToRelay([this, suspects] { context_.crashes.suspectsReported(suspects); });
         };
         port.traitsCleared = [this](const std::vector<fleet::RequestTrait>& traits) {
             postToRelay([this, traits] { context_.crashes.clearingReported(traits); });
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -4,6 +4,24 @@
 
 namespace lychee::gateway {
 
+namespace {
+
+// Longest duration that is taken from a message.
+constexpr std::chrono::milliseconds maxDuration = std::chrono::hours(1);
+
+std::uint64_t toMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0));
+}
+
+Duration fromMilliseconds(std::uint64_t count)
+{
+    return std::chrono::milliseconds(std::min(count, static_cast<std::uint64_t>(maxDuration.count())));
+}
+
+} // namespace
+
 std::string encodeMeshMessage(const MeshMessage& message) { return MessageCodec::encode(meshProtocolVersion, message); }
 
 absl::StatusOr<MeshMessage> decodeMeshMessage(std::string_view payload)
@@ -44,14 +62,31 @@
     return holdings;
 }
 
-MeshCrashSuspect toMessage(const fleet::CrashSuspect& suspect)
+std::vector<MeshCrash> toMessages(const std::vector<fleet::CrashSuspect>& suspects)
 {
-    return {suspect.crash.target, suspect.crash.incarnation, suspect.request.content, suspect.request.promptParts};
+    std::map<fleet::TargetCrash, MeshCrash> messages;
+    for (const fleet::CrashSuspect& suspect : suspects) {
+        MeshCrash& message = messages[suspect.crash];
+        message.target = suspect.crash.target;
+        message.incarnation = suspect.crash.incarnation;
+        message.ageMs = toMilliseconds(suspect.age);
+        message.suspects.push_back(
+            {suspect.request.content, suspect.request.promptParts, suspect.begun, toMilliseconds(suspect.ran)});
+    }
+    std::vector<MeshCrash> result;
+    for (auto& [crash, message] : messages)
+        result.push_back(std::move(message));
+    return result;
 }
 
-fleet::CrashSuspect fromMessage(const MeshCrashSuspect& message)
+std::vector<fleet::CrashSuspect> fromMessage(const MeshCrash& message)
 {
-    return {{message.target, message.incarnation}, {message.content, message.promptParts}};
+    std::vector<fleet::CrashSuspect> suspects;
+    for (const MeshCrashSuspect& suspect : message.suspects) {
+        suspects.push_back({{message.target, message.incarnation}, {suspect.content, suspect.promptParts},
+            suspect.begun, fromMilliseconds(suspect.ranMs), fromMilliseconds(message.ageMs)});
+    }
+    return suspects;
 }
 
 MeshTraitBlocked toMessage(const fleet::BlockedTrait& blocked)
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -17,7 +17,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 2;
+inline constexpr std::uint64_t meshProtocolVersion = 3;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -154,17 +154,27 @@
     auto fields() { return std::tie(reserved); }
 };
 
-// A request that a target had received but not begun to answer when it crashed. Traits are hashes.
+// A request that a target was working on when it crashed. Traits are hashes.
 struct MeshCrashSuspect {
-    TargetId target;
-    fleet::TargetIncarnation incarnation;
     fleet::RequestTrait content;
     std::vector<fleet::RequestTrait> promptParts;
+    bool begun = false;
+    std::uint64_t ranMs = 0;
+
+    auto fields() { return std::tie(content, promptParts, begun, ranMs); }
+};
+
+// The requests that the sender had on a target when it crashed.
+struct MeshCrash {
+    TargetId target;
+    fleet::TargetIncarnation incarnation;
+    std::uint64_t ageMs = 0;
+    std::vector<MeshCrashSuspect> suspects;
 
-    auto fields() { return std::tie(target, incarnation, content, promptParts); }
+    auto fields() { return std::tie(target, incarnation, ageMs, suspects); }
 };
 
-// Traits that do not crash targets, because a target began to answer a request that has them.
+// Traits that do not crash targets, because a target answered a request that has them.
 struct MeshTraitsCleared {
     std::vector<fleet::RequestTrait> traits;
 
@@ -181,7 +191,7 @@
 
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
 using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
-    MeshLeaving, MeshCrashSuspect, MeshTraitsCleared, MeshTraitBlocked>;
+    MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
@@ -194,9 +204,10 @@
 
 fleet::Holdings fromMessage(const MeshHoldings& message, TimePoint now);
 
-MeshCrashSuspect toMessage(const fleet::CrashSuspect& suspect);
+// One message for each crash.
+std::vector<MeshCrash> toMessages(const std::vector<fleet::CrashSuspect>& suspects);
 
-fleet::CrashSuspect fromMessage(const MeshCrashSuspect& message);
+std::vector<fleet::CrashSuspect> fromMessage(const MeshCrash& message);
 
 MeshTraitBlocked toMessage(const fleet::BlockedTrait& blocked);
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -43,8 +43,9 @@
         fleet::SendId send;
         std::unique_ptr<HttpStream> stream;
         absl::Status status;
+        TimePoint startedAt;
         bool sent = false;
-        // The target has begun to answer.
+        // The target has begun to answer, and went on for longer than one that crashes as it begins.
         bool begun = false;
         // A piece of the stream was passed on.
         bool forwarded = false;
@@ -107,14 +108,11 @@
         giveUp("targets crashed on requests like this one", 502, context_.crashes.blockedFor(traits()));
     }
 
-    // Records that the target has begun to answer, which shows that the request does not crash targets.
-    void recordBegun(Attempt& attempt)
+    // Records that a target has answered the request to the end, which shows that it does not crash targets.
+    void recordCompleted()
     {
-        if (attempt.begun)
-            return;
-        attempt.begun = true;
         if (!context_.crashes.isQuiet())
-            context_.crashes.answerBegan(traits());
+            context_.crashes.answerCompleted(traits());
     }
 
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
@@ -286,6 +284,7 @@
     {
         Attempt attempt{target, {}, nullptr, {}};
         const TimePoint now = currentTime();
+        attempt.startedAt = now;
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
         ForwardParameters parameters{target.target, deadline_ - now, 5, resumeAfter()};
@@ -344,8 +343,11 @@
         }
         endSend(attempt, timedOut ? fleet::SendOutcome::NoAnswer : fleet::SendOutcome::Failed);
         isTrial_ = false;
-        if (!attempt.begun && errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed)
-            context_.crashes.connectionLost(caller_.attempt, attempt.target, traits());
+        if (errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed
+            && !context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)) {
+            context_.crashes.connectionLost(
+                caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
+        }
         if (timedOut && currentTime() >= deadline_) {
             history_.add(fleet::SendResult::OutcomeUnknown);
             return finishAtDeadline();
@@ -374,8 +376,7 @@
                 attempt, fleet::SendResult::OutcomeUnknown, "the answer to a resumed stream is not a stream of events");
         }
         context_.registry.prefillDone(attempt.send, currentTime());
-        if (!caller_.generation && success)
-            recordBegun(attempt);
+        attempt.begun = !caller_.generation && success;
         if (success && route_->kind == fleet::RequestKind::Streaming)
             return relayStream(attempt);
         relayWholeAnswer(attempt, success);
@@ -486,7 +487,7 @@
         }
         const bool targetFailed = response.status >= 500;
         if (success)
-            recordBegun(attempt);
+            recordCompleted();
         endSend(attempt, targetFailed ? fleet::SendOutcome::Failed : fleet::SendOutcome::Answered);
         if (targetFailed) {
             const int status = response.status;
@@ -564,7 +565,7 @@
         }
         // The first piece of a stream may leave a target that crashes as it begins.
         if (std::exchange(attempt.forwarded, true)) {
-            recordBegun(attempt);
+            attempt.begun = true;
         } else if (attempt.maxSilence != Duration::max()) {
             attempt.maxSilence = fleet::maxTargetSilence(*route_);
             attempt.stream->setInterByteTimeout(attempt.maxSilence);
@@ -588,7 +589,7 @@
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
         }
-        recordBegun(attempt);
+        recordCompleted();
         endSend(attempt, fleet::SendOutcome::Answered);
         outcome_ = exchange_.endStream().ok() ? RelayOutcome::Delivered : RelayOutcome::CallerLeft;
     }
--- a/tests/gateway/CrashingPromptTest.cpp
+++ b/tests/gateway/CrashingPromptTest.cpp
@@ -66,6 +66,142 @@
     EXPECT_EQ(receivedRequests(), 10u);
 }
 
+// A moment of an answer at which a target crashes.
+struct CrashMoment {
+    std::string name;
+    // The bytes of the answer before it.
+    std::function<std::string(const HttpRequest&)> bytes;
+    std::string path;
+    const ServiceId& service;
+};
+
+std::string answerHead(const HttpRequest& request, std::string_view framing)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Response-Seal: seal\r\n{}\r\n\r\n",
+        request.headers.find("X-Attempt-Id").value_or(""), framing);
+}
+
+// A chunked stream that breaks off after the given number of events.
+std::string streamOf(const HttpRequest& request, int events)
+{
+    std::string bytes = answerHead(request, "Transfer-Encoding: chunked");
+    const int after = std::stoi(std::string(request.headers.find("Last-Event-Id").value_or("0")));
+    for (int id = after + 1; id <= after + events; ++id) {
+        const std::string event = fmt::format("id: {}\ndata: e{}\n\n", id, id);
+        bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    }
+    return bytes;
+}
+
+CrashMoment inStream(std::string name, int events)
+{
+    return {std::move(name), [events](const HttpRequest& request) { return streamOf(request, events); }, "/stream/x",
+        engineService};
+}
+
+CrashMoment inPlainAnswer(std::string name, std::string_view body)
+{
+    return {std::move(name),
+        [body](const HttpRequest& request) { return answerHead(request, "Content-Length: 10") + std::string(body); },
+        "/safe/x", plainService};
+}
+
+class CrashMomentTest : public CrashingPromptTest, public testing::WithParamInterface<CrashMoment> {
+protected:
+    // Adds a target that ends in the middle of its answer to a request with the body "crash".
+    void addTargetThatCrashes()
+    {
+        const std::size_t number = rawTargets_.size();
+        addRawTarget(GetParam().service, [this, number](RawTargetConnection& connection, const HttpRequest& request) {
+            if (request.body != "crash") {
+                connection.write(streamOf(request, 3) + "0\r\n\r\n");
+                return;
+            }
+            ++crashes_;
+            connection.write(GetParam().bytes(request));
+            sleepFor(30ms);
+            rawTargets_[number]->close();
+        });
+    }
+};
+
+// Guards against a request that crashes one target after another because a part of its answer arrives each time.
+TEST_P(CrashMomentTest, RepeatsOfTheRequestAreRefused)
+{
+    for (int i = 0; i < 10; ++i)
+        addTargetThatCrashes();
+    start();
+    int refused = 0;
+    for (int i = 1; i <= 6; ++i) {
+        HttpRequest sent = request(GetParam().path);
+        sent.headers.set("X-Attempt-Id", fmt::format("id-{}", i));
+        sent.body = "crash";
+        const auto answer = client().send(sent);
+        refused += answer.ok() && answer->status == 503;
+        sent.body = fmt::format("sound {}", i);
+        sent.headers.set("X-Attempt-Id", fmt::format("sound-{}", i));
+        const auto sound = client().send(sent);
+        ASSERT_TRUE(sound.ok()) << i;
+        EXPECT_EQ(sound->status, 200) << i;
+    }
+    EXPECT_LE(crashes_, 3);
+    EXPECT_GE(refused, 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, CrashMomentTest,
+    testing::Values(
+        CrashMoment{"BeforeTheHead", [](const HttpRequest&) { return std::string(); }, "/stream/x", engineService},
+        inStream("BeforeTheFirstEvent", 0), inStream("AfterOneEvent", 1), inStream("AfterTwoEvents", 2),
+        inStream("AfterTenEvents", 10), inPlainAnswer("BeforeTheBody", ""), inPlainAnswer("InTheBody", "half")),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against sound streams that are refused because they went on at the targets that a bad request ended next.
+TEST_F(CrashingPromptTest, SoundStreamsThatShareTheCrashesOfABadRequestAreNotRefused)
+{
+    constexpr int targetCount = 6;
+    constexpr int soundCount = 24;
+    for (std::size_t number = 0; number < targetCount; ++number) {
+        addTarget(engineService, [this, number](ScriptedTarget& target, HttpExchange& exchange) {
+            if (exchange.request().body != "crash")
+                return events(150)(target, exchange);
+            exchange.beginStream(200, sealedHeaders(exchange.request())).IgnoreError();
+            for (int id = 1; id <= 3; ++id)
+                exchange.write(fmt::format("id: {}\ndata: e{}\n\n", id, id)).IgnoreError();
+            sleepFor(30ms);
+            ++crashes_;
+            targets_[number]->server->close();
+            exchange.abort();
+        });
+    }
+    start();
+    std::atomic<int> refused{0};
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < soundCount; ++i) {
+        callers.emplace_back([this, i, &refused] {
+            // A caller whose stream broke off sends the request again.
+            for (int attempt = 0; attempt < 3; ++attempt) {
+                HttpRequest sent = request("/stream/x");
+                sent.headers.set("X-Attempt-Id", fmt::format("sound-{}-{}", i, attempt));
+                sent.body = fmt::format("sound {}", i);
+                const auto answer = client().send(sent);
+                refused += answer.ok() && answer->body.find("crashed") != std::string::npos;
+                if (answer.ok())
+                    return;
+            }
+        });
+    }
+    for (int i = 1; i <= 5; ++i) {
+        std::this_thread::sleep_for(100ms);
+        HttpRequest sent = request("/stream/x");
+        sent.headers.set("X-Attempt-Id", fmt::format("bad-{}", i));
+        sent.body = "crash";
+        static_cast<void>(client().send(sent));
+    }
+    callers.clear();
+    EXPECT_EQ(refused, 0);
+    EXPECT_LE(crashes_, 4);
+}
+
 } // namespace
 } // namespace lychee::gateway
 
--- a/tests/unit/CrashAttributionTest.cpp
+++ b/tests/unit/CrashAttributionTest.cpp
@@ -184,6 +184,90 @@
     EXPECT_TRUE(attribution.isBlocked(request(52, {7}), start));
 }
 
+CrashSuspect suspectOf(std::uint64_t crash, std::uint64_t content, Duration ran)
+{
+    return {crashOf(crash), request(content, {}), true, ran, {}};
+}
+
+// Guards against a request that crashes targets in the middle of its answers and is never recognized.
+TEST(CrashAttribution, BlocksARequestThatCrashesTargetsInItsAnswers)
+{
+    CrashAttribution attribution;
+    EXPECT_TRUE(attribution.recordSuspect(suspectOf(1, 11, 60ms), true, start).empty());
+    EXPECT_TRUE(attribution.recordSuspect(suspectOf(2, 11, 60ms), true, start + 100ms).empty());
+    EXPECT_EQ(attribution.recordSuspect(suspectOf(3, 11, 60ms), true, start + 2s), std::vector{RequestTrait(11)});
+}
+
+// Guards against sound requests that are blocked because they were sent again to the next target that a bad one ended.
+TEST(CrashAttribution, ASoundRequestWithTheCrashesOfABadOneIsNotBlocked)
+{
+    constexpr std::uint64_t bad = 11;
+    for (const bool badIsReportedLast : {false, true}) {
+        CrashAttribution attribution;
+        TimePoint now = start;
+        for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+            std::vector<CrashSuspect> suspects;
+            if (!badIsReportedLast)
+                suspects.push_back(suspectOf(crash, bad, 60ms));
+            // Fewer and fewer sound streams are on the same target again.
+            for (std::uint64_t sound = 0; sound < 40; ++sound) {
+                if (crash <= 1 + sound % 3)
+                    suspects.push_back(suspectOf(crash, 100 + sound, 90ms));
+            }
+            if (badIsReportedLast)
+                suspects.push_back(suspectOf(crash, bad, 60ms));
+            for (const CrashSuspect& suspect : suspects) {
+                attribution.recordSuspect(suspect, true, now);
+                now += 1ms;
+            }
+            now += 100ms;
+        }
+        EXPECT_TRUE(attribution.isBlocked(request(bad, {}), now)) << badIsReportedLast;
+        for (std::uint64_t sound = 0; sound < 40; ++sound)
+            EXPECT_FALSE(attribution.isBlocked(request(100 + sound, {}), now)) << sound << badIsReportedLast;
+    }
+}
+
+// Guards against requests and prompt parts that are blocked because many targets end at once for a reason of their own,
+// such as a restart of a data centre.
+TEST(CrashAttribution, CrashesAtTheSameTimeAreOnePieceOfEvidence)
+{
+    CrashAttribution attribution;
+    for (std::uint64_t crash = 1; crash <= 12; ++crash) {
+        const TimePoint now = start + crash * 30ms;
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            const CrashSuspect suspect{crashOf(crash), request(crash % 2 == 0 ? 7 : 100 * crash + i, {1, 2 + i % 3}),
+                i % 4 != 0, 2s + i * 10ms, {}};
+            EXPECT_TRUE(attribution.recordSuspect(suspect, true, now).empty());
+        }
+    }
+}
+
+// Guards against a prompt part that is never recognized because each request with it begins to answer.
+TEST(CrashAttribution, BlocksAPromptPartThatCrashesTargetsInTheAnswers)
+{
+    CrashAttribution attribution;
+    for (std::uint64_t crash = 1; crash <= 5; ++crash) {
+        const TimePoint now = start + crash * 1s;
+        attribution.recordSuspect({crashOf(crash), request(10 + crash / 2, {1, 7}), true, 60ms, {}}, true, now);
+        attribution.recordAnswered(request(1000 + crash, {1, 3}));
+    }
+    EXPECT_TRUE(attribution.isBlocked(request(50, {7}), start + 6s));
+    EXPECT_FALSE(attribution.isBlocked(request(51, {1, 4}), start + 6s));
+}
+
+// Guards against an instance that joins and takes the crashes that it is told of for one event.
+TEST(CrashAttribution, AnInstanceThatJoinsLearnsWhenTheCrashesHappened)
+{
+    CrashAttribution known;
+    known.recordSuspect(suspectOf(1, 11, 60ms), true, start);
+    known.recordSuspect(suspectOf(2, 11, 60ms), true, start + 1s);
+    CrashAttribution joined;
+    const TimePoint now = start + 3s;
+    joined.recordSuspects(known.suspects(now), false, now);
+    EXPECT_EQ(joined.recordSuspect(suspectOf(3, 11, 60ms), true, now + 1s), std::vector{RequestTrait(11)});
+}
+
 // Guards against old evidence that costs time with each request, and that an instance that joins takes for new.
 TEST(CrashAttribution, EvidenceExpiresWithoutFurtherCrashes)
 {
