End long reads of the configuration when changes are no longer forwarded

Cause: while the lease holder forwards changes, an instance reads the configuration with a wait of 30 s. The condition was asked before the read only, so a forwarder that stopped, changed, fell silent or whose notice was lost left the instance on a read that hid every change when its connection was silent. Only instances that could not read the targets were sent rows.

Heartbeats carry the newest row of the configuration; an instance that is behind a peer reads at once, and one that is still behind in its second report is sent the row.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -175,7 +175,7 @@
     struct PeerState {
         MeshStatus status;
         TimePoint heardAt;
-        // Consecutive reports in which the peer could not read the platform and had older rows than this instance.
+        // Consecutive reports in which the peer had older rows than this instance and needed them from it.
         int reportsBehind = 0;
     };
 
@@ -279,7 +279,7 @@
             status_ = {};
             relay_.readStatus(status_);
             status_.readsPlatform = availability_.isAvailable(now) && now - targetWatch_.answeredAt() < maxReadAge();
-            status_.configurationRow = configurationWatch_.replica().version();
+            status_.configurationRow = configurationWatch_.replica().newestRow();
             status_.targetRows = targetWatch_.replica().version();
             status_.holdsLease = lease_.isRenewing();
             for (const MeshAdapterUse& use : status_.uses)
@@ -383,16 +383,20 @@
         sendMissingRows(peer, state);
     }
 
-    // Sends rows to a peer that cannot read the platform and has older ones. This also works while no instance reaches
-    // the store: an instance that starts then would otherwise have no rows at all.
+    // Sends rows to a peer that has older ones and cannot read the platform, or still has an older configuration after
+    // it could have read or received the newer one. This also works while no instance reaches the store: an instance
+    // that starts then would otherwise have no rows at all.
     void sendMissingRows(const InstanceId& peer, PeerState& state)
     {
         const ReplicaVersions receiver = replicaVersionsOf(peer, state.status);
-        if (state.status.readsPlatform || !ownReplicaVersions().isAheadOf(receiver)) {
+        const ReplicaVersions own = ownReplicaVersions();
+        const bool readsTargets = state.status.readsPlatform;
+        if (readsTargets ? own.configuration <= receiver.configuration : !own.isAheadOf(receiver)) {
             state.reportsBehind = 0;
             return;
         }
-        if (sendsRowsTo(receiver, ownReplicaVersions(), peerReplicaVersions(), state.reportsBehind))
+        const bool mayBeOnItsWay = readsTargets && state.reportsBehind == 0;
+        if (!mayBeOnItsWay && sendsRowsTo(receiver, own, peerReplicaVersions(), state.reportsBehind))
             sendRows(peer, state.status);
         ++state.reportsBehind;
     }
@@ -404,7 +408,7 @@
 
     ReplicaVersions ownReplicaVersions() const
     {
-        return {options_.self, configurationWatch_.replica().version(), targetWatch_.replica().version()};
+        return {options_.self, configurationWatch_.replica().newestRow(), targetWatch_.replica().version()};
     }
 
     std::vector<ReplicaVersions> peerReplicaVersions() const
@@ -434,11 +438,18 @@
             return false;
         const PeerState& owner = found->second;
         return owner.status.readsPlatform && owner.status.holdsLease
-            && currentTime() - owner.heardAt < ControlLimits::maxOwnerSilence
-            && owner.status.configurationRow <= configurationWatch_.replica().version()
+            && currentTime() - owner.heardAt < ControlLimits::maxOwnerSilence && !peerHasNewerConfiguration()
             && owner.status.targetRows <= targetWatch_.replica().version();
     }
 
+    // Whether a peer has a configuration that should have been forwarded to this instance.
+    bool peerHasNewerConfiguration() const
+    {
+        return std::any_of(peers_.begin(), peers_.end(), [this](const auto& peer) {
+            return peer.second.status.configurationRow > configurationWatch_.replica().version();
+        });
+    }
+
     // The lease holder forwards changes to all peers, so that not every instance has to read them from the platform.
     void forwardChanges(
         const std::string& table, RowVersion version, RowVersion since, const std::vector<StoredRow>& changed)
@@ -451,7 +462,8 @@
     void sendRows(const InstanceId& peer, const MeshStatus& status)
     {
         sendTable(peer, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
-        sendTable(peer, Platform::targetTable, targetWatch_.replica(), status.targetRows);
+        if (!status.readsPlatform)
+            sendTable(peer, Platform::targetTable, targetWatch_.replica(), status.targetRows);
     }
 
     void sendTable(const InstanceId& peer, const std::string& table, const RowReplica& replica, RowVersion since)
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -66,9 +66,11 @@
     std::vector<MeshWork> work;
     std::vector<MeshDemand> demand;
     std::vector<MeshAdapterUse> uses;
-    // Whether the sender can read the platform's tables, and the version of each table up to which it has read.
+    // Whether the sender can read the platform's tables.
     bool readsPlatform = false;
+    // The version of the newest row of the configuration that the sender has.
     RowVersion configurationRow;
+    // The version up to which the sender has the rows of the targets.
     RowVersion targetRows;
     // The sender holds the placement lease and renews it. Right after it has acquired the lease it may not be allowed
     // to send orders yet.
--- a/src/gateway/RowReplica.cpp
+++ b/src/gateway/RowReplica.cpp
@@ -54,6 +54,14 @@
     return changed;
 }
 
+RowVersion RowReplica::newestRow() const
+{
+    RowVersion newest;
+    for (const auto& [key, row] : rows_)
+        newest = std::max(newest, row.version);
+    return newest;
+}
+
 const StoredRow* RowReplica::find(const std::string& key) const
 {
     const auto found = rows_.find(key);
--- a/src/gateway/RowReplica.h
+++ b/src/gateway/RowReplica.h
@@ -30,6 +30,9 @@
     // The replica is complete up to this version; zero when the table was never read.
     RowVersion version() const { return version_; }
 
+    // The version of the newest row, zero when there is none.
+    RowVersion newestRow() const;
+
     void setVersion(RowVersion version) { version_ = std::max(version_, version); }
 
 private:
--- a/src/gateway/RowSenders.h
+++ b/src/gateway/RowSenders.h
@@ -9,7 +9,8 @@
 
 namespace lychee::gateway {
 
-// The versions up to which an instance has the rows of the two tables, as far as its peers know.
+// The newest row of the configuration and the version up to which an instance has the rows of the targets, as far as
+// its peers know.
 struct ReplicaVersions {
     InstanceId instance;
     RowVersion configuration;
--- a/src/gateway/RowStore.h
+++ b/src/gateway/RowStore.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "protocol/Ids.h"
+#include "transport/HttpClient.h"
 #include "transport/RuntimeClock.h"
 
 #include <absl/status/statusor.h>
@@ -45,17 +46,19 @@
     std::string detail;
 };
 
-// list() reads a whole table; changes() waits up to `wait` for rows newer than `version`; write() writes a row on the
-// condition that it still has `version`. Reads fail with CoordinationError::PlatformUnreachable, and changes() also
-// with VersionStale when the platform no longer has the changes since `version`.
+// list() reads a whole table; changes() waits up to `wait` for rows newer than `version`, and can be ended early by its
+// cancellation, which may be null; write() writes a row on the condition that it still has `version`. Reads fail with
+// CoordinationError::PlatformUnreachable, and changes() also with VersionStale when the platform no longer has the
+// changes since `version`.
 template <typename Store>
-concept RowStore = requires(Store store, const std::string& text, RowVersion version, Duration wait, TimePoint deadline)
+concept RowStore = requires(Store store, const std::string& text, RowVersion version, Duration wait, TimePoint deadline,
+    std::shared_ptr<HttpCancellation> cancellation)
 {
     {
         store.list(text, deadline)
         } -> std::same_as<absl::StatusOr<RowPage>>;
     {
-        store.changes(text, version, wait, deadline)
+        store.changes(text, version, wait, deadline, cancellation)
         } -> std::same_as<absl::StatusOr<RowPage>>;
     {
         store.write(text, text, version, text, deadline)
--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -45,11 +45,16 @@
             const bool first = replica_.version() == RowVersion() || historyLost_;
             const Duration wait = mayReadRarely() ? options_.forwardedWait : options_.wait;
             const RowVersion since = replica_.version();
+            const TimePoint begin = currentTime();
+            const auto cancellation = std::make_shared<HttpCancellation>();
+            if (!first && wait > options_.wait)
+                cancelWhenItMustBeShort(cancellation);
             absl::StatusOr<RowPage> page = first
-                ? store_.list(options_.table, currentTime() + answerTimeout)
-                : store_.changes(options_.table, since, wait, currentTime() + wait + answerTimeout);
+                ? store_.list(options_.table, begin + answerTimeout)
+                : store_.changes(options_.table, since, wait, begin + wait + answerTimeout, cancellation);
             if (!page.ok()) {
-                handleFailure(page.status());
+                if (!cancellation->isRequested())
+                    handleFailure(page.status(), begin);
                 continue;
             }
             availability_.succeeded(currentTime());
@@ -94,7 +99,7 @@
     // slow one in 50 times as long.
     static constexpr Duration answerTimeout = std::chrono::milliseconds(900);
 
-    // Pause after a failed call.
+    // Shortest time from a failed call to the next one.
     static constexpr Duration failurePause = std::chrono::milliseconds(200);
 
     // A store whose last call failed is read at the short intervals, even by an instance that receives forwarded
@@ -112,7 +117,27 @@
 
     static constexpr Duration pauseStep = std::chrono::milliseconds(100);
 
-    void handleFailure(const absl::Status& status)
+    // Ends a long read when the other instance stops forwarding changes, or a call fails. The connection of a read that
+    // is held open may have gone silent, and the read would hide every change until its time limit.
+    void cancelWhenItMustBeShort(const std::shared_ptr<HttpCancellation>& cancellation)
+    {
+        Duty::current()->spawn([this, read = std::weak_ptr(cancellation)] {
+            while (true) {
+                sleepFor(reviewInterval);
+                const auto running = read.lock();
+                if (!running)
+                    return;
+                if (mayReadRarely())
+                    continue;
+                watchLog.info("table={} version={} long read ended", options_.table, replica_.version());
+                return running->cancel();
+            }
+        });
+    }
+
+    static constexpr Duration reviewInterval = std::chrono::milliseconds(200);
+
+    void handleFailure(const absl::Status& status, TimePoint begin)
     {
         if (errorOf<CoordinationError>(status) == CoordinationError::VersionStale) {
             watchLog.info("table={} version={} change history no longer available, reading the whole table",
@@ -121,7 +146,7 @@
             return;
         }
         availability_.failed(currentTime(), messageOf(status));
-        sleepFor(failurePause);
+        sleepFor(begin + failurePause - currentTime());
     }
 
     Store& store_;
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -189,7 +189,7 @@
             const TimePoint begin = currentTime();
             platform::StoreClient store(endpoint);
             EXPECT_FALSE(store.list("servers", currentTime() + 300ms).ok());
-            EXPECT_FALSE(store.changes("servers", RowVersion(1), 100ms, currentTime() + 300ms).ok());
+            EXPECT_FALSE(store.changes("servers", RowVersion(1), 100ms, currentTime() + 300ms, nullptr).ok());
             EXPECT_EQ(
                 store.write("t", "k", RowVersion(), "v", currentTime() + 300ms).outcome, RowWrite::Outcome::Unknown);
             platform::EngineClient engine;
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -19,7 +19,8 @@
         return RowPage{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
     }
 
-    absl::StatusOr<RowPage> changes(const std::string&, RowVersion, Duration wait, TimePoint)
+    absl::StatusOr<RowPage> changes(
+        const std::string&, RowVersion, Duration wait, TimePoint, const std::shared_ptr<HttpCancellation>& cancellation)
     {
         ++calls;
         lastWait = wait;
@@ -27,7 +28,12 @@
             --failing;
             return makeError(CoordinationError::PlatformUnreachable, "connection reset");
         }
-        sleepFor(wait);
+        FiberEvent ended;
+        cancellation->setAbort([&ended] { ended.notify(); });
+        ended.waitUntil(Duty::current()->timers(), currentTime() + wait);
+        cancellation->setAbort(nullptr);
+        if (cancellation->isRequested())
+            return makeError(CoordinationError::PlatformUnreachable, "cancelled");
         return RowPage{{}, RowVersion(1)};
     }
 
@@ -114,6 +120,21 @@
     EXPECT_GE(callsDuring(10s), 10);
 }
 
+// Guards against an instance that keeps an old configuration for the rest of a long read whose connection has gone
+// silent, after the instance that forwarded the changes has stopped.
+TEST_F(TableWatchTest, EndsTheLongReadOfTheConfigurationWhenChangesAreNoLongerForwarded)
+{
+    start(ControlLimits::configurationWait, 0ms, ControlLimits::configurationForwardedWait, 0ms);
+    callsDuring(3s);
+    EXPECT_EQ(store_.lastWait, ControlLimits::configurationForwardedWait);
+    forwarded_ = false;
+    EXPECT_GE(callsDuring(300ms), 1);
+    EXPECT_EQ(store_.lastWait, ControlLimits::configurationWait);
+    bool failing = true;
+    duty_->run([&] { failing = availability_.isFailing(); });
+    EXPECT_FALSE(failing) << "a read that was ended is no failure of the store";
+}
+
 // Guards against a store that counts as lost long after it has recovered. An instance that received forwarded changes
 // and whose only call was reset treated a removed target as one whose entry had expired in an outage, and sent it
 // requests for longer than the two seconds allowed.
--- a/tests/support/FaultProxy.cpp
+++ b/tests/support/FaultProxy.cpp
@@ -101,6 +101,8 @@
 
     bool hasDropped() const { return dropped_; }
 
+    void silenceForGood() { silent_ = true; }
+
 private:
     struct Way {
         tcp::socket& from;
@@ -123,7 +125,7 @@
 
     bool isSilenced(const Way& way) const
     {
-        return state_.fault_ == LinkFault::Silence || state_.fault_ == way.silence;
+        return silent_ || state_.fault_ == LinkFault::Silence || state_.fault_ == way.silence;
     }
 
     void take(Way& way, std::size_t size)
@@ -167,6 +169,7 @@
     Way up_{near_, far_, LinkFault::SilenceUp};
     Way down_{far_, near_, LinkFault::SilenceDown};
     bool dropped_ = false;
+    bool silent_ = false;
     int ended_ = 0;
 };
 
@@ -209,6 +212,14 @@
     state_->post([state = state_.get(), target] { state->target_ = target; });
 }
 
+void FaultProxy::silenceOpenConnections()
+{
+    state_->post([state = state_.get()] {
+        for (const auto& link : state->links_)
+            link->silenceForGood();
+    });
+}
+
 void FaultProxy::setFault(LinkFault fault)
 {
     state_->post([state = state_.get(), fault] { state->setFault(fault); });
--- a/tests/support/FaultProxy.h
+++ b/tests/support/FaultProxy.h
@@ -39,6 +39,9 @@
     // peers would have given it up.
     void setFault(LinkFault fault);
 
+    // Drops the bytes of the connections that are open now, for good and without an end; new connections work.
+    void silenceOpenConnections();
+
 private:
     class Link;
     class State;
