Forward a table that was read anew as a difference

Cause: after the store had lost its history, TableWatch forwarded what differed from its replica as changes since version 0, which marks a whole table. A row that a peer had sent before was also missing from a difference that claims to be complete.

The difference now begins at the version of the replica before the read, and holds all newer rows when the replica had some beyond that version. Both tests of ForwardedChangesTest failed before (since 0 instead of 1; no row instead of "early") and pass now, with the 6 others of TableWatchTest.

--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -58,6 +58,8 @@
                 continue;
             }
             availability_.succeeded(currentTime());
+            // A row that a peer has sent already does not count as changed, but the receivers may not have it.
+            const bool knowsNewerRows = !replica_.changedSince(since).empty();
             const std::vector<StoredRow> changed = first ? replica_.replace(*page) : replica_.applyChanges(*page);
             historyLost_ = false;
             complete_ = true;
@@ -65,7 +67,7 @@
             if (!changed.empty())
                 handler_(changed);
             if (forwardChanges)
-                forwardChanges(first ? RowVersion() : since, changed);
+                forwardChanges(since, knowsNewerRows ? replica_.changedSince(since) : changed);
             pause();
         }
     }
@@ -86,7 +88,8 @@
     // When the platform last answered a read of this table.
     TimePoint answeredAt() const { return answeredAt_; }
 
-    // Called after each answer of the platform with the changed rows, to forward them to peers. May be empty.
+    // Called after each answer of the platform with all rows that changed after the version `since`, to forward them to
+    // peers. May be empty.
     std::function<void(RowVersion since, const std::vector<StoredRow>&)> forwardChanges;
 
     const RowReplica& replica() const { return replica_; }
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <thread>
 
 namespace lychee::gateway {
@@ -16,6 +17,8 @@
     absl::StatusOr<RowPage> list(const std::string&, TimePoint)
     {
         ++calls;
+        if (calls > 1)
+            return laterList;
         return RowPage{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
     }
 
@@ -28,6 +31,11 @@
             --failing;
             return makeError(CoordinationError::PlatformUnreachable, "connection reset");
         }
+        if (!nextChanges.empty()) {
+            absl::StatusOr<RowPage> page = std::move(nextChanges.front());
+            nextChanges.pop_front();
+            return page;
+        }
         FiberEvent ended;
         cancellation->setAbort([&ended] { ended.notify(); });
         ended.waitUntil(Duty::current()->timers(), currentTime() + wait);
@@ -43,6 +51,9 @@
     Duration lastWait{0};
     // Number of further calls of changes() that fail.
     int failing = 0;
+    // The first answers of changes(), and that of list() after the first call.
+    std::deque<absl::StatusOr<RowPage>> nextChanges;
+    RowPage laterList;
 };
 
 class TableWatchTest : public testing::Test {
@@ -135,6 +146,61 @@
     EXPECT_FALSE(failing) << "a read that was ended is no failure of the store";
 }
 
+struct Forwarded {
+    RowVersion since;
+    std::vector<std::string> keys;
+};
+
+class ForwardedChangesTest : public TableWatchTest {
+protected:
+    // Runs the watch and returns what it forwards.
+    std::vector<Forwarded> forwardedBy(const std::function<void()>& afterFirst)
+    {
+        std::vector<Forwarded> forwarded;
+        watch_.emplace(
+            store_, availability_, TableWatchOptions{"table", 1s, 0ms, 1s, 0ms}, [] { return false; },
+            [](const std::vector<StoredRow>&) {});
+        watch_->forwardChanges = [&](RowVersion since, const std::vector<StoredRow>& rows) {
+            forwarded.push_back({since, {}});
+            for (const StoredRow& row : rows)
+                forwarded.back().keys.push_back(row.key);
+            if (forwarded.size() == 1)
+                afterFirst();
+        };
+        duty_->spawn([this] { watch_->run(); });
+        duty_->run([] {});
+        callsDuring(500ms);
+        duty_->run([this] { watch_->forwardChanges = nullptr; });
+        return forwarded;
+    }
+};
+
+// Guards against an instance without rows that takes a difference for the whole table, because the one that sent it had
+// to read its table anew.
+TEST_F(ForwardedChangesTest, ATableThatWasReadAnewIsForwardedAsADifference)
+{
+    store_.nextChanges.emplace_back(makeError(CoordinationError::VersionStale, "history lost"));
+    store_.laterList = {{{"key", RowVersion(1), false, "value"}, {"new", RowVersion(7), false, "x"}}, RowVersion(8)};
+    const std::vector<Forwarded> forwarded = forwardedBy([] {});
+    ASSERT_GE(forwarded.size(), 2u);
+    EXPECT_EQ(forwarded[0].since, RowVersion());
+    EXPECT_EQ(forwarded[1].since, RowVersion(1));
+    EXPECT_EQ(forwarded[1].keys, std::vector<std::string>{"new"});
+}
+
+// Guards against an instance that counts as complete without a row, because the one that forwarded the changes had
+// received that row from a peer before it read it.
+TEST_F(ForwardedChangesTest, RowsThatAPeerHasSentBeforeAreForwardedToo)
+{
+    store_.nextChanges.emplace_back(RowPage{{{"early", RowVersion(3), false, "x"}}, RowVersion(4)});
+    const std::vector<Forwarded> forwarded = forwardedBy([this] {
+        watch_->applyFromPeer(RowVersion(2), {{{"early", RowVersion(3), false, "x"}}, RowVersion(3)});
+    });
+    ASSERT_GE(forwarded.size(), 2u);
+    EXPECT_EQ(forwarded[1].since, RowVersion(1));
+    EXPECT_EQ(forwarded[1].keys, std::vector<std::string>{"early"});
+}
+
 // Guards against a store that counts as lost long after it has recovered. An instance that received forwarded changes
 // and whose only call was reset treated a removed target as one whose entry had expired in an outage, and sent it
 // requests for longer than the two seconds allowed.
