Bound the memory of all answers in progress together

An operator of another system reported that workers which sent bytes without end filled the memory of the machine that had called them, and its other requests ended with it.

Each message has 16 KB besides, so short answers are never refused; when the budget is used up the longest answer gives up, and a complete one is kept until it is delivered.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -33,6 +33,9 @@
     static constexpr Duration lastAnswerReserve = std::chrono::milliseconds(300);
     // Characters of the random suffix that makes the id of a process unique across restarts.
     static constexpr std::size_t idSuffixLength = 8;
+    // The part of the memory of the process that answers of targets may take. An answer is copied when it grows and
+    // when it is sent, so it takes up to three times its size.
+    static constexpr std::size_t answerMemoryDivisor = 8;
     // Longest time to receive the body of a request.
     static constexpr Duration bodyTimeout = std::chrono::seconds(30);
     // The remaining file descriptors of the process are for connections to targets and peers.
@@ -101,6 +104,7 @@
                 postToControl([this, traits] { control_->announceCleared(traits); });
             }});
         setRetryBudget(*settings_, assumedInstances);
+        setAnswerMemory(*settings_);
         return absl::OkStatus();
     }
 
@@ -249,6 +253,13 @@
         context_.retryBudget.setOptions(options);
     }
 
+    void setAnswerMemory(const GatewaySettings& settings)
+    {
+        constexpr std::size_t megabyte = std::size_t{1} << 20;
+        context_.answerMemory.setCapacity(
+            settings.process.memoryMegabytes() * megabyte / GatewayLimits::answerMemoryDivisor);
+    }
+
     static HttpServerOptions serverOptions(const fleet::CallerLimits& limits)
     {
         HttpServerOptions options;
@@ -325,8 +336,10 @@
         }
         gatewayLog.info("instance={} settings reloaded", self_);
         settings_ = loaded.settings;
-        postToRelay(
-            [this, settings = settings_] { setRetryBudget(*settings, std::max(instances_.load(), assumedInstances)); });
+        postToRelay([this, settings = settings_] {
+            setRetryBudget(*settings, std::max(instances_.load(), assumedInstances));
+            setAnswerMemory(*settings);
+        });
     }
 
     // Reports not ready, lets the requests in progress finish within the grace period and makes waitForStop() return.
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -17,6 +17,14 @@
 {
 }
 
+GatewaySettings::ProcessSection::ProcessSection(std::vector<SettingSection*>& sections)
+    : SettingSection(sections, "process", "Limits of the process.")
+    , memoryMegabytes(*this,
+          {"memory_mb", "256", "MB", "Memory that the process may use; an eighth of it holds answers of targets."},
+          {32, 1 << 20})
+{
+}
+
 GatewaySettings::CallersSection::CallersSection(std::vector<SettingSection*>& sections)
     : SettingSection(sections, "callers", "The port for callers.")
     , endpoint(*this, {"endpoint", std::nullopt, "", "Address to listen on; port 0 binds any free port."})
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -19,6 +19,12 @@
         NameSetting region;
     } instance{sections_};
 
+    struct ProcessSection : SettingSection {
+        explicit ProcessSection(std::vector<SettingSection*>& sections);
+
+        CountSetting memoryMegabytes;
+    } process{sections_};
+
     struct CallersSection : SettingSection {
         explicit CallersSection(std::vector<SettingSection*>& sections);
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -7,8 +7,10 @@
 #include "fleet/TargetChoice.h"
 #include "fleet/TargetRegistry.h"
 #include "gateway/CrashWatch.h"
+#include "gateway/RelayLimits.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
+#include "transport/MemoryBudget.h"
 #include "transport/Published.h"
 
 #include <map>
@@ -26,6 +28,8 @@
     fleet::ServiceRetryBudget retryBudget;
     CrashWatch crashes;
     HttpClient http;
+    // Bounds the answers of targets that are held until they are complete.
+    MemoryBudget answerMemory{RelayLimits::answerMemory, RelayLimits::freeAnswerMemory};
     MetricsSink* metrics = nullptr;
     // Asks the placement owner to load an adapter on a target and suspends the fiber until it is loaded. Fails when the
     // owner cannot be reached or does not answer before the deadline.
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -31,6 +31,10 @@
     // The rest of a refusal is read only to reuse its connection.
     static constexpr std::size_t maxRefusalBytes = 65536;
     static constexpr Duration maxRefusalTime = std::chrono::milliseconds(100);
+    // Memory for whole answers and incomplete events of all requests together, unless the settings say otherwise, and
+    // the part that each request has besides.
+    static constexpr std::size_t answerMemory = std::size_t{32} * 1024 * 1024;
+    static constexpr std::size_t freeAnswerMemory = 16384;
     // Longest event of a stream; an event holds a few tokens.
     static constexpr std::size_t maxEventBytes = 262144;
     // Retry-After of requests that arrive before the instance has a configuration, or whose service is missing from it.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -42,6 +42,8 @@
         fleet::ChosenTarget target;
         fleet::SendId send;
         std::unique_ptr<HttpStream> stream;
+        // What is held of the answer. Wakes the read of `stream` when it has to give up.
+        std::unique_ptr<MemoryBudget::Share> memory;
         absl::Status status;
         TimePoint startedAt;
         bool sent = false;
@@ -282,7 +284,7 @@
 
     Attempt open(const fleet::ChosenTarget& target)
     {
-        Attempt attempt{target, {}, nullptr, {}};
+        Attempt attempt{target, {}, nullptr, nullptr, {}};
         const TimePoint now = currentTime();
         attempt.startedAt = now;
         attempt.send
@@ -473,18 +475,26 @@
     void relayWholeAnswer(Attempt& attempt, bool success)
     {
         HttpResponse response{attempt.stream->status(), Dialect::callerHeaders(attempt.stream->headers()), {}};
+        openMemory(attempt);
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
-            if (!chunk.ok()) {
-                attempt.status = chunk.status();
+            if (!chunk.ok() || attempt.memory->isRevoked()) {
+                attempt.status = attempt.memory->isRevoked() ? outOfMemory() : chunk.status();
                 return afterFailedSend(attempt);
             }
             if (!chunk->has_value())
                 break;
             response.body += **chunk;
+            if (!attempt.memory->resize(response.body.capacity())) {
+                attempt.status = outOfMemory();
+                return afterFailedSend(attempt);
+            }
         }
+        // Held until the answer is delivered.
+        std::unique_ptr<MemoryBudget::Share> memory = std::move(attempt.memory);
+        memory->keep();
         const bool targetFailed = response.status >= 500;
         if (success)
             recordCompleted();
@@ -492,12 +502,23 @@
         if (targetFailed) {
             const int status = response.status;
             targetFailure_ = std::move(response);
+            failureMemory_ = std::move(memory);
             return resendOrFinish(
                 attempt, fleet::SendResult::TargetFailed, fmt::format("the target answered with status {}", status));
         }
         deliver(response, success);
     }
 
+    void openMemory(Attempt& attempt)
+    {
+        attempt.memory = context_.answerMemory.open([stream = attempt.stream.get()] { stream->cancelRead(); });
+    }
+
+    static absl::Status outOfMemory()
+    {
+        return makeError(TransportError::MessageTooLarge, "the answers in progress use up the memory for them");
+    }
+
     void deliver(const HttpResponse& response, bool success)
     {
         if (streamStarted_)
@@ -521,15 +542,18 @@
     void relayStream(Attempt& attempt)
     {
         TimePoint eventAt = currentTime();
+        openMemory(attempt);
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
-            if (!chunk.ok())
-                return breakStream(attempt, chunk.status());
+            if (!chunk.ok() || attempt.memory->isRevoked())
+                return breakStream(attempt, attempt.memory->isRevoked() ? outOfMemory() : chunk.status());
             if (!chunk->has_value())
                 return endStream(attempt);
             const std::string events = splitter_.feed(**chunk);
+            if (!attempt.memory->resize(splitter_.rest().capacity()))
+                return breakStream(attempt, outOfMemory());
             if (splitter_.rest().size() > RelayLimits::maxEventBytes)
                 return breakStream(
                     attempt, makeError(TransportError::MessageTooLarge, "an event of the stream does not end"));
@@ -597,6 +621,7 @@
     void endSend(Attempt& attempt, fleet::SendOutcome outcome)
     {
         // Closes the connection if the answer was not read completely, so that the target stops processing the request.
+        attempt.memory.reset();
         attempt.stream.reset();
         lastTarget_ = attempt.target.target;
         context_.registry.endSend(attempt.send, outcome, currentTime());
@@ -704,6 +729,7 @@
     Duration modelWait_{0};
     // A failure that a target reported, forwarded to the caller when no other target answers.
     std::optional<HttpResponse> targetFailure_;
+    std::unique_ptr<MemoryBudget::Share> failureMemory_;
     TargetId lastTarget_;
     std::string lastProblem_;
     int answerStatus_ = 0;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -85,6 +85,13 @@
         socket_.close(ignored);
     }
 
+    // Ends the operation in progress.
+    void cancel()
+    {
+        error_code ignored;
+        socket_.cancel(ignored);
+    }
+
     bool isUsable(Duration maxIdle) const
     {
         return poolTime() - idleSince_ <= std::min({maxIdle, maxIdleAge, announcedIdle_});
@@ -145,9 +152,8 @@
     {
         if (limits_.cancellation) {
             limits_.cancellation->setAbort([this] {
-                error_code ignored;
                 if (connection_)
-                    connection_->socket_.cancel(ignored);
+                    connection_->cancel();
             });
         }
     }
@@ -219,6 +225,12 @@
 
     void setInterByteTimeout(Duration limit) override { limits_.interByteTimeout = limit; }
 
+    void cancelRead() override
+    {
+        if (connection_)
+            connection_->cancel();
+    }
+
 private:
     // Whether the header is that of an interim answer, other than a switch to another protocol.
     bool isInterim() const
@@ -325,6 +337,7 @@
         if (!connection_ || !wholeRequestSent_ || !parser_->keep_alive() || connection_->buffer_.size() != 0)
             return;
         connection_->announcedIdle_ = announcedIdle();
+        connection_->buffer_.shrink_to_fit();
         pool_->put(endpoint_, std::move(connection_));
     }
 
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -80,6 +80,9 @@
     // Changes the longest silence of the peer for the pieces that follow.
     virtual void setInterByteTimeout(Duration limit) = 0;
 
+    // Makes the read in progress fail, from another fiber. Does not suspend.
+    virtual void cancelRead() = 0;
+
     // Whether the body has a length or chunks. Otherwise it ends with its connection, and may have been cut.
     virtual bool isDelimited() const = 0;
 
--- /dev/null
+++ b/src/transport/MemoryBudget.cpp
@@ -0,0 +1,53 @@
+#include "transport/MemoryBudget.h"
+
+#include <utility>
+
+namespace lychee {
+
+MemoryBudget::Share::Share(MemoryBudget& budget, std::function<void()> onRevoked)
+    : budget_(budget)
+    , onRevoked_(std::move(onRevoked))
+{
+    budget_.shares_.insert(this);
+}
+
+MemoryBudget::Share::~Share()
+{
+    budget_.used_ -= counted_;
+    budget_.shares_.erase(this);
+}
+
+bool MemoryBudget::Share::resize(std::size_t bytes)
+{
+    if (isRevoked_)
+        return false;
+    budget_.used_ -= counted_;
+    counted_ = bytes > budget_.freePart_ ? bytes - budget_.freePart_ : 0;
+    budget_.used_ += counted_;
+    while (budget_.used_ > budget_.capacity_ && counted_ > 0) {
+        Share* largest = this;
+        for (Share* share : budget_.shares_) {
+            if (!share->isKept_ && share->counted_ > largest->counted_)
+                largest = share;
+        }
+        budget_.revoke(*largest);
+        if (largest == this)
+            return false;
+        largest->onRevoked_();
+    }
+    return true;
+}
+
+// The bytes count as returned at once, because the fiber of the message drops them as soon as it runs.
+void MemoryBudget::revoke(Share& share)
+{
+    share.isRevoked_ = true;
+    used_ -= std::exchange(share.counted_, 0);
+}
+
+std::unique_ptr<MemoryBudget::Share> MemoryBudget::open(std::function<void()> onRevoked)
+{
+    return std::unique_ptr<Share>(new Share(*this, std::move(onRevoked)));
+}
+
+} // namespace lychee
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -104,6 +104,51 @@
     expectAnswer("/unsafe/x", 502, 1300ms);
 }
 
+class ManyEndlessAnswersTest : public EndlessAnswerTest {
+protected:
+    // Sends many requests to targets that answer without end, and sound ones beside them, and expects that the sound
+    // ones are answered and little memory is used.
+    void expectSoundAnswersBesideEndless(const std::string& endlessPath, const std::string& soundPath, int count)
+    {
+        std::ofstream("/proc/self/clear_refs") << "5";
+        const std::size_t before = peakMegabytes();
+        std::vector<std::jthread> callers;
+        for (int i = 0; i < count; ++i) {
+            callers.emplace_back([this, endlessPath] {
+                static_cast<void>(client().send(request(endlessPath)));
+            });
+        }
+        for (int i = 0; i < 10; ++i) {
+            const auto answer = client().send(request(soundPath));
+            ASSERT_TRUE(answer.ok()) << answer.status();
+            EXPECT_EQ(answer->status, 200) << answer->body.substr(0, 100);
+            EXPECT_EQ(answer->body.size(), soundBytes);
+        }
+        callers.clear();
+        stopped_ = true;
+        EXPECT_LT(peakMegabytes() - before, maxMemoryMegabytes);
+    }
+
+    static constexpr std::size_t soundBytes = 300000;
+};
+
+// Guards against a process that runs out of memory, though each answer stays within its own limit.
+TEST_F(ManyEndlessAnswersTest, BodiesAtOnce)
+{
+    const std::string chunk = fmt::format("{:x}\r\n{}\r\n", 60000, std::string(60000, 'x'));
+    const std::string head = fmt::format("{}Transfer-Encoding: chunked\r\n\r\n", sealed);
+    addRawTarget(plainService, [this, head, chunk](RawTargetConnection& connection, const HttpRequest& received) {
+        if (received.target == "/safe/x") {
+            connection.write(
+                rawAnswer("200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: seal\r\n", std::string(soundBytes, 's')));
+            return;
+        }
+        endless(head, chunk, 5ms)(connection, received);
+    });
+    start();
+    expectSoundAnswersBesideEndless("/unsafe/x", "/safe/x", 60);
+}
+
 TEST_F(EndlessAnswerTest, ChunkExtension)
 {
     addRawTarget(plainService, endless(fmt::format("{}Transfer-Encoding: chunked\r\n\r\n4;", sealed), "x"));
--- a/tests/gateway/StoreClientTest.cpp
+++ b/tests/gateway/StoreClientTest.cpp
@@ -2,13 +2,15 @@
 #include "platform/StoreClient.h"
 #include "tests/gateway/RelayFixture.h"
 
+#include <absl/strings/escaping.h>
+
 namespace lychee::gateway {
 namespace {
 
 class StoreClientTest : public RelayFixture {
 protected:
     // Lists a table of a store that gives these bodies one after another.
-    absl::StatusOr<RowPage> list(std::vector<std::string> bodies)
+    absl::StatusOr<RowPage> list(std::vector<std::string> bodies, Duration limit = 500ms)
     {
         const auto answered = std::make_shared<std::size_t>(0);
         addRawTarget(
@@ -19,7 +21,7 @@
         absl::StatusOr<RowPage> page;
         relayDuty_->run([&] {
             platform::StoreClient store({"127.0.0.1", rawTargets_.back()->port()});
-            page = store.list("servers", currentTime() + 500ms);
+            page = store.list("servers", currentTime() + limit);
         });
         return page;
     }
@@ -47,6 +49,17 @@
     EXPECT_FALSE(list({R"({"rows":[],"hasMore":"no","rowVersion":5})"}).ok());
 }
 
+// Guards against a store whose pages never end.
+TEST_F(StoreClientTest, ATableWithoutEndIsAnError)
+{
+    const std::string value(absl::Base64Escape(std::string(3000000, 'x')));
+    const auto page = list(
+        {fmt::format(R"({{"rows":[{{"key":"a","rowVersion":3,"value":"{}"}}],"hasMore":true,"rowVersion":5}})", value)},
+        5s);
+    EXPECT_FALSE(page.ok());
+    EXPECT_LE(targetsOfRequests_.size(), 12u);
+}
+
 // Guards against rows that hide the others of their page.
 TEST_F(StoreClientTest, RowsThatCannotBeReadDoNotHideOthers)
 {
