Begin no request that the end of the process would cut

An operator of another system reported that requests which came late in the grace period of a planned stop were passed on and cut without an answer, among them some that may not be repeated.

StopPolicy begins a request only if its answer can still come, by the predicted wait and the usual time of a stream or the objective of the route, twice for a request that may not be repeated. Others are refused at once as not run, and come back at an instance that goes on. At the end the waits of all requests are ended first: 502 where a target may have run the request, an aborted stream where it has begun.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -353,13 +353,16 @@
         const TimePoint limit = began + grace - GatewayLimits::closeTimeReserve;
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
-        postToRelay([this, limit] { context_.stopsAt = limit - GatewayLimits::lastAnswerReserve; });
+        const TimePoint lastAnswersAt = limit - GatewayLimits::lastAnswerReserve;
+        postToRelay([this, lastAnswersAt] { context_.stopsAt = lastAnswersAt; });
         control_->leave();
         sleepFor(std::min<Duration>(GatewayLimits::loadBalancerDelay, limit - began));
         callers_->stopAccepting();
         // Waits at least once: the server stops on another duty, and a request may just have begun to arrive.
         do {
             sleepFor(GatewayLimits::drainPollInterval);
+            if (currentTime() >= lastAnswersAt)
+                postToRelay([this] { context_.endWaits(); });
         } while (currentTime() < limit && callers_->activeExchanges() > 0);
         const std::size_t left = callers_->activeExchanges();
         gatewayLog.info("instance={} stopped cut_off={}", self_, left);
--- a/src/gateway/RelayContext.cpp
+++ b/src/gateway/RelayContext.cpp
@@ -37,6 +37,12 @@
     return "unknown";
 }
 
+void RelayContext::endWaits()
+{
+    for (const std::function<void()>* end : waits)
+        (*end)();
+}
+
 void recordOutcome(const RelayRecord& record, MetricsSink* metrics)
 {
     const auto milliseconds
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -41,8 +41,33 @@
     std::set<AdapterOnTarget> recentlyUsedAdapters;
     // Whether the placement owner is known and can be reached; without it no models or adapters are loaded.
     bool placementReached = false;
-    // From this time on, requests that no target is working on are answered, because the process is about to end.
+    // From this time on, requests are answered without waiting for a target, because the process is about to end.
     TimePoint stopsAt = TimePoint::max();
+    // Functions of the requests in progress that end their waits. They do not suspend the fiber.
+    std::set<const std::function<void()>*> waits;
+
+    // Ends the waits of all requests in progress, so that they get their last answers.
+    void endWaits();
+};
+
+// Adds a request to those whose waits RelayContext::endWaits() ends, for the life of this object.
+class EndableWait {
+public:
+    EndableWait(RelayContext& context, std::function<void()> end)
+        : context_(context)
+        , end_(std::move(end))
+    {
+        context_.waits.insert(&end_);
+    }
+
+    EndableWait(const EndableWait&) = delete;
+    EndableWait& operator=(const EndableWait&) = delete;
+
+    ~EndableWait() { context_.waits.erase(&end_); }
+
+private:
+    RelayContext& context_;
+    std::function<void()> end_;
 };
 
 // How a relayed request ended, as shown in the log and in the metrics.
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -37,6 +37,8 @@
     static constexpr std::size_t freeAnswerMemory = 16384;
     // Longest event of a stream; an event holds a few tokens.
     static constexpr std::size_t maxEventBytes = 262144;
+    // Retry-After of requests that an instance refuses because it stops; the others are ready for them.
+    static constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(10);
     // Retry-After of requests that arrive before the instance has a configuration, or whose service is missing from it.
     // A new instance reads the configuration in less time.
     static constexpr Duration noConfigurationRetryAfter = std::chrono::milliseconds(500);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/RetryPolicy.h"
+#include "fleet/StopPolicy.h"
 #include "fleet/StreamTimeouts.h"
 #include "gateway/AdapterUse.h"
 #include "gateway/RelayContext.h"
@@ -32,6 +33,10 @@
     {
         startedAt_ = exchange_.startedAt();
         exchange_.onPeerGone([cancellation = cancellation_] { cancellation->cancel(); });
+        const EndableWait wait(context_, [this] {
+            isStopping_ = true;
+            cancellation_->cancel();
+        });
         if (accept())
             sendUntilAnswered();
         record();
@@ -128,6 +133,8 @@
     void sendUntilAnswered()
     {
         while (outcome_ == std::nullopt) {
+            if (isStopping_)
+                return finishAtStop();
             if (cancellation_->isRequested()) {
                 outcome_ = RelayOutcome::CallerLeft;
                 if (streamStarted_)
@@ -145,6 +152,8 @@
                 continue;
             }
             if (const auto* awaited = std::get_if<fleet::AwaitedModel>(&choice)) {
+                if (!canBeginBeforeStop(awaited->expectedAt - currentTime()))
+                    return finishAtStop();
                 awaitModel(*awaited);
                 continue;
             }
@@ -152,10 +161,22 @@
                 pauseInterruptedStream();
                 continue;
             }
-            sendTo(std::get<fleet::ChosenTarget>(choice));
+            const fleet::ChosenTarget& target = std::get<fleet::ChosenTarget>(choice);
+            if (!canBeginBeforeStop(target.predicted))
+                return finishAtStop();
+            sendTo(target);
         }
     }
 
+    // Whether the next send can still be answered before the process ends. A stream that has started goes on for as
+    // long as it can.
+    bool canBeginBeforeStop(Duration wait) const
+    {
+        return streamStarted_
+            || fleet::canAnswerBefore(
+                context_.stopsAt, *route_, {wait, context_.registry.slotOccupancy(service_->id)}, currentTime());
+    }
+
     fleet::TargetDecision chooseTarget(std::span<const TargetId> excluded, Duration latencyObjective) const
     {
         const TimePoint now = currentTime();
@@ -256,7 +277,7 @@
         Attempt attempt = open(target);
         const bool failed = !attempt.status.ok();
         if (cancellation_->isRequested())
-            return endSend(attempt, fleet::SendOutcome::Abandoned);
+            return abandon(attempt);
         if (failed)
             return afterFailedSend(attempt);
         handleAnswer(attempt);
@@ -479,7 +500,7 @@
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
-                return endSend(attempt, fleet::SendOutcome::Abandoned);
+                return abandon(attempt);
             if (!chunk.ok() || attempt.memory->isRevoked()) {
                 attempt.status = attempt.memory->isRevoked() ? outOfMemory() : chunk.status();
                 return afterFailedSend(attempt);
@@ -546,7 +567,7 @@
         while (true) {
             auto chunk = attempt.stream->read();
             if (cancellation_->isRequested())
-                return endSend(attempt, fleet::SendOutcome::Abandoned);
+                return abandon(attempt);
             if (!chunk.ok() || attempt.memory->isRevoked())
                 return breakStream(attempt, attempt.memory->isRevoked() ? outOfMemory() : chunk.status());
             if (!chunk->has_value())
@@ -618,6 +639,14 @@
         outcome_ = exchange_.endStream().ok() ? RelayOutcome::Delivered : RelayOutcome::CallerLeft;
     }
 
+    // Ends a send because the caller has left or the process is about to end.
+    void abandon(Attempt& attempt)
+    {
+        if (attempt.sent)
+            history_.add(fleet::SendResult::OutcomeUnknown);
+        endSend(attempt, fleet::SendOutcome::Abandoned);
+    }
+
     void endSend(Attempt& attempt, fleet::SendOutcome outcome)
     {
         // Closes the connection if the answer was not read completely, so that the target stops processing the request.
@@ -630,7 +659,7 @@
     void finishAtDeadline() { giveUp("the time limit has passed", 504, RelayLimits::minAnswerTimeout); }
 
     // No further send can be answered before the process ends.
-    void finishAtStop() { giveUp("the instance is stopping", 502, RelayLimits::minAnswerTimeout); }
+    void finishAtStop() { giveUp("the instance is stopping", 502, RelayLimits::stoppingRetryAfter); }
 
     // Ends a request that is not sent again, without claiming more than is known: aborts a stream that has started,
     // answers with `unknownStatus` after a possible run, and refuses otherwise.
@@ -721,6 +750,8 @@
     TimePoint firstEventAt_;
     TimePoint lastEventAt_;
     Duration longestGap_{0};
+    // The process is about to end, and no answer of a target is waited for any more.
+    bool isStopping_ = false;
     // Pause before the next attempt to continue an interrupted stream, and whether it is due before the next send.
     Duration resumeDelay_ = RelayLimits::resumeRetryDelay;
     bool pauseIsDue_ = false;
