--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -256,8 +256,9 @@
     void setAnswerMemory(const GatewaySettings& settings)
     {
         constexpr std::size_t megabyte = std::size_t{1} << 20;
+        const std::size_t configured = settings.process.memoryMegabytes() * megabyte;
         context_.answerMemory.setCapacity(
-            settings.process.memoryMegabytes() * megabyte / GatewayLimits::answerMemoryDivisor);
+            (configured > 0 ? configured : machineMemory()) / GatewayLimits::answerMemoryDivisor);
     }
 
     static HttpServerOptions serverOptions(const fleet::CallerLimits& limits)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -20,8 +20,10 @@
 GatewaySettings::ProcessSection::ProcessSection(std::vector<SettingSection*>& sections)
     : SettingSection(sections, "process", "Limits of the process.")
     , memoryMegabytes(*this,
-          {"memory_mb", "256", "MB", "Memory that the process may use; an eighth of it holds answers of targets."},
-          {32, 1 << 20})
+          {"memory_mb", "0", "MB",
+              "Memory that the process may use; an eighth of it holds answers of targets. 0 takes the memory of the "
+              "machine."},
+          {0, 1 << 20})
 {
 }
 
--- a/src/transport/MemoryBudget.cpp
+++ b/src/transport/MemoryBudget.cpp
@@ -1,5 +1,7 @@
 #include "transport/MemoryBudget.h"
 
+#include <sys/sysinfo.h>
+
 #include <utility>
 
 namespace lychee {
@@ -50,4 +52,10 @@
     return std::unique_ptr<Share>(new Share(*this, std::move(onRevoked)));
 }
 
+std::size_t machineMemory()
+{
+    struct sysinfo info { };
+    return sysinfo(&info) == 0 ? static_cast<std::size_t>(info.totalram) * info.mem_unit : 0;
+}
+
 } // namespace lychee
--- a/src/transport/MemoryBudget.h
+++ b/src/transport/MemoryBudget.h
@@ -66,4 +66,7 @@
     std::set<Share*> shares_;
 };
 
+// The memory of the machine, in bytes.
+std::size_t machineMemory();
+
 } // namespace lychee
