Count crashes whose reports arrive together as a sequence

Cause: a run counts after a crash if it was sent later, and an instance takes the time of a crash from the moment at which the report arrives. The two runs took 1 ms each, and both reports arrived in the same moment, so the second run seemed to have begun before the first crash.

A run now counts as begun after a crash that became known up to 0.2 s later. Targets that end at once with longer runs are one piece of evidence as before.

--- a/src/fleet/CrashAttribution.cpp
+++ b/src/fleet/CrashAttribution.cpp
@@ -26,6 +26,10 @@
 
 constexpr std::size_t fewestCrashesToBlock = 2;
 
+// The reports of two crashes in a row may arrive at the same time, so a run counts as begun after a crash if it was
+// sent at most this long before the crash became known.
+constexpr Duration reportJitter = std::chrono::milliseconds(200);
+
 // Instances report the suspects of a crash within this time.
 constexpr Duration reportDelay = std::chrono::milliseconds(500);
 
@@ -212,7 +216,7 @@
     std::vector<int> best{0};
     for (const Run& run : ordered) {
         const auto end = ordered.begin() + static_cast<std::ptrdiff_t>(best.size()) - 1;
-        const auto later = std::upper_bound(ordered.begin(), end, run.sentAt,
+        const auto later = std::upper_bound(ordered.begin(), end, run.sentAt + reportJitter,
             [](TimePoint sentAt, const Run& earlier) { return sentAt < earlier.crashedAt; });
         const auto before = static_cast<std::size_t>(later - ordered.begin());
         best.push_back(std::max(best.back(), best[before] + run.weight));
--- a/tests/unit/CrashAttributionTest.cpp
+++ b/tests/unit/CrashAttributionTest.cpp
@@ -243,6 +243,16 @@
     }
 }
 
+// Guards against an instance that sends a request which crashed two targets in a row elsewhere, because the reports of
+// both crashes reached it together.
+TEST(CrashAttribution, ReportsThatArriveTogetherAreStillASequence)
+{
+    CrashAttribution attribution;
+    for (std::uint64_t crash = 1; crash <= 2; ++crash)
+        attribution.recordSuspect({crashOf(crash), request(11, {}), false, 1ms, {}}, false, start);
+    EXPECT_TRUE(attribution.isBlocked(request(11, {}), start));
+}
+
 // Guards against a prompt part that is never recognized because each request with it begins to answer.
 TEST(CrashAttribution, BlocksAPromptPartThatCrashesTargetsInTheAnswers)
 {
