Tell lookups of one path apart by their query when targets crash

Cause: the trait of a request was a hash of its path without the query and of its body, so that all lookups of a path were one request: the answer to one cleared the crashing one, and its block refused them all.

The trait is now of the method, the path with the query, and the body.

--- a/src/fleet/CrashAttribution.cpp
+++ b/src/fleet/CrashAttribution.cpp
@@ -51,10 +51,10 @@
     return content == trait || std::find(promptParts.begin(), promptParts.end(), trait) != promptParts.end();
 }
 
-RequestTraits traitsOf(std::string_view path, std::string_view body, const GenerationNeed* need)
+RequestTraits traitsOf(std::string_view requestLine, std::string_view body, const GenerationNeed* need)
 {
     RequestTraits traits;
-    traits.content = RequestTrait(rendezvousWeight(body, path));
+    traits.content = RequestTrait(rendezvousWeight(body, requestLine));
     if (!need || need->parts.empty())
         return traits;
     for (auto part = need->parts.begin(); part + 1 != need->parts.end(); ++part)
--- a/src/fleet/CrashAttribution.h
+++ b/src/fleet/CrashAttribution.h
@@ -24,7 +24,7 @@
 
 // The traits of one request.
 struct RequestTraits {
-    // The path and the body.
+    // The method, the path with its query, and the body.
     RequestTrait content;
     // The parts of the prompt but the last, which belongs to the request or its session.
     std::vector<RequestTrait> promptParts;
@@ -32,7 +32,8 @@
     bool contains(RequestTrait trait) const;
 };
 
-RequestTraits traitsOf(std::string_view path, std::string_view body, const GenerationNeed* need);
+// `requestLine` is the method and the target of the request.
+RequestTraits traitsOf(std::string_view requestLine, std::string_view body, const GenerationNeed* need);
 
 // One crash of one target. Instances that see the same crash build the same value.
 struct TargetCrash {
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -103,7 +103,8 @@
     const fleet::RequestTraits& traits()
     {
         if (!traits_) {
-            traits_ = fleet::traitsOf(exchange_.request().path(), exchange_.request().body,
+            const HttpRequest& request = exchange_.request();
+            traits_ = fleet::traitsOf(fmt::format("{} {}", request.method, request.target), request.body,
                 caller_.generation ? &*caller_.generation : nullptr);
         }
         return *traits_;
--- a/tests/gateway/CrashingPromptTest.cpp
+++ b/tests/gateway/CrashingPromptTest.cpp
@@ -66,6 +66,34 @@
     EXPECT_EQ(receivedRequests(), 10u);
 }
 
+// Guards against lookups of the same path that are taken for one request: their answers clear the one that crashes
+// targets, and its block refuses them all.
+TEST_F(CrashingPromptTest, ALookupIsToldFromOthersByItsQuery)
+{
+    for (std::size_t number = 0; number < 10; ++number) {
+        addTarget(plainService, [this, number](ScriptedTarget& target, HttpExchange& exchange) {
+            if (exchange.request().target != "/safe/lookup?item=666")
+                return answerWhole(target, exchange);
+            ++crashes_;
+            targets_[number]->server->close();
+        });
+    }
+    start();
+    const auto lookUp = [this](int number, int item) {
+        HttpRequest sent = request(fmt::format("/safe/lookup?item={}", item));
+        sent.method = "GET";
+        sent.body.clear();
+        sent.headers.set("X-Attempt-Id", fmt::format("id-{}", number));
+        const auto answer = client().send(sent);
+        return answer.ok() ? answer->status : 0;
+    };
+    for (int i = 1; i <= 6; ++i) {
+        EXPECT_EQ(lookUp(i, 666), i == 1 ? 502 : 503) << i;
+        EXPECT_EQ(lookUp(100 + i, i), 200) << i;
+    }
+    EXPECT_EQ(crashes_, 2);
+}
+
 // A moment of an answer at which a target crashes.
 struct CrashMoment {
     std::string name;
