--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -114,9 +114,7 @@
         const std::size_t before = peakMegabytes();
         std::vector<std::jthread> callers;
         for (int i = 0; i < count; ++i) {
-            callers.emplace_back([this, endlessPath] {
-                static_cast<void>(client().send(request(endlessPath)));
-            });
+            callers.emplace_back([this, endlessPath] { static_cast<void>(client().send(request(endlessPath))); });
         }
         for (int i = 0; i < 10; ++i) {
             const auto answer = client().send(request(soundPath));
