--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -74,6 +74,7 @@
             {suspect.request.content, suspect.request.promptParts, suspect.begun, toMilliseconds(suspect.ran)});
     }
     std::vector<MeshCrash> result;
+    result.reserve(messages.size());
     for (auto& [crash, message] : messages)
         result.push_back(std::move(message));
     return result;
@@ -82,6 +83,7 @@
 std::vector<fleet::CrashSuspect> fromMessage(const MeshCrash& message)
 {
     std::vector<fleet::CrashSuspect> suspects;
+    suspects.reserve(message.suspects.size());
     for (const MeshCrashSuspect& suspect : message.suspects) {
         suspects.push_back({{message.target, message.incarnation}, {suspect.content, suspect.promptParts},
             suspect.begun, fromMilliseconds(suspect.ranMs), fromMilliseconds(message.ageMs)});
--- a/tests/gateway/CrashingPromptTest.cpp
+++ b/tests/gateway/CrashingPromptTest.cpp
@@ -204,6 +204,7 @@
     start();
     std::atomic<int> refused{0};
     std::vector<std::jthread> callers;
+    callers.reserve(soundCount);
     for (int i = 0; i < soundCount; ++i) {
         callers.emplace_back([this, i, &refused] {
             // A caller whose stream broke off sends the request again.
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -113,6 +113,7 @@
         std::ofstream("/proc/self/clear_refs") << "5";
         const std::size_t before = peakMegabytes();
         std::vector<std::jthread> callers;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             callers.emplace_back([this, endlessPath] { static_cast<void>(client().send(request(endlessPath))); });
         }
