Take a late answer of the placement owner as evidence about one engine

When the owner answered one call for an adapter too late, the relay cleared placementReached for the whole instance. Until the control duty set it again, up to a second later, every request whose adapter was not held was refused at once with "adapter not held", whatever its engine, and models that were not held were no longer awaited. One slow engine spoke for the owner and for all other engines.

The control duty, which hears the owner, now decides. The owner counts as silent only when a call to it gets no answer and nothing else has come from it for two of its status intervals, and only until it is heard again. That is told to the relay at once, as is the end of the connection to the owner or a new one. A request that cannot reach the owner does not ask it for further targets; a late answer excludes the one target for that request, as before.

--- a/src/gateway/ControlLimits.h
+++ b/src/gateway/ControlLimits.h
@@ -27,6 +27,9 @@
     static constexpr Duration maxOwnerReadAge = std::chrono::milliseconds(1200);
     // The placement owner counts as silent after this time without a status message; it sends five a second.
     static constexpr Duration maxOwnerSilence = std::chrono::milliseconds(900);
+    // A call without an answer shows that the placement owner does not answer at all only if nothing else has come from
+    // it for this time either, in which it sends two status messages.
+    static constexpr Duration maxOwnerCallSilence = std::chrono::milliseconds(400);
     static constexpr Duration statusInterval = std::chrono::milliseconds(200);
     // Instances other than the placement owner add one `statusInterval` to their interval for each group of this many
     // peers, up to `maxStatusInterval`, so that the number of messages at each instance does not grow with the
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "gateway/CrashWatch.h"
 #include "gateway/LeaseManager.h"
 #include "gateway/Mesh.h"
+#include "gateway/OwnerContact.h"
 #include "gateway/PlacementOwner.h"
 #include "gateway/RowSenders.h"
 #include "gateway/TableWatch.h"
@@ -25,7 +26,7 @@
     std::function<void(const TargetId&)> targetRemoved;
     std::function<void(const TargetId&, fleet::TargetIncarnation, const fleet::Holdings&)> holdingsChanged;
     std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>)> peerWorkUpdated;
-    // Whether the placement owner is connected, and how many instances share the retry budget.
+    // Whether the placement owner is connected and not silent, and how many instances share the retry budget.
     std::function<void(bool placementReached, std::size_t instances)> connectivityUpdated;
     // A configuration has come into force.
     std::function<void(const fleet::RouteTable&)> configurationChanged;
@@ -143,23 +144,24 @@
         mesh_->broadcast(MeshTraitsCleared{traits});
     }
 
-    // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with TransportError::TimedOut when
-    // the owner does not answer before the deadline, and with other errors when it cannot load the adapter.
+    // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with
+    // TransportError::ConnectionClosed when the owner cannot be reached, with TimedOut when the adapter is not loaded
+    // before the deadline although the owner can be reached, and with other errors when the owner cannot load it.
     absl::Status ensureAdapter(
         const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
         if (owner_.owns())
             return owner_.ensureAdapter(target, model, adapter, deadline);
         const InstanceId holder = lease_.lease().holder();
+        if (!mesh_->isConnected(holder))
+            return makeError(TransportError::ConnectionClosed, "no mesh connection to the placement owner");
         const std::uint64_t call = ++lastCall_;
         PendingCall pending;
         pendingCalls_.emplace(call, &pending);
         absl::Status status = mesh_->send(holder, MeshEnsureAdapter{call, target, model, adapter});
         if (status.ok()) {
             pending.done.waitUntil(duty_.timers(), deadline);
-            status = pending.answered
-                ? pending.status
-                : makeError(TransportError::TimedOut, "the placement owner did not answer before the deadline");
+            status = pending.answered ? pending.status : callUnanswered(holder);
         }
         pendingCalls_.erase(call);
         return status;
@@ -205,6 +207,18 @@
             }};
     }
 
+    absl::Status callUnanswered(const InstanceId& holder)
+    {
+        const bool wasSilent = ownerContact_.isSilent(holder);
+        if (!ownerContact_.callUnanswered(holder, currentTime())) {
+            return makeError(
+                TransportError::TimedOut, "the placement owner did not answer for this engine before the deadline");
+        }
+        if (!wasSilent)
+            reportConnectivity();
+        return makeError(TransportError::ConnectionClosed, "the placement owner is silent");
+    }
+
     void announceHoldings(const fleet::TargetRecord& record)
     {
         const auto entry = targets_.targets().find(record.id);
@@ -304,7 +318,8 @@
     void reportConnectivity()
     {
         const InstanceId holder = lease_.lease().holder();
-        const bool reached = owner_.owns() || (!holder.empty() && mesh_->isConnected(holder));
+        const bool reached
+            = owner_.owns() || (!holder.empty() && mesh_->isConnected(holder) && !ownerContact_.isSilent(holder));
         relay_.connectivityUpdated(reached, mesh_->peerCount() + 1);
     }
 
@@ -332,6 +347,9 @@
 
     void joined(const InstanceId& peer)
     {
+        ownerContact_.heard(peer, currentTime());
+        if (lease_.lease().holder() == peer)
+            reportConnectivity();
         duty_.spawn([this, peer] { sendCrashKnowledge(peer); });
         if (!owner_.owns())
             return;
@@ -351,9 +369,11 @@
     void lost(const InstanceId& peer)
     {
         peers_.erase(peer);
+        ownerContact_.lost(peer);
         relay_.peerWorkUpdated(peer, {});
         if (lease_.lease().holder() == peer) {
             lease_.lease().holderDisconnected();
+            reportConnectivity();
             for (auto& [call, pending] : pendingCalls_) {
                 pending->answered = true;
                 pending->status
@@ -365,6 +385,8 @@
 
     void received(const InstanceId& peer, const MeshMessage& message)
     {
+        if (ownerContact_.heard(peer, currentTime()))
+            reportConnectivity();
         std::visit([&](const auto& value) { handle(peer, value); }, message);
     }
 
@@ -550,6 +572,7 @@
     PlacementOwner<typename Platform::Channel> owner_;
     std::unique_ptr<Mesh> mesh_;
     std::map<InstanceId, PeerState> peers_;
+    OwnerContact ownerContact_;
     MeshStatus status_;
     std::map<std::uint64_t, PendingCall*> pendingCalls_;
     std::uint64_t lastCall_ = 0;
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -31,15 +31,17 @@
     // Bounds the answers of targets that are held until they are complete.
     MemoryBudget answerMemory{RelayLimits::answerMemory, RelayLimits::freeAnswerMemory};
     MetricsSink* metrics = nullptr;
-    // Asks the placement owner to load an adapter on a target and suspends the fiber until it is loaded. Fails when the
-    // owner cannot be reached or does not answer before the deadline.
+    // Asks the placement owner to load an adapter on a target and suspends the fiber until it is loaded. Fails with
+    // TransportError::ConnectionClosed when the owner cannot be reached, and with other errors when the adapter cannot
+    // be loaded on this target before the deadline.
     std::function<absl::Status(const TargetId&, const ModelId&, const AdapterId&, TimePoint deadline)> ensureAdapter;
     // Adapters in use, with the number of requests that use each of them, and adapters used since the last status
     // message to the peers.
     using AdapterOnTarget = std::tuple<TargetId, ModelId, AdapterId>;
     std::map<AdapterOnTarget, int> adaptersInUse;
     std::set<AdapterOnTarget> recentlyUsedAdapters;
-    // Whether the placement owner is known and can be reached; without it no models or adapters are loaded.
+    // Whether the placement owner is known and can be reached; without it no models or adapters are loaded. Set by the
+    // control duty, which hears the owner.
     bool placementReached = false;
     // From this time on, requests are answered without waiting for a target, because the process is about to end.
     TimePoint stopsAt = TimePoint::max();
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -182,7 +182,7 @@
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
-            now, deadline_ - now, latencyObjective, excluded, context_.placementReached, modelWait_,
+            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && !ownerLost_, modelWait_,
             caller_.attempt.value()};
         return fleet::chooseTarget(context_.registry, input);
     }
@@ -293,10 +293,10 @@
             adapterLoadedAt_ = currentTime();
             return true;
         }
-        // Keeps other requests from waiting for an owner that does not answer. The control duty sets the flag again
-        // when the owner can be reached.
-        if (errorOf<TransportError>(status) == TransportError::TimedOut)
-            context_.placementReached = false;
+        // This request would wait for the owner again with the next target. Other requests are told by the control duty
+        // whether the owner can be reached.
+        if (errorOf<TransportError>(status) == TransportError::ConnectionClosed)
+            ownerLost_ = true;
         relayLog.info("request={} target={} adapter={}/{} not loaded: {}", caller_.attempt, target.target, need.model,
             *need.adapter, messageOf(status));
         lastProblem_ = "the adapter could not be loaded";
@@ -758,6 +758,8 @@
     bool pauseIsDue_ = false;
     std::optional<TimePoint> adapterLoadedAt_;
     int adapterRetries_ = 0;
+    // The placement owner could not be reached for this request.
+    bool ownerLost_ = false;
     Duration modelWait_{0};
     // A failure that a target reported, forwarded to the caller when no other target answers.
     std::optional<HttpResponse> targetFailure_;
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -218,6 +218,45 @@
     EXPECT_EQ((*stream)->readBody().value(), expectedEvents(3));
 }
 
+// Guards against one slow engine that ends the loading of adapters on all others.
+TEST_F(RelayTest, LateAnswerForOneEngineDoesNotSpeakForTheOthers)
+{
+    addTarget(engineService, events(3));
+    addTarget(engineService, events(3));
+    start();
+    context_.placementReached = true;
+    auto asked = std::make_shared<std::vector<TargetId>>();
+    context_.ensureAdapter = [=](const TargetId& target, const ModelId&, const AdapterId&, TimePoint) {
+        asked->push_back(target);
+        return target == asked->front() ? makeError(TransportError::TimedOut, "late") : absl::OkStatus();
+    };
+    HttpRequest adapted = request("/stream/x");
+    adapted.headers.set("X-Model", "m/a1");
+    EXPECT_EQ(client().send(adapted)->status, 200);
+    EXPECT_EQ(asked->size(), 2u);
+    adapted.headers.set("X-Attempt-Id", "id-2");
+    EXPECT_EQ(client().send(adapted)->status, 200) << "the next request is refused";
+    EXPECT_TRUE(context_.placementReached);
+}
+
+// Guards against a request that waits for an owner that does not answer again with each further target.
+TEST_F(RelayTest, SilentOwnerIsAskedOnceForARequest)
+{
+    addTarget(engineService, events(3));
+    addTarget(engineService, events(3));
+    start();
+    context_.placementReached = true;
+    auto asked = std::make_shared<std::atomic<int>>(0);
+    context_.ensureAdapter = [=](const TargetId&, const ModelId&, const AdapterId&, TimePoint) {
+        ++*asked;
+        return makeError(TransportError::ConnectionClosed, "silent");
+    };
+    HttpRequest adapted = request("/stream/x");
+    adapted.headers.set("X-Model", "m/a1");
+    EXPECT_EQ(client().send(adapted)->status, 503);
+    EXPECT_EQ(asked->load(), 1);
+}
+
 // Guards against requests without a route or an attempt id that are forwarded, and against 404 while the instance has
 // no configuration yet.
 TEST_F(RelayTest, DistinguishesUnknownRouteFromMissingConfiguration)
