Write waiting frames together

Each frame to a peer was written by a system call and a timer of its own, so a broadcast of the holdings of ten engines to 79 peers cost 790 of each. Frames that wait for the same peer are now written together, up to 64 KB. The bytes on the wire are the same.

--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -24,17 +24,19 @@
 // Frames that may wait for a slow peer.
 constexpr std::size_t maxQueuedFrames = 1024;
 
-// Longest time for one frame to be written.
+// Frames that wait are written together up to this size, at least one.
+constexpr std::size_t maxWriteBytes = 65536;
+
+// Longest time for one write.
 constexpr Duration writeTimeout = std::chrono::seconds(5);
 
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
-std::array<char, lengthBytes> encodeLength(std::size_t length)
+void appendFrame(std::string& bytes, const std::string& payload)
 {
-    std::array<char, lengthBytes> bytes{};
     for (std::size_t i = 0; i < lengthBytes; ++i)
-        bytes[i] = static_cast<char>((length >> (8 * (lengthBytes - 1 - i))) & 0xff);
-    return bytes;
+        bytes.push_back(static_cast<char>((payload.size() >> (8 * (lengthBytes - 1 - i))) & 0xff));
+    bytes += payload;
 }
 
 std::size_t decodeLength(const std::array<char, lengthBytes>& bytes)
@@ -121,22 +123,30 @@
     void writeLoop()
     {
         while (!queue_.empty() && !closed_) {
-            const std::string payload = std::move(queue_.front());
-            queue_.pop_front();
-            const std::array<char, lengthBytes> header = encodeLength(payload.size());
-            const std::array<boost::asio::const_buffer, 2> buffers{
-                boost::asio::buffer(header), boost::asio::buffer(payload)};
-            const error_code error = runBefore(socket_, currentTime() + writeTimeout,
-                [&](error_code& result) { boost::asio::async_write(socket_, buffers, FiberToken{result}); });
+            const std::string bytes = takeFrames();
+            const error_code error = runBefore(socket_, currentTime() + writeTimeout, [&](error_code& result) {
+                boost::asio::async_write(socket_, boost::asio::buffer(bytes), FiberToken{result});
+            });
             if (error) {
                 close();
                 break;
             }
-            bytesSent_ += lengthBytes + payload.size();
+            bytesSent_ += bytes.size();
         }
         writing_ = false;
     }
 
+    // Takes the frames of the next write. A broadcast of several messages then costs one system call for each peer.
+    std::string takeFrames()
+    {
+        std::string bytes;
+        do {
+            appendFrame(bytes, queue_.front());
+            queue_.pop_front();
+        } while (!queue_.empty() && bytes.size() + lengthBytes + queue_.front().size() <= maxWriteBytes);
+        return bytes;
+    }
+
     tcp::socket socket_;
     std::deque<std::string> queue_;
     bool writing_ = false;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -149,6 +149,39 @@
         std::this_thread::yield();
 }
 
+// Guards against frames that are lost, cut or reordered when many of them are written together.
+TEST_F(HttpTest, FramesOfABurstArriveInOrder)
+{
+    constexpr int count = 1000;
+    std::vector<std::string> received;
+    std::atomic<bool> ended{false};
+    auto listener
+        = FrameListener::listen(*serverDuty_, anyPort, [&](const std::shared_ptr<FrameConnection>& connection) {
+              while (received.size() < count) {
+                  auto frame = connection->receive(currentTime() + 5s);
+                  if (!frame.ok())
+                      break;
+                  received.push_back(*std::move(frame));
+              }
+              ended = true;
+          }).value();
+    const auto payload = [](int index) {
+        const std::size_t size = index % 250 == 249 ? 100000 : static_cast<std::size_t>(index % 300);
+        return std::to_string(index) + std::string(size, 'f');
+    };
+    clientDuty_->run([&] {
+        auto connection = FrameConnection::connect({"127.0.0.1", listener->port()}, currentTime() + 1s).value();
+        for (int i = 0; i < count; ++i)
+            ASSERT_TRUE(connection->send(payload(i)).ok());
+        while (!ended)
+            sleepFor(1ms);
+        connection->close();
+    });
+    ASSERT_EQ(received.size(), static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        EXPECT_EQ(received[static_cast<std::size_t>(i)], payload(i)) << i;
+}
+
 // Guards against a request that was given up and reaches its peer later, when a cut on the way has healed: the
 // connection ends by a reset, which drops what is still on its way.
 TEST_F(HttpTest, GivenUpCallIsReset)
