Load no adapters for callers that have given up

The placement owner worked on a call for an adapter for 900 ms, but the caller waits for 400 ms at most. Calls whose callers had gone kept their place in the queue of the engine and delayed those behind them, and the answer that says why an adapter was not loaded came too late to be read.

The owner now has 350 ms for a call of another instance. The time is not sent with the call: instances of the older build close the connection on a message with a further field, which a rolling restart would meet, and all callers wait for the same time unless their deadline is sooner.

--- a/src/gateway/ControlLimits.h
+++ b/src/gateway/ControlLimits.h
@@ -42,6 +42,9 @@
     static constexpr Duration registrationInterval = std::chrono::seconds(60);
     static constexpr Duration registrationRetryInterval = std::chrono::milliseconds(500);
     static constexpr Duration answerTimeout = std::chrono::milliseconds(900);
+    // Time in which the placement owner loads an adapter for another instance, which waits for
+    // RelayLimits::adapterLoadTimeout. The rest is left for the ways of the call and of its answer.
+    static constexpr Duration adapterCallTimeout = std::chrono::milliseconds(350);
     // Changes of the adapters of an engine are announced together after this time. Instances that send a request for an
     // adapter that has just been unloaded have it loaded again.
     static constexpr Duration holdingsInterval = std::chrono::milliseconds(40);
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -546,7 +546,7 @@
     void handle(const InstanceId& peer, const MeshEnsureAdapter& message)
     {
         duty_.spawn([this, peer, message] {
-            const TimePoint deadline = currentTime() + ControlLimits::answerTimeout;
+            const TimePoint deadline = currentTime() + ControlLimits::adapterCallTimeout;
             const absl::Status status = owner_.ensureAdapter(message.target, message.model, message.adapter, deadline);
             mesh_->send(peer, MeshEnsureResult{message.call, std::string(messageOf(status))}).IgnoreError();
         });
