Remember for a moment where an adapter could not be loaded

Requests for one adapter choose between two engines on which all instances agree. When all places for adapters of both were in use, each request asked both of them again, was refused and never reached a third one. A request that was refused by all was told "too busy" and to retry after 200 ms, when no place can have become free, and so used up its few attempts.

An engine on which an adapter could not be loaded is now avoided for 400 ms by requests whose adapter is missing there, while others can be asked; the group of two is then made up by the next engines. Refusals for want of a place have the reason "adapter not held" and name the time at which a place is probably free. A request asks for its adapter on at most six targets and for at most 800 ms.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -27,6 +27,12 @@
 constexpr double adapterLoadMilliseconds = 15;
 constexpr double adapterEvictionMilliseconds = 60;
 
+// Added for a target on which an adapter could not be loaded a moment ago: larger than any wait that a caller accepts.
+constexpr double adapterRefusedPenaltyMilliseconds = 30000;
+
+// Time after which a place for an adapter is probably free, from the end of the requests that use the adapter in it.
+constexpr Duration adapterPlaceFreed = std::chrono::milliseconds(400);
+
 // Cost of a send that fails, in milliseconds: the time that the caller loses until the request is sent again.
 constexpr double failurePenaltyMilliseconds = 1500;
 
@@ -86,6 +92,8 @@
     // The estimate plus all penalties of the target.
     double cost = 0;
     bool adapterMissing = false;
+    // The adapter is missing, and none could be loaded on the target a moment ago.
+    bool adapterRefused = false;
 };
 
 class Choice {
@@ -205,7 +213,8 @@
             const Candidate candidate = evaluate(*state);
             if (candidate.adapterMissing && !input_.placementReached)
                 continue;
-            ++inGroup;
+            if (!candidate.adapterRefused)
+                ++inGroup;
             if (!best || candidate.cost < best->cost)
                 best = candidate;
         }
@@ -225,7 +234,7 @@
 
     Candidate evaluate(const TargetState& state) const
     {
-        Candidate candidate{&state, 0, 0, false};
+        Candidate candidate{&state};
         const TargetWork work = state.totalWork(input_.now, input_.need ? streamRunTime : plainRunTime);
         const double slots = std::max(state.record.slots, 1);
         const double excess = std::max(0.0, static_cast<double>(work.running) + 1 - slots);
@@ -270,24 +279,34 @@
         return occupancyMilliseconds_ + (wanted - room) / room * memoryReleaseMilliseconds;
     }
 
-    void evaluateAdapter(const TargetState& state, Candidate& candidate, double& penalty) const
+    bool lacksAdapter(const TargetState& state) const
     {
-        if (!input_.need->adapter)
-            return;
+        if (!input_.need || !input_.need->adapter)
+            return false;
         const HeldModel* held = state.record.holdings.find(input_.need->model);
-        if (held && held->adapters.contains(*input_.need->adapter))
+        return !held || !held->adapters.contains(*input_.need->adapter);
+    }
+
+    void evaluateAdapter(const TargetState& state, Candidate& candidate, double& penalty) const
+    {
+        if (!lacksAdapter(state))
             return;
         candidate.adapterMissing = true;
         candidate.milliseconds += adapterLoadMilliseconds;
         const auto slots = static_cast<std::size_t>(std::max(input_.service.engine->adapterSlots, 0));
         if (state.record.holdings.adapterCount() >= slots)
             penalty += adapterEvictionMilliseconds;
+        candidate.adapterRefused = state.adaptersRefusedUntil > input_.now;
+        if (candidate.adapterRefused)
+            penalty += adapterRefusedPenaltyMilliseconds;
     }
 
     TargetDecision decideWithoutCandidate() const
     {
         bool anyTarget = false;
         bool anyHolder = false;
+        // A holder accepts requests but was tried, and does not hold the adapter.
+        bool adapterTried = false;
         // The earliest time at which a holder that declines requests accepts them again.
         std::optional<TimePoint> accepting;
         for (const TargetState* state : targets_) {
@@ -297,6 +316,7 @@
             if (!holdsModel(*state))
                 continue;
             anyHolder = true;
+            adapterTried = adapterTried || (state->acceptsRequests(input_.now) && lacksAdapter(*state));
             accepting = std::min(accepting.value_or(TimePoint::max()), state->declinesUntil);
         }
         if (!anyTarget)
@@ -305,6 +325,12 @@
             return decideMissingModel();
         if (!input_.placementReached && input_.need && input_.need->adapter)
             return NoTarget{NoTargetReason::AdapterNotHeld, std::chrono::seconds(1)};
+        if (adapterTried) {
+            // A place becomes free when the requests that use its adapter have ended; on average, half of their time is
+            // over.
+            const Duration used = registry_.slotOccupancy(input_.service.id) / 2;
+            return NoTarget{NoTargetReason::AdapterNotHeld, used + adapterPlaceFreed};
+        }
         return NoTarget{NoTargetReason::TooBusy, std::max<Duration>(*accepting - input_.now, minRetryAfter)};
     }
 
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -50,6 +50,10 @@
 // Targets whose notices are remembered. Above this number, those of targets that are not listed are dropped.
 constexpr std::size_t maxNotices = 4096;
 
+// How long a target on which an adapter could not be loaded is avoided for further ones. Its places are probably all in
+// use, or its queue is long; a place is given away after an adapter was not used for 400 ms.
+constexpr Duration adapterRefusalAvoidance = std::chrono::milliseconds(400);
+
 // How long a target is avoided after it has reported that it is full.
 constexpr Duration fullAvoidance = std::chrono::milliseconds(150);
 
@@ -302,11 +306,19 @@
     std::erase_if(models, [&](const HeldModel& held) { return held.model == need.model; });
 }
 
+void TargetRegistry::recordAdapterRefused(const TargetId& id, TargetIncarnation incarnation, TimePoint now)
+{
+    const auto found = targets_.find(id);
+    if (found != targets_.end() && found->second->record.incarnation == incarnation)
+        found->second->adaptersRefusedUntil = now + adapterRefusalAvoidance;
+}
+
 void TargetRegistry::recordAdapterLoaded(const TargetId& id, TargetIncarnation incarnation, const GenerationNeed& need)
 {
     const auto found = targets_.find(id);
     if (found == targets_.end() || found->second->record.incarnation != incarnation || !need.adapter)
         return;
+    found->second->adaptersRefusedUntil = {};
     for (HeldModel& held : found->second->record.holdings.models) {
         if (held.model == need.model)
             held.adapters.insert(*need.adapter);
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -74,6 +74,9 @@
     TimePoint ejectedUntil;
     // The target reported that it is full and is avoided until this time.
     TimePoint fullUntil;
+    // An adapter could not be loaded on the target, which is not asked for another one until this time while others
+    // can.
+    TimePoint adaptersRefusedUntil;
     // The target has said in an answer that it is about to leave; its list entry may say so later.
     bool leaving = false;
     // The target has declined a request and wants no further one until this time.
@@ -147,6 +150,9 @@
     // includes it.
     void recordMissing(const TargetId& id, const GenerationNeed& need);
 
+    // Records that the placement owner could not load an adapter on the target.
+    void recordAdapterRefused(const TargetId& id, TargetIncarnation incarnation, TimePoint now);
+
     // Records that the placement owner has said that the target holds the adapter, which it announces a little later.
     void recordAdapterLoaded(const TargetId& id, TargetIncarnation incarnation, const GenerationNeed& need);
 
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -16,6 +16,10 @@
     static constexpr Duration maxIdleRepeatable = std::chrono::seconds(5);
     // Loading an adapter takes 5 to 10 ms, plus the round trip to the placement owner and the time in its queue.
     static constexpr Duration adapterLoadTimeout = std::chrono::milliseconds(400);
+    // A request waits for no further adapter after this time, or after this number of targets on which it could not be
+    // loaded.
+    static constexpr Duration maxAdapterWait = std::chrono::milliseconds(800);
+    static constexpr int maxAdapterRefusals = 6;
     // An engine that is still loading an adapter rejects requests for it; they are sent again after this delay, at most
     // `maxAdapterRetries` times.
     static constexpr Duration adapterRetryDelay = std::chrono::milliseconds(15);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -182,7 +182,7 @@
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
-            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && !ownerLost_, modelWait_,
+            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_, modelWait_,
             caller_.attempt.value()};
         return fleet::chooseTarget(context_.registry, input);
     }
@@ -214,6 +214,9 @@
         if (!streamStarted_ || timeToResume() <= Duration(0))
             return false;
         excludedTargets_.clear();
+        mayLoadAdapter_ = true;
+        adapterWait_ = {};
+        adapterRefusals_ = 0;
         pauseInterruptedStream();
         return true;
     }
@@ -287,17 +290,25 @@
     bool ensureAdapter(const fleet::ChosenTarget& target)
     {
         const fleet::GenerationNeed& need = *caller_.generation;
-        const TimePoint limit = std::min(deadline_, currentTime() + RelayLimits::adapterLoadTimeout);
+        const TimePoint askedAt = currentTime();
+        const TimePoint limit = std::min(deadline_, askedAt + RelayLimits::adapterLoadTimeout);
         const absl::Status status = context_.ensureAdapter(target.target, need.model, *need.adapter, limit);
         if (status.ok()) {
             adapterLoadedAt_ = currentTime();
             context_.registry.recordAdapterLoaded(target.target, target.incarnation, need);
             return true;
         }
-        // This request would wait for the owner again with the next target. Other requests are told by the control duty
-        // whether the owner can be reached.
-        if (errorOf<TransportError>(status) == TransportError::ConnectionClosed)
-            ownerLost_ = true;
+        // This request would wait for an unreachable owner again with the next target. Other requests are told by the
+        // control duty whether the owner can be reached.
+        const bool ownerLost = errorOf<TransportError>(status) == TransportError::ConnectionClosed;
+        // A wait that was cut short by the deadline says nothing about the target.
+        if (!ownerLost && limit < deadline_)
+            context_.registry.recordAdapterRefused(target.target, target.incarnation, currentTime());
+        adapterWait_ += currentTime() - askedAt;
+        ++adapterRefusals_;
+        if (ownerLost || adapterWait_ >= RelayLimits::maxAdapterWait
+            || adapterRefusals_ >= RelayLimits::maxAdapterRefusals)
+            mayLoadAdapter_ = false;
         relayLog.info("request={} target={} adapter={}/{} not loaded: {}", caller_.attempt, target.target, need.model,
             *need.adapter, messageOf(status));
         lastProblem_ = "the adapter could not be loaded";
@@ -759,8 +770,11 @@
     bool pauseIsDue_ = false;
     std::optional<TimePoint> adapterLoadedAt_;
     int adapterRetries_ = 0;
-    // The placement owner could not be reached for this request.
-    bool ownerLost_ = false;
+    // Whether the placement owner is still asked to load the adapter, how long it was waited for, and on how many
+    // targets it could not be loaded.
+    bool mayLoadAdapter_ = true;
+    Duration adapterWait_{0};
+    int adapterRefusals_ = 0;
     Duration modelWait_{0};
     // A failure that a target reported, forwarded to the caller when no other target answers.
     std::optional<HttpResponse> targetFailure_;
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -258,6 +258,26 @@
     EXPECT_EQ(asked->load(), 1);
 }
 
+// Guards against a request that asks for its adapter on every engine of a large deployment, all of which refuse.
+TEST_F(RelayTest, RequestAsksForItsAdapterOnAFewTargetsOnly)
+{
+    for (int i = 0; i < RelayLimits::maxAdapterRefusals + 2; ++i)
+        addTarget(engineService, events(3));
+    start();
+    context_.placementReached = true;
+    auto asked = std::make_shared<std::set<TargetId>>();
+    context_.ensureAdapter = [=](const TargetId& target, const ModelId&, const AdapterId&, TimePoint) {
+        EXPECT_TRUE(asked->insert(target).second) << target << " is asked again";
+        return makeError(TransportError::Stopped, "all places are in use");
+    };
+    HttpRequest adapted = request("/stream/x");
+    adapted.headers.set("X-Model", "m/a1");
+    const auto refused = client().send(adapted);
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_TRUE(refused->headers.find("Retry-After").has_value());
+    EXPECT_EQ(asked->size(), static_cast<std::size_t>(RelayLimits::maxAdapterRefusals));
+}
+
 // Guards against a request that waits for an owner that does not answer again with each further target.
 TEST_F(RelayTest, SilentOwnerIsAskedOnceForARequest)
 {
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -221,6 +221,60 @@
     EXPECT_EQ(reason(registry, &generation), NoTargetReason::AdapterNotHeld);
 }
 
+// Guards against requests for an adapter that all ask the two engines whose places are in use, although others have
+// free ones, and against refusing when all engines have refused a moment ago.
+TEST_F(TargetChoiceTest, AsksFurtherEnginesForAnAdapterAfterARefusal)
+{
+    TargetRegistry registry = registryOf(4);
+    GenerationNeed generation = need(1, 2, 3);
+    generation.adapter = AdapterId("a3");
+    const std::string first = chosen(registry, &generation);
+    std::set<std::string> asked;
+    for (int i = 0; i < 4; ++i) {
+        const std::string next = chosen(registry, &generation);
+        EXPECT_TRUE(asked.insert(next).second) << next << " is asked again";
+        registry.recordAdapterRefused(TargetId(next), TargetIncarnation(1), now_);
+    }
+    EXPECT_NE(chosen(registry, &generation), "none");
+    now_ += 400ms;
+    EXPECT_EQ(chosen(registry, &generation), first);
+    registry.recordAdapterRefused(TargetId(first), TargetIncarnation(2), now_);
+    EXPECT_EQ(chosen(registry, &generation), first) << "the refusal is of another incarnation";
+}
+
+// Guards against avoiding an engine for what it holds, because it had no place for something else.
+TEST_F(TargetChoiceTest, RefusalOfAnAdapterConcernsMissingAdaptersOnly)
+{
+    TargetRegistry registry;
+    registry.update(record(0, {AdapterId("a3")}));
+    registry.update(record(1));
+    GenerationNeed generation = need(1, 2, 3);
+    generation.parts.clear();
+    generation.promptTokens = TokenCount(800);
+    registry.recordAdapterRefused(TargetId("t0"), TargetIncarnation(1), now_);
+    generation.adapter = AdapterId("a3");
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+    generation.adapter = AdapterId("a4");
+    EXPECT_EQ(chosen(registry, &generation), "t1");
+    registry.recordAdapterLoaded(TargetId("t0"), TargetIncarnation(1), generation);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
+// Guards against callers that are told to retry before any place for their adapter can be free, and that have used up
+// their attempts when one is.
+TEST_F(TargetChoiceTest, RefusalWithoutAPlaceForTheAdapterSaysWhenOneIsFree)
+{
+    const TargetRegistry registry = registryOf(2);
+    GenerationNeed generation = need(1, 2, 3);
+    excluded_ = {TargetId("t0"), TargetId("t1")};
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::TooBusy);
+    generation.adapter = AdapterId("a3");
+    const auto refused = choose(registry, &generation);
+    ASSERT_TRUE(std::holds_alternative<NoTarget>(refused));
+    EXPECT_EQ(std::get<NoTarget>(refused).reason, NoTargetReason::AdapterNotHeld);
+    EXPECT_EQ(std::get<NoTarget>(refused).retryAfter, 400ms + registry.slotOccupancy(hall) / 2);
+}
+
 // Guards against a target that fails some of its requests and still receives as many as the others, and against
 // ejecting all targets when all fail.
 TEST_F(TargetChoiceTest, AvoidsTargetsThatFailUnlessAllDo)
