Look outside the group for an engine that holds the adapter

A request whose adapter was missing on the two engines of its group had it loaded on one of them even if a third engine held it, for instance after the group had refused and the adapter was loaded outside. The second copy took one of few places and often evicted another adapter. If the adapter is missing on the best engine of the group, engines outside that hold it are now compared with it.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -195,20 +195,24 @@
         return bestOf(ranked, targetsInGroup);
     }
 
-    // Returns the best target of the first group that has one in time, or the best of all.
+    // Returns the best target of the first group that has one in time, or the best of all. If the adapter is missing on
+    // the best one, targets outside the group that hold it are considered too: it would take a second place there.
     std::optional<Candidate> bestOf(std::span<const TargetState* const> targets, std::size_t groupSize) const
     {
         const double limit
             = std::chrono::duration<double, std::milli>(input_.latencyObjective).count() * objectivesBeforeWidening;
         std::optional<Candidate> best;
         std::size_t inGroup = 0;
+        bool holdersOnly = false;
         for (const TargetState* state : targets) {
             if (inGroup == groupSize) {
-                if (best->cost < limit && toDuration(best->milliseconds) <= admittedWait())
+                const bool inTime = best->cost < limit && toDuration(best->milliseconds) <= admittedWait();
+                if (inTime && !best->adapterMissing)
                     break;
+                holdersOnly = inTime;
                 inGroup = 0;
             }
-            if (!isEligible(*state))
+            if (!isEligible(*state) || (holdersOnly && lacksAdapter(*state)))
                 continue;
             const Candidate candidate = evaluate(*state);
             if (candidate.adapterMissing && !input_.placementReached)
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -242,6 +242,20 @@
     EXPECT_EQ(chosen(registry, &generation), first) << "the refusal is of another incarnation";
 }
 
+// Guards against an adapter that takes one of few places on the two preferred engines although a third one holds it.
+TEST_F(TargetChoiceTest, PrefersAnEngineOutsideTheGroupThatHasTheAdapter)
+{
+    GenerationNeed generation = need(1, 2, 3);
+    generation.parts.clear();
+    generation.promptTokens = TokenCount(800);
+    generation.adapter = AdapterId("a3");
+    for (int holder = 0; holder < 6; ++holder) {
+        TargetRegistry registry = registryOf(6);
+        registry.recordAdapterLoaded(TargetId(fmt::format("t{}", holder)), TargetIncarnation(1), generation);
+        EXPECT_EQ(chosen(registry, &generation), fmt::format("t{}", holder));
+    }
+}
+
 // Guards against avoiding an engine for what it holds, because it had no place for something else.
 TEST_F(TargetChoiceTest, RefusalOfAnAdapterConcernsMissingAdaptersOnly)
 {
