Prefer larger machines for the placement lease

Any instance could take the lease, and most machines of a large deployment have 0.12 of a processor and a twentieth of the bandwidth of the few larger ones. The owner answers the calls of all instances and announces each change to all.

An instance with less than half a processor now takes the row up to 1.3 s later. A successor may not send orders until 4.2 s after the last renewal, so this delays no order. For the first holder, which may send orders at once, a small machine reads a second time, half a second later, before it writes. The template passes the share as processor_share; without it nothing changes.

--- a/src/fleet/PlacementLease.cpp
+++ b/src/fleet/PlacementLease.cpp
@@ -1,7 +1,27 @@
 #include "fleet/PlacementLease.h"
 
+#include <algorithm>
+
 namespace lychee::fleet {
 
+namespace {
+
+// Instances with at least this part of a processor take the lease without delay.
+constexpr double largeProcessorShare = 0.5;
+
+// The delay without any processor. Instances read the row twice a second, and one with 0.12 of a processor has to stay
+// more than one read behind the large ones. A successor may not send orders until an order window and a lease have
+// passed, so this delays no order.
+constexpr std::chrono::duration<double> maxSmallMachineDelay = std::chrono::milliseconds(1300);
+
+} // namespace
+
+Duration smallMachineDelay(double processorShare)
+{
+    const double missing = std::max(0.0, 1 - processorShare / largeProcessorShare);
+    return std::chrono::duration_cast<Duration>(missing * maxSmallMachineDelay);
+}
+
 LeaseStep PlacementLease::next(TimePoint now) const
 {
     if (!rowKnown_) {
@@ -31,12 +51,13 @@
 // Uses only the times of completed reads, so that no compare-and-set is sent whose condition failed long ago.
 bool PlacementLease::mayAcquire() const
 {
-    if (!row_)
-        return true;
     const Duration unchanged = versionConfirmedAt_ - versionSeenAt_;
+    // The first holder may send orders at once, so a small machine leaves only the time of one read to larger ones.
+    if (!row_)
+        return options_.smallMachineDelay == Duration(0) || unchanged > Duration(0);
     if (row_->holder.empty())
-        return unchanged >= options_.acquireDelay;
-    return unchanged >= options_.orderWindow + options_.renewInterval + options_.acquireDelay;
+        return unchanged >= acquireDelay();
+    return unchanged >= options_.orderWindow + options_.renewInterval + acquireDelay();
 }
 
 LeaseRow PlacementLease::row() const
--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -35,8 +35,14 @@
     // Additional time that this instance waits before it acquires the lease, so that instances do not all write at
     // once.
     Duration acquireDelay{0};
+    // Additional time that this instance leaves to others whose machines are larger.
+    Duration smallMachineDelay{0};
 };
 
+// The time that an instance with this part of a processor leaves to larger ones. The owner answers the calls of all
+// instances and announces each change to all of them.
+Duration smallMachineDelay(double processorShare);
+
 enum class LeaseStep {
     Wait,
     Read,
@@ -99,6 +105,7 @@
 
 private:
     bool mayAcquire() const;
+    Duration acquireDelay() const { return options_.acquireDelay + options_.smallMachineDelay; }
     bool heardFromHolderRecently(TimePoint now) const;
 
     InstanceId self_;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -150,6 +150,7 @@
         // another.
         options.lease.acquireDelay
             = std::chrono::milliseconds(std::hash<std::string>()(self_.value()) % takeDelaySpreadMs);
+        options.lease.smallMachineDelay = fleet::smallMachineDelay(settings_->process.processorShare());
         return options;
     }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -24,6 +24,11 @@
               "Memory that the process may use; an eighth of it holds answers of targets. 0 takes the memory of the "
               "machine."},
           {0, 1 << 20})
+    , processorShare(*this,
+          {"processor_share", "1", "",
+              "Part of a processor that the process may use. Instances with less than a half take the placement lease "
+              "later than others."},
+          {0, 1024})
 {
 }
 
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -23,6 +23,7 @@
         explicit ProcessSection(std::vector<SettingSection*>& sections);
 
         CountSetting memoryMegabytes;
+        RealSetting processorShare;
     } process{sections_};
 
     struct CallersSection : SettingSection {
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -182,17 +182,18 @@
 // Guards against an instance that does not start with the settings that the platform's template renders.
 TEST(GatewaySettings, ReadsWhatTheTemplateRenders)
 {
-    const std::string text
-        = "[instance]\nid = front-bahir-a-1\ndata_centre = bahir-a\nregion = amhara\n[process]\nmemory_mb = 260\n"
-          "[callers]\nendpoint = 10.1.0.38:8149\n[readiness]\nendpoint = 10.1.0.38:8141\n"
-          "[peers]\naddress = 10.1.0.38\nport = 7380\n[metrics]\nport = 7395\n"
-          "[platform]\nendpoint = 10.200.1.7:8142\n"
-          "[retries]\npart = 0.2\nslack = 52\nwindow_s = 10\n"
-          "[placement]\nlease_ms = 3000\n[stop]\ngrace_s = 8\n";
+    const std::string text = "[instance]\nid = front-bahir-a-1\ndata_centre = bahir-a\nregion = "
+                             "amhara\n[process]\nmemory_mb = 260\nprocessor_share = 0.12\n"
+                             "[callers]\nendpoint = 10.1.0.38:8149\n[readiness]\nendpoint = 10.1.0.38:8141\n"
+                             "[peers]\naddress = 10.1.0.38\nport = 7380\n[metrics]\nport = 7395\n"
+                             "[platform]\nendpoint = 10.200.1.7:8142\n"
+                             "[retries]\npart = 0.2\nslack = 52\nwindow_s = 10\n"
+                             "[placement]\nlease_ms = 3000\n[stop]\ngrace_s = 8\n";
     const auto loaded = gateway::GatewaySettings::parse(text, "settings");
     ASSERT_TRUE(loaded.ok()) << loaded.errors.front();
     EXPECT_EQ(loaded.settings->callers.endpoint().port, 8149);
     EXPECT_EQ(loaded.settings->retries.slack(), 52);
+    EXPECT_EQ(loaded.settings->process.processorShare(), 0.12);
     EXPECT_EQ(loaded.settings->placement.lease(), 3s);
 }
 
--- a/tests/unit/PlacementLeaseTest.cpp
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -178,6 +178,63 @@
     }
 }
 
+// Runs instances until one has the lease and returns its index. `shares` are their parts of a processor; later ones
+// read the table `lag` after those before them.
+std::size_t takerOf(Table& table, const std::vector<double>& shares, Duration lag)
+{
+    std::vector<PlacementLease> leases;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        PlacementLeaseOptions options;
+        options.smallMachineDelay = smallMachineDelay(shares[i]);
+        leases.emplace_back(InstanceId(fmt::format("instance-{}", i)), options);
+    }
+    for (TimePoint now = at(1s); now < at(20s); now += 10ms) {
+        for (std::size_t i = 0; i < leases.size(); ++i) {
+            if (now - at(1s) >= static_cast<int>(i) * lag)
+                step(leases[i], table, now);
+            if (leases[i].isHolder())
+                return i;
+        }
+    }
+    return shares.size();
+}
+
+// Guards against an owner on a small machine while there are larger ones: it cannot answer the calls of all instances.
+TEST(PlacementLease, LargerMachineTakesTheLeaseFirst)
+{
+    Table first;
+    EXPECT_EQ(takerOf(first, {0.12, 0.25, 0.12, 0.5}, 100ms), 3u);
+    Table released;
+    released.row = LeaseRow{InstanceId(), FencingNumber(4)};
+    released.version = 7;
+    EXPECT_EQ(takerOf(released, {0.12, 0.25, 0.12, 0.5}, 100ms), 3u);
+    Table crashed;
+    crashed.row = LeaseRow{InstanceId("dead"), FencingNumber(4)};
+    crashed.version = 7;
+    EXPECT_EQ(takerOf(crashed, {0.12, 0.25, 0.12, 0.5}, 100ms), 3u);
+}
+
+// Guards against small machines that leave placement without an owner, or without orders for longer than the lease
+// requires.
+TEST(PlacementLease, SmallMachineTakesTheLeaseBeforeOrdersMayBeSent)
+{
+    Table table;
+    table.row = LeaseRow{InstanceId("dead"), FencingNumber(4)};
+    table.version = 7;
+    PlacementLeaseOptions options;
+    options.acquireDelay = 300ms;
+    options.smallMachineDelay = smallMachineDelay(0);
+    PlacementLease lease(InstanceId("small"), options);
+    TimePoint now = at(1s);
+    for (; !lease.maySendOrders(now); now += 10ms) {
+        step(lease, table, now);
+        ASSERT_LT(now, at(20s));
+    }
+    EXPECT_LE(now - at(1s), options.orderWindow + options.lease + 20ms);
+    EXPECT_EQ(smallMachineDelay(0.5), Duration(0));
+    EXPECT_EQ(smallMachineDelay(4), Duration(0));
+}
+
 // Guards against a shutdown of the holder that leaves placement without an owner for longer than needed.
 TEST(PlacementLease, ReleasedLeaseIsTakenSooner)
 {
