Leave a holder of the lease alone that may not send orders yet

The answer now counts for all engines: the instance treats the owner as not reached for 250 ms, and the request ends with "adapter not held". An instance that has lost its right to send orders during a call answers with the same reason.

--- a/src/gateway/ControlLimits.h
+++ b/src/gateway/ControlLimits.h
@@ -30,6 +30,9 @@
     // A call without an answer shows that the placement owner does not answer at all only if nothing else has come from
     // it for this time either, in which it sends two status messages.
     static constexpr Duration maxOwnerCallSilence = std::chrono::milliseconds(400);
+    // After the holder of the lease has answered that it may not send orders, it is not called again for this time. The
+    // successor of an owner that has failed may not send any for some seconds.
+    static constexpr Duration ownerDeclinePause = std::chrono::milliseconds(250);
     static constexpr Duration statusInterval = std::chrono::milliseconds(200);
     // Instances other than the placement owner add one `statusInterval` to their interval for each group of this many
     // peers, up to `maxStatusInterval`, so that the number of messages at each instance does not grow with the
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -26,7 +26,7 @@
     std::function<void(const TargetId&)> targetRemoved;
     std::function<void(const TargetId&, fleet::TargetIncarnation, const fleet::Holdings&)> holdingsChanged;
     std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>)> peerWorkUpdated;
-    // Whether the placement owner is connected and not silent, and how many instances share the retry budget.
+    // Whether the placement owner is connected and available, and how many instances share the retry budget.
     std::function<void(bool placementReached, std::size_t instances)> connectivityUpdated;
     // A configuration has come into force.
     std::function<void(const fleet::RouteTable&)> configurationChanged;
@@ -145,8 +145,9 @@
     }
 
     // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with
-    // TransportError::ConnectionClosed when the owner cannot be reached, with TimedOut when the adapter is not loaded
-    // before the deadline although the owner can be reached, and with other errors when the owner cannot load it.
+    // TransportError::ConnectionClosed when no owner that may send orders can be reached, with TimedOut when the
+    // adapter is not loaded before the deadline although the owner can be reached, and with other errors when the owner
+    // cannot load it.
     absl::Status ensureAdapter(
         const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
@@ -219,6 +220,18 @@
         return makeError(TransportError::ConnectionClosed, "the placement owner is silent");
     }
 
+    void ownerDeclined(const InstanceId& peer)
+    {
+        if (!ownerContact_.declined(peer, currentTime()))
+            return;
+        reportConnectivity();
+        duty_.spawn([this, peer] {
+            while (!ownerContact_.isSilent(peer) && !ownerContact_.isAvailable(peer, currentTime()))
+                sleepFor(ControlLimits::ownerDeclinePause);
+            reportConnectivity();
+        });
+    }
+
     void announceHoldings(const fleet::TargetRecord& record)
     {
         const auto entry = targets_.targets().find(record.id);
@@ -338,8 +351,8 @@
     void reportConnectivity()
     {
         const InstanceId holder = lease_.lease().holder();
-        const bool reached
-            = owner_.owns() || (!holder.empty() && mesh_->isConnected(holder) && !ownerContact_.isSilent(holder));
+        const bool reached = owner_.owns()
+            || (!holder.empty() && mesh_->isConnected(holder) && ownerContact_.isAvailable(holder, currentTime()));
         relay_.connectivityUpdated(reached, mesh_->peerCount() + 1);
     }
 
@@ -548,18 +561,25 @@
         duty_.spawn([this, peer, message] {
             const TimePoint deadline = currentTime() + ControlLimits::adapterCallTimeout;
             const absl::Status status = owner_.ensureAdapter(message.target, message.model, message.adapter, deadline);
-            mesh_->send(peer, MeshEnsureResult{message.call, std::string(messageOf(status))}).IgnoreError();
+            const bool mayNot = !status.ok() && !(owner_.owns() && lease_.maySendOrders());
+            const std::string_view reason = mayNot ? notOwnerReason : messageOf(status);
+            mesh_->send(peer, MeshEnsureResult{message.call, std::string(reason)}).IgnoreError();
         });
     }
 
-    void handle(const InstanceId&, const MeshEnsureResult& message)
+    void handle(const InstanceId& peer, const MeshEnsureResult& message)
     {
+        const bool mayNot = message.reason == notOwnerReason;
+        if (mayNot)
+            ownerDeclined(peer);
         const auto found = pendingCalls_.find(message.call);
         if (found == pendingCalls_.end())
             return;
         PendingCall& pending = *found->second;
         pending.answered = true;
-        pending.status = message.reason.empty() ? absl::OkStatus() : makeError(TransportError::Stopped, message.reason);
+        pending.status = message.reason.empty()
+            ? absl::OkStatus()
+            : makeError(mayNot ? TransportError::ConnectionClosed : TransportError::Stopped, message.reason);
         pending.done.notify();
     }
 
--- a/src/gateway/OwnerContact.h
+++ b/src/gateway/OwnerContact.h
@@ -26,6 +26,7 @@
     {
         heardAt_.erase(peer);
         silent_.erase(peer);
+        declinedUntil_.erase(peer);
     }
 
     // Records that a call to a peer got no answer in time. Returns whether the peer is silent.
@@ -37,11 +38,28 @@
         return isSilent(peer);
     }
 
+    // Records that a peer has answered that it may not send orders, which holds for all engines. Returns whether it was
+    // available until now.
+    bool declined(const InstanceId& peer, TimePoint now)
+    {
+        const bool wasAvailable = isAvailable(peer, now);
+        declinedUntil_[peer] = now + ControlLimits::ownerDeclinePause;
+        return wasAvailable;
+    }
+
     bool isSilent(const InstanceId& peer) const { return silent_.contains(peer); }
 
+    // Whether calls to the peer are of use.
+    bool isAvailable(const InstanceId& peer, TimePoint now) const
+    {
+        const auto found = declinedUntil_.find(peer);
+        return !isSilent(peer) && (found == declinedUntil_.end() || found->second <= now);
+    }
+
 private:
     std::map<InstanceId, TimePoint> heardAt_;
     std::set<InstanceId> silent_;
+    std::map<InstanceId, TimePoint> declinedUntil_;
 };
 
 } // namespace lychee::gateway
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -7,6 +7,10 @@
 
 inline constexpr LogChannel placementLog("placement");
 
+// The reason with which instances that may not send orders answer calls for adapters. Instances recognize it in the
+// answers of others.
+inline constexpr std::string_view notOwnerReason = "this instance does not own placement";
+
 template <EngineChannel Channel> class PlacementOwner {
 public:
     using Handlers = typename OrderDispatcher<Channel>::Handlers;
@@ -64,7 +68,7 @@
         const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
         if (!owns_)
-            return makeError(TransportError::Stopped, "this instance does not own placement");
+            return makeError(TransportError::Stopped, notOwnerReason);
         return dispatcher_.ensureAdapter(target, model, adapter, deadline);
     }
 
--- a/tests/gateway/OwnerContactTest.cpp
+++ b/tests/gateway/OwnerContactTest.cpp
@@ -34,6 +34,24 @@
     EXPECT_FALSE(contact.heard(owner, at(4s)));
 }
 
+// Guards against calls for every engine to a holder of the lease that may not send orders yet.
+TEST(OwnerContact, HolderThatMayNotSendOrdersIsLeftAloneForAMoment)
+{
+    OwnerContact contact;
+    contact.heard(owner, at(1s));
+    EXPECT_TRUE(contact.isAvailable(owner, at(1s)));
+    EXPECT_TRUE(contact.declined(owner, at(1s)));
+    EXPECT_FALSE(contact.declined(owner, at(1s))) << "the same news twice";
+    contact.heard(owner, at(1100ms));
+    EXPECT_FALSE(contact.isAvailable(owner, at(1100ms)));
+    EXPECT_FALSE(contact.isSilent(owner));
+    EXPECT_TRUE(contact.isAvailable(InstanceId("successor"), at(1100ms)));
+    EXPECT_TRUE(contact.isAvailable(owner, at(1s + ControlLimits::ownerDeclinePause)));
+    contact.declined(owner, at(2s));
+    contact.lost(owner);
+    EXPECT_TRUE(contact.isAvailable(owner, at(2s)));
+}
+
 // Guards against an owner that stays silent on a connection that has replaced the one on which it was.
 TEST(OwnerContact, NewConnectionEndsTheSilence)
 {
