Read the lease row when its holder says that it cannot renew

The others took a holder that reports that it does not renew for one that may still be heard, and waited for 1.2 s of silence before they read its row; only then does the wait for its last order begin.

They now read the row at the first such report. The wait after that read is the same, so no two instances send orders within one lease.

--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -77,9 +77,9 @@
     // Records that a read or write got no answer. A write may still take effect.
     void failed(TimePoint now);
 
-    // Records that the holder has reported over a peer connection that it is renewing the lease. Not called for a
-    // holder that cannot renew.
-    void heardFromHolder(TimePoint now) { holderHeardAt_ = now; }
+    // Records that the holder has reported over a peer connection whether it is renewing the lease. If it is not, the
+    // row is read at once: the wait for its last order begins with the first read of the version that it left.
+    void heardFromHolder(TimePoint now, bool isRenewing) { holderHeardAt_ = isRenewing ? now : TimePoint(); }
 
     // Records that the connection to the holder has broken; its process has probably ended.
     void holderDisconnected() { holderHeardAt_ = {}; }
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -431,8 +431,8 @@
         state.status = status;
         state.heardAt = currentTime();
         relay_.peerWorkUpdated(peer, fromMessage(status.work));
-        if (peer == lease_.lease().holder() && status.holdsLease)
-            lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime());
+        if (peer == lease_.lease().holder())
+            lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
         for (const MeshAdapterUse& use : status.uses)
             owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
         sendMissingRows(peer, state);
--- a/tests/unit/PlacementLeaseTest.cpp
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -178,6 +178,30 @@
     }
 }
 
+// Guards against a second in which no instance may send orders, because the others wait for the silence of a holder
+// that has already said that it cannot renew the lease.
+TEST(PlacementLease, RowOfAHolderThatCannotRenewIsReadAtOnce)
+{
+    Table table;
+    table.row = LeaseRow{InstanceId("holder"), FencingNumber(4)};
+    table.version = 7;
+    PlacementLease lease(InstanceId("a"), {});
+    read(lease, table, at(1s));
+    lease.heardFromHolder(at(9800ms), true);
+    EXPECT_EQ(lease.next(at(10s)), LeaseStep::Wait);
+    table.version = 27;
+    lease.heardFromHolder(at(10s), false);
+    EXPECT_EQ(lease.next(at(10s)), LeaseStep::Read);
+    TimePoint now = at(10s);
+    for (; !lease.maySendOrders(now); now += 10ms) {
+        step(lease, table, now);
+        ASSERT_LT(now, at(20s));
+    }
+    const PlacementLeaseOptions options;
+    EXPECT_GE(now - at(10s), options.orderWindow + options.lease);
+    EXPECT_LE(now - at(10s), options.orderWindow + options.lease + 20ms);
+}
+
 // Runs instances until one has the lease and returns its index. `shares` are their parts of a processor; later ones
 // read the table `lag` after those before them.
 std::size_t takerOf(Table& table, const std::vector<double>& shares, Duration lag)
