--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -35,8 +35,14 @@
     // Additional time that this instance waits before it acquires the lease, so that instances do not all write at
     // once.
     Duration acquireDelay{0};
+    // Additional time that this instance leaves to others whose machines are larger.
+    Duration smallMachineDelay{0};
 };
 
+// The time that an instance with this part of a processor leaves to larger ones. The owner answers the calls of all
+// instances and announces each change to all of them.
+Duration smallMachineDelay(double processorShare);
+
 enum class LeaseStep {
     Wait,
     Read,
@@ -71,9 +77,9 @@
     // Records that a read or write got no answer. A write may still take effect.
     void failed(TimePoint now);
 
-    // Records that the holder has reported over a peer connection that it is renewing the lease. Not called for a
-    // holder that cannot renew.
-    void heardFromHolder(TimePoint now) { holderHeardAt_ = now; }
+    // Records that the holder has reported over a peer connection whether it is renewing the lease. If it is not, the
+    // row is read at once: the wait for its last order begins with the first read of the version that it left.
+    void heardFromHolder(TimePoint now, bool isRenewing) { holderHeardAt_ = isRenewing ? now : TimePoint(); }
 
     // Records that the connection to the holder has broken; its process has probably ended.
     void holderDisconnected() { holderHeardAt_ = {}; }
@@ -99,6 +105,7 @@
 
 private:
     bool mayAcquire() const;
+    Duration acquireDelay() const { return options_.acquireDelay + options_.smallMachineDelay; }
     bool heardFromHolderRecently(TimePoint now) const;
 
     InstanceId self_;
--- a/src/gateway/ControlLimits.h
+++ b/src/gateway/ControlLimits.h
@@ -27,6 +27,12 @@
     static constexpr Duration maxOwnerReadAge = std::chrono::milliseconds(1200);
     // The placement owner counts as silent after this time without a status message; it sends five a second.
     static constexpr Duration maxOwnerSilence = std::chrono::milliseconds(900);
+    // A call without an answer shows that the placement owner does not answer at all only if nothing else has come from
+    // it for this time either, in which it sends two status messages.
+    static constexpr Duration maxOwnerCallSilence = std::chrono::milliseconds(400);
+    // After the holder of the lease has answered that it may not send orders, it is not called again for this time. The
+    // successor of an owner that has failed may not send any for some seconds.
+    static constexpr Duration ownerDeclinePause = std::chrono::milliseconds(250);
     static constexpr Duration statusInterval = std::chrono::milliseconds(200);
     // Instances other than the placement owner add one `statusInterval` to their interval for each group of this many
     // peers, up to `maxStatusInterval`, so that the number of messages at each instance does not grow with the
@@ -39,6 +45,12 @@
     static constexpr Duration registrationInterval = std::chrono::seconds(60);
     static constexpr Duration registrationRetryInterval = std::chrono::milliseconds(500);
     static constexpr Duration answerTimeout = std::chrono::milliseconds(900);
+    // Time in which the placement owner loads an adapter for another instance, which waits for
+    // RelayLimits::adapterLoadTimeout. The rest is left for the ways of the call and of its answer.
+    static constexpr Duration adapterCallTimeout = std::chrono::milliseconds(350);
+    // Changes of the adapters of an engine are announced together after this time. Instances that send a request for an
+    // adapter that has just been unloaded have it loaded again.
+    static constexpr Duration holdingsInterval = std::chrono::milliseconds(80);
     // Demand that a peer reported longer ago than this is ignored.
     static constexpr Duration maxDemandAge = std::chrono::seconds(2);
 };
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "gateway/CrashWatch.h"
 #include "gateway/LeaseManager.h"
 #include "gateway/Mesh.h"
+#include "gateway/OwnerContact.h"
 #include "gateway/PlacementOwner.h"
 #include "gateway/RowSenders.h"
 #include "gateway/TableWatch.h"
@@ -25,7 +26,7 @@
     std::function<void(const TargetId&)> targetRemoved;
     std::function<void(const TargetId&, fleet::TargetIncarnation, const fleet::Holdings&)> holdingsChanged;
     std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>)> peerWorkUpdated;
-    // Whether the placement owner is connected, and how many instances share the retry budget.
+    // Whether the placement owner is connected and available, and how many instances share the retry budget.
     std::function<void(bool placementReached, std::size_t instances)> connectivityUpdated;
     // A configuration has come into force.
     std::function<void(const fleet::RouteTable&)> configurationChanged;
@@ -143,23 +144,25 @@
         mesh_->broadcast(MeshTraitsCleared{traits});
     }
 
-    // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with TransportError::TimedOut when
-    // the owner does not answer before the deadline, and with other errors when it cannot load the adapter.
+    // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with
+    // TransportError::ConnectionClosed when no owner that may send orders can be reached, with TimedOut when the
+    // adapter is not loaded before the deadline although the owner can be reached, and with other errors when the owner
+    // cannot load it.
     absl::Status ensureAdapter(
         const TargetId& target, const ModelId& model, const AdapterId& adapter, TimePoint deadline)
     {
         if (owner_.owns())
             return owner_.ensureAdapter(target, model, adapter, deadline);
         const InstanceId holder = lease_.lease().holder();
+        if (!mesh_->isConnected(holder))
+            return makeError(TransportError::ConnectionClosed, "no mesh connection to the placement owner");
         const std::uint64_t call = ++lastCall_;
         PendingCall pending;
         pendingCalls_.emplace(call, &pending);
         absl::Status status = mesh_->send(holder, MeshEnsureAdapter{call, target, model, adapter});
         if (status.ok()) {
             pending.done.waitUntil(duty_.timers(), deadline);
-            status = pending.answered
-                ? pending.status
-                : makeError(TransportError::TimedOut, "the placement owner did not answer before the deadline");
+            status = pending.answered ? pending.status : callUnanswered(holder);
         }
         pendingCalls_.erase(call);
         return status;
@@ -205,15 +208,59 @@
             }};
     }
 
+    absl::Status callUnanswered(const InstanceId& holder)
+    {
+        const bool wasSilent = ownerContact_.isSilent(holder);
+        if (!ownerContact_.callUnanswered(holder, currentTime())) {
+            return makeError(
+                TransportError::TimedOut, "the placement owner did not answer for this engine before the deadline");
+        }
+        if (!wasSilent)
+            reportConnectivity();
+        return makeError(TransportError::ConnectionClosed, "the placement owner is silent");
+    }
+
+    void ownerDeclined(const InstanceId& peer)
+    {
+        if (!ownerContact_.declined(peer, currentTime()))
+            return;
+        reportConnectivity();
+        duty_.spawn([this, peer] {
+            while (!ownerContact_.isSilent(peer) && !ownerContact_.isAvailable(peer, currentTime()))
+                sleepFor(ControlLimits::ownerDeclinePause);
+            reportConnectivity();
+        });
+    }
+
     void announceHoldings(const fleet::TargetRecord& record)
     {
         const auto entry = targets_.targets().find(record.id);
-        if (!announcedHoldings_.needsAnnouncement(record, entry == targets_.targets().end() ? nullptr : &entry->second))
+        switch (announcedHoldings_.changed(record, entry == targets_.targets().end() ? nullptr : &entry->second)) {
+        case AnnouncedHoldings::Announcement::None:
+            return;
+        case AnnouncedHoldings::Announcement::AtOnce:
+            return broadcastHoldings(record);
+        case AnnouncedHoldings::Announcement::Collected:
+            if (!std::exchange(collectsHoldings_, true))
+                duty_.spawn([this] { broadcastCollectedHoldings(); });
             return;
+        }
+    }
+
+    void broadcastHoldings(const fleet::TargetRecord& record)
+    {
         announcedHoldings_.record(record.id, record.incarnation, record.holdings);
         mesh_->broadcast(toMessage(record.id, record.incarnation, record.holdings, currentTime()));
     }
 
+    void broadcastCollectedHoldings()
+    {
+        sleepFor(ControlLimits::holdingsInterval);
+        collectsHoldings_ = false;
+        for (const fleet::TargetRecord& record : announcedHoldings_.takeCollected())
+            broadcastHoldings(record);
+    }
+
     void applyConfiguration(const std::vector<StoredRow>& rows)
     {
         for (const StoredRow& row : rows) {
@@ -304,7 +351,8 @@
     void reportConnectivity()
     {
         const InstanceId holder = lease_.lease().holder();
-        const bool reached = owner_.owns() || (!holder.empty() && mesh_->isConnected(holder));
+        const bool reached = owner_.owns()
+            || (!holder.empty() && mesh_->isConnected(holder) && ownerContact_.isAvailable(holder, currentTime()));
         relay_.connectivityUpdated(reached, mesh_->peerCount() + 1);
     }
 
@@ -332,6 +380,9 @@
 
     void joined(const InstanceId& peer)
     {
+        ownerContact_.heard(peer, currentTime());
+        if (lease_.lease().holder() == peer)
+            reportConnectivity();
         duty_.spawn([this, peer] { sendCrashKnowledge(peer); });
         if (!owner_.owns())
             return;
@@ -351,9 +402,11 @@
     void lost(const InstanceId& peer)
     {
         peers_.erase(peer);
+        ownerContact_.lost(peer);
         relay_.peerWorkUpdated(peer, {});
         if (lease_.lease().holder() == peer) {
             lease_.lease().holderDisconnected();
+            reportConnectivity();
             for (auto& [call, pending] : pendingCalls_) {
                 pending->answered = true;
                 pending->status
@@ -365,6 +418,8 @@
 
     void received(const InstanceId& peer, const MeshMessage& message)
     {
+        if (ownerContact_.heard(peer, currentTime()))
+            reportConnectivity();
         std::visit([&](const auto& value) { handle(peer, value); }, message);
     }
 
@@ -376,8 +431,8 @@
         state.status = status;
         state.heardAt = currentTime();
         relay_.peerWorkUpdated(peer, fromMessage(status.work));
-        if (peer == lease_.lease().holder() && status.holdsLease)
-            lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime());
+        if (peer == lease_.lease().holder())
+            lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
         for (const MeshAdapterUse& use : status.uses)
             owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
         sendMissingRows(peer, state);
@@ -504,20 +559,27 @@
     void handle(const InstanceId& peer, const MeshEnsureAdapter& message)
     {
         duty_.spawn([this, peer, message] {
-            const TimePoint deadline = currentTime() + ControlLimits::answerTimeout;
+            const TimePoint deadline = currentTime() + ControlLimits::adapterCallTimeout;
             const absl::Status status = owner_.ensureAdapter(message.target, message.model, message.adapter, deadline);
-            mesh_->send(peer, MeshEnsureResult{message.call, std::string(messageOf(status))}).IgnoreError();
+            const bool mayNot = !status.ok() && !(owner_.owns() && lease_.maySendOrders());
+            const std::string_view reason = mayNot ? notOwnerReason : messageOf(status);
+            mesh_->send(peer, MeshEnsureResult{message.call, std::string(reason)}).IgnoreError();
         });
     }
 
-    void handle(const InstanceId&, const MeshEnsureResult& message)
+    void handle(const InstanceId& peer, const MeshEnsureResult& message)
     {
+        const bool mayNot = message.reason == notOwnerReason;
+        if (mayNot)
+            ownerDeclined(peer);
         const auto found = pendingCalls_.find(message.call);
         if (found == pendingCalls_.end())
             return;
         PendingCall& pending = *found->second;
         pending.answered = true;
-        pending.status = message.reason.empty() ? absl::OkStatus() : makeError(TransportError::Stopped, message.reason);
+        pending.status = message.reason.empty()
+            ? absl::OkStatus()
+            : makeError(mayNot ? TransportError::ConnectionClosed : TransportError::Stopped, message.reason);
         pending.done.notify();
     }
 
@@ -546,10 +608,13 @@
     TableWatch<typename Platform::Store> targetWatch_;
     TargetList targets_;
     AnnouncedHoldings announcedHoldings_;
+    // A fiber waits to announce the collected holdings.
+    bool collectsHoldings_ = false;
     LeaseManager<typename Platform::Store> lease_;
     PlacementOwner<typename Platform::Channel> owner_;
     std::unique_ptr<Mesh> mesh_;
     std::map<InstanceId, PeerState> peers_;
+    OwnerContact ownerContact_;
     MeshStatus status_;
     std::map<std::uint64_t, PendingCall*> pendingCalls_;
     std::uint64_t lastCall_ = 0;
