Give models that no engine holds their turn

Cause: the planner never unloads the last copy of a declared model. Where all engines are full of single copies, a model that no engine holds is never loaded, however often it is asked for, while models that nobody asks for keep their places. The planner weighs work, so it has no measure of how long a model has gone unserved. Such models also filled all twelve requests of a planning pass and kept out those that need further copies.

Change: the owner measures how long each model has been asked for in vain (UnservedModels). A last copy that is not asked for yields to such a model at once; one in use, the one with the least work first, when the model has waited for 2 s, and on at most a quarter of the engines at a time. Copies younger than 5 s stay. Missing models take at most half of a pass while others need copies.

--- a/src/fleet/PlacementPlan.cpp
+++ b/src/fleet/PlacementPlan.cpp
@@ -34,8 +34,16 @@
 // A further copy in the same data centre is worth less than one in another, because losing the data centre loses both.
 constexpr double sameDataCentreCost = 0.01;
 
-// Maximum number of copy requests that one planning pass handles; the next pass follows within a second.
+// Unloading the last copy of a model costs more than unloading one of several in any use.
+constexpr double lastCopyCost = 10;
+
+// Maximum number of copy requests that one planning pass handles; the next pass follows within a second. Missing models
+// take at most half of them while others need further copies, because some may have no room for a long time.
 constexpr std::size_t maxRequestsInPass = 12;
+constexpr std::size_t maxMissingInPass = maxRequestsInPass / 2;
+
+// Last copies in use are unloaded only while fewer than one in this many engines change their models.
+constexpr std::size_t enginesForEachTurn = 4;
 
 double square(double value) { return value * value; }
 
@@ -52,10 +60,11 @@
 class Planner {
 public:
     Planner(const Engine& engine, std::span<const PlannedEngine> engines, std::span<const ModelDemand> demand,
-        int storeLoads)
+        int storeLoads, const UnservedTimes& unserved)
         : engine_(engine)
         , engines_(engines)
         , storeLoads_(storeLoads)
+        , unserved_(unserved)
         , hasOrder_(engines.size())
     {
         for (const ModelDemand& entry : demand)
@@ -63,6 +72,8 @@
         for (std::size_t i = 0; i < engines.size(); ++i) {
             if (!engines[i].available)
                 continue;
+            ++availableEngines_;
+            changingEngines_ += engines[i].arriving || !engines[i].leaving.empty() ? 1 : 0;
             for (const HeldModel& held : engines[i].models) {
                 if (engines[i].leaving.contains(held.model))
                     continue;
@@ -83,6 +94,14 @@
     }
 
 private:
+    // Which last copies of other models may be unloaded for a copy.
+    enum class LastCopies {
+        None,
+        // Those of models that are not asked for.
+        Idle,
+        All,
+    };
+
     struct CopyRequest {
         const Model* model = nullptr;
         PlanReason reason = PlanReason::Missing;
@@ -133,35 +152,62 @@
         return least;
     }
 
+    std::optional<Duration> unservedTime(const ModelId& model) const
+    {
+        const auto found = unserved_.find(model);
+        return found == unserved_.end() ? std::nullopt : std::optional(found->second);
+    }
+
     // Models that need a further copy, the most urgent first.
     std::vector<CopyRequest> copyRequests() const
     {
-        std::vector<CopyRequest> copyRequests;
+        std::vector<CopyRequest> missing;
+        std::vector<CopyRequest> busy;
         for (const Model& model : engine_.models) {
             const std::vector<std::size_t>& holders = holdersOf(model.id);
             const double work = workOf(model.id);
             if (holders.empty()) {
-                // A model that is in demand comes before one that is not.
-                copyRequests.push_back({&model, PlanReason::Missing, work > 0 ? 1000 + work : 0});
+                // A model that is in demand comes before one that is not, and the one that has waited longest first.
+                const auto waited = std::chrono::duration<double>(unservedTime(model.id).value_or(Duration(0)));
+                missing.push_back({&model, PlanReason::Missing, work > 0 ? 1000 + work + waited.count() : 0});
                 continue;
             }
             if (work > 0 && lowestUtilization(holders) > lowUtilization)
-                copyRequests.push_back(
-                    {&model, PlanReason::Demand, square(work) / static_cast<double>(holders.size())});
+                busy.push_back({&model, PlanReason::Demand, square(work) / static_cast<double>(holders.size())});
         }
-        std::stable_sort(copyRequests.begin(), copyRequests.end(),
+        sortByUrgency(missing);
+        sortByUrgency(busy);
+        const std::size_t busyInPass = std::min(busy.size(), maxRequestsInPass - maxMissingInPass);
+        missing.resize(std::min(missing.size(), maxRequestsInPass - busyInPass));
+        missing.insert(missing.end(), busy.begin(), busy.end());
+        missing.resize(std::min(missing.size(), maxRequestsInPass));
+        sortByUrgency(missing);
+        return missing;
+    }
+
+    static void sortByUrgency(std::vector<CopyRequest>& requests)
+    {
+        std::stable_sort(requests.begin(), requests.end(),
             [](const CopyRequest& left, const CopyRequest& right) { return left.urgency > right.urgency; });
-        copyRequests.resize(std::min(copyRequests.size(), maxRequestsInPass));
-        return copyRequests;
+    }
+
+    LastCopies unloadableLastCopies(const ModelId& model) const
+    {
+        const std::optional<Duration> waited = unservedTime(model);
+        if (!waited || workOf(model) <= 0 || !holdersOf(model).empty())
+            return LastCopies::None;
+        const std::size_t turns = std::max<std::size_t>(availableEngines_ / enginesForEachTurn, 1);
+        return *waited >= UnservedModels::maxWait && changingEngines_ < turns ? LastCopies::All : LastCopies::Idle;
     }
 
     void serve(const CopyRequest& request)
     {
         std::optional<CopyPlacement> best;
+        const LastCopies lastCopies = unloadableLastCopies(request.model->id);
         for (std::size_t i = 0; i < engines_.size(); ++i) {
             if (!canHost(i, request))
                 continue;
-            std::optional<CopyPlacement> placement = placeCopyOn(i, *request.model);
+            std::optional<CopyPlacement> placement = placeCopyOn(i, *request.model, lastCopies);
             if (placement && (!best || placement->cost < best->cost))
                 best = std::move(placement);
         }
@@ -197,13 +243,13 @@
 
     // Computes how a copy of a model on an engine changes the sum of squared utilizations, and which models have to be
     // unloaded for it. The squares weigh one busy engine more than several half-busy ones, as queueing times do.
-    std::optional<CopyPlacement> placeCopyOn(std::size_t i, const Model& model) const
+    std::optional<CopyPlacement> placeCopyOn(std::size_t i, const Model& model, LastCopies lastCopies) const
     {
         const PlannedEngine& planned = engines_[i];
         CopyPlacement placement{i, {}, copyCost};
         double freeMemory = freeMegabytes(engine_, planned);
         double load = utilization_[i];
-        for (const Eviction& eviction : evictions(i)) {
+        for (const Eviction& eviction : evictions(i, lastCopies)) {
             if (freeMemory >= model.weightMegabytes)
                 break;
             freeMemory += heldMegabytes(engine_, *eviction.held);
@@ -247,14 +293,27 @@
         double freedUtilization = 0;
     };
 
-    // The models that an engine can unload, the cheapest first. The last copy of a declared model is not among them.
-    std::vector<Eviction> evictions(std::size_t i) const
+    // Whether the copy on an engine is the last one of a declared model.
+    bool isLastCopy(const HeldModel& held) const { return engine_.find(held.model) && readyCopies(held.model) < 2; }
+
+    bool mayUnloadLastCopy(std::size_t i, const HeldModel& held, LastCopies lastCopies) const
+    {
+        if (lastCopies == LastCopies::None || engines_[i].fresh.contains(held.model))
+            return false;
+        return lastCopies == LastCopies::All || workOf(held.model) <= 0;
+    }
+
+    // The models that an engine can unload, the cheapest first.
+    std::vector<Eviction> evictions(std::size_t i, LastCopies lastCopies) const
     {
         std::vector<Eviction> evictions;
         for (const HeldModel& held : engines_[i].models) {
             const auto& holders = holdersOf(held.model);
             const bool declared = engine_.find(held.model) != nullptr;
-            if (engines_[i].leaving.contains(held.model) || (declared && readyCopies(held.model) < 2))
+            if (engines_[i].leaving.contains(held.model))
+                continue;
+            const bool last = isLastCopy(held);
+            if (last && !mayUnloadLastCopy(i, held, lastCopies))
                 continue;
             Eviction eviction{&held, 0, 0};
             if (declared) {
@@ -264,12 +323,14 @@
                 if (eviction.freedUtilization > (fresh ? idleUtilization : maxUnloadedUtilization))
                     continue;
                 eviction.cost += unloadCost * eviction.freedUtilization;
+                if (last)
+                    eviction.cost += lastCopyCost * (1 + eviction.freedUtilization);
                 for (const std::size_t holder : holders) {
-                    if (holder != i)
+                    if (holder != i && !last)
                         eviction.cost += square(utilization_[holder] + eviction.freedUtilization / (copies - 1))
                             - square(utilization_[holder]);
                 }
-                eviction.cost += scarceCopyCost / (copies - 1);
+                eviction.cost += last ? 0 : scarceCopyCost / (copies - 1);
             }
             evictions.push_back(eviction);
         }
@@ -283,6 +344,7 @@
     {
         const PlannedEngine& planned = engines_[placement.engine];
         hasOrder_[placement.engine] = true;
+        ++changingEngines_;
         ModelOrder order{planned.id, ModelOrderKind::Load, request.model->id, request.reason,
             isFromStore(planned, request.model->id), loadTime(planned, *request.model), {}, {}};
         if (order.fromStore)
@@ -307,6 +369,10 @@
     const Engine& engine_;
     std::span<const PlannedEngine> engines_;
     int storeLoads_;
+    const UnservedTimes& unserved_;
+    std::size_t availableEngines_ = 0;
+    // Engines that are loading or unloading a model, or will be by an order of this pass.
+    std::size_t changingEngines_ = 0;
     std::vector<bool> hasOrder_;
     std::unordered_map<ModelId, double> work_;
     std::unordered_map<ModelId, std::vector<std::size_t>> holders_;
@@ -343,10 +409,10 @@
     return free;
 }
 
-std::vector<ModelOrder> planModels(
-    const Engine& engine, std::span<const PlannedEngine> engines, std::span<const ModelDemand> demand, int storeLoads)
+std::vector<ModelOrder> planModels(const Engine& engine, std::span<const PlannedEngine> engines,
+    std::span<const ModelDemand> demand, int storeLoads, const UnservedTimes& unserved)
 {
-    return Planner(engine, engines, demand, storeLoads).run();
+    return Planner(engine, engines, demand, storeLoads, unserved).run();
 }
 
 } // namespace lychee::fleet
--- a/src/fleet/PlacementPlan.h
+++ b/src/fleet/PlacementPlan.h
@@ -5,6 +5,7 @@
 #include "fleet/DemandMeter.h"
 #include "fleet/RouteTable.h"
 #include "fleet/TargetRecord.h"
+#include "fleet/UnservedModels.h"
 
 #include <optional>
 #include <set>
@@ -68,8 +69,9 @@
 double freeMegabytes(const Engine& engine, const PlannedEngine& planned);
 
 // Returns the orders to send now, the most urgent first and at most one for each engine. At most `storeLoads` of them
-// are loads from the weight store. The last copy of a declared model is never unloaded.
-std::vector<ModelOrder> planModels(
-    const Engine& engine, std::span<const PlannedEngine> engines, std::span<const ModelDemand> demand, int storeLoads);
+// are loads from the weight store. The last copy of a declared model is unloaded only for a model in `unserved`: one
+// that is not asked for yields at once, and another one when the model has waited for UnservedModels::maxWait.
+std::vector<ModelOrder> planModels(const Engine& engine, std::span<const PlannedEngine> engines,
+    std::span<const ModelDemand> demand, int storeLoads, const UnservedTimes& unserved = {});
 
 } // namespace lychee::fleet
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -80,6 +80,7 @@
     {
         table_ = table;
         planPace_.reset();
+        unserved_.clear();
         std::vector<fleet::TargetRecord> engines;
         for (const auto& [id, record] : targets) {
             if (isEngine(record))
@@ -94,7 +95,8 @@
         const int storeLoads = std::min(planPace_->available(now), dispatcher_.availableStoreLoads());
         const std::vector<fleet::PlannedEngine> engines = dispatcher_.engines(service.id);
         logDemand(engines, demand, now);
-        const std::vector<fleet::ModelOrder> orders = fleet::planModels(*service.engine, engines, demand, storeLoads);
+        const std::vector<fleet::ModelOrder> orders = fleet::planModels(
+            *service.engine, engines, demand, storeLoads, unservedTimes(service, engines, demand, now));
         for (const fleet::ModelOrder& order : orders) {
             placementLog.info("target={} plan={} model={} reason={} room_for={} store={}", order.target,
                 order.kind == fleet::ModelOrderKind::Load ? "load" : "unload", order.model, nameOf(order.reason),
@@ -105,6 +107,24 @@
         dispatcher_.sendOrders(orders);
     }
 
+    fleet::UnservedTimes unservedTimes(const fleet::Service& service, const std::vector<fleet::PlannedEngine>& engines,
+        const std::vector<fleet::ModelDemand>& demand, TimePoint now)
+    {
+        std::set<ModelId> held;
+        for (const fleet::PlannedEngine& engine : engines) {
+            if (!engine.available)
+                continue;
+            for (const fleet::HeldModel& model : engine.models) {
+                if (!engine.leaving.contains(model.model))
+                    held.insert(model.model);
+            }
+        }
+        std::vector<fleet::ModelDemand> ofService;
+        std::copy_if(demand.begin(), demand.end(), std::back_inserter(ofService),
+            [&](const fleet::ModelDemand& entry) { return service.engine->find(entry.model) != nullptr; });
+        return unserved_[service.id].update(ofService, held, now);
+    }
+
     // Logs one line a second for each model in demand, so that the reason for a plan can be found later.
     void logDemand(
         const std::vector<fleet::PlannedEngine>& engines, const std::vector<fleet::ModelDemand>& demand, TimePoint now)
@@ -136,6 +156,7 @@
     // Limits the rate of planned loads, so that the unloads for them do not run ahead of the loads. The dispatcher
     // limits when the loads start.
     std::optional<fleet::LoadRateLimiter> planPace_;
+    std::map<ServiceId, fleet::UnservedModels> unserved_;
     OrderDispatcher<Channel> dispatcher_;
 };
 
