Clear a crash suspect only by an answer from its beginning to its end

The stream of a request that crashes its targets after ten events is resumed at a second target. Its remainder is short enough to end whole, and RelayedRequest::endStream took it for a complete answer, which cleared the request and its prompt parts on all instances. So it never got three crashes. The remainder of a stream, resumed by the instance or by its caller, says nothing about the moment of the crash before it.

Only an attempt without Last-Event-Id clears now. A request with Last-Event-Id is refused instead of being the trial of a blocked trait: it used up the turn of a trial that would have shown something. An answer with neither a length nor chunks ends with its connection, so while anything is suspected the target is probed at its end, and one that refuses connections has crashed instead.

--- a/src/gateway/CrashWatch.cpp
+++ b/src/gateway/CrashWatch.cpp
@@ -31,25 +31,29 @@
 
 } // namespace
 
-void CrashWatch::connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run)
+bool CrashWatch::connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run)
 {
     const fleet::CrashSuspect suspect{
         {target.target, target.incarnation}, run.request, run.begun, currentTime() - run.sentAt};
     logChannel.info("request={} target={} born={} begun={} ran_ms={} connection lost before the end of the answer",
         attempt, target.target, target.incarnation, run.begun,
         std::chrono::duration_cast<std::chrono::milliseconds>(suspect.ran).count());
-    if (attribution_.knows(suspect.crash))
-        return recordOwn({suspect});
+    if (attribution_.knows(suspect.crash)) {
+        recordOwn({suspect});
+        return true;
+    }
     const auto running = probes_.find(suspect.crash);
     if (running == probes_.end())
         return probe(target, suspect);
     FiberEvent done;
     running->second.suspects.push_back(suspect);
     running->second.waiters.push_back(&done);
+    const std::shared_ptr<bool> crashed = running->second.crashed;
     done.wait();
+    return *crashed;
 }
 
-void CrashWatch::probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect)
+bool CrashWatch::probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect)
 {
     probes_[suspect.crash].suspects.push_back(suspect);
     const bool crashed = refusesConnections(target.endpoint);
@@ -58,8 +62,10 @@
         probe.suspects.size(), crashed);
     if (crashed)
         recordOwn(probe.suspects);
+    *probe.crashed = crashed;
     for (FiberEvent* waiter : probe.waiters)
         waiter->notify();
+    return crashed;
 }
 
 void CrashWatch::recordOwn(const std::vector<fleet::CrashSuspect>& suspects)
--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -51,11 +51,11 @@
         return attribution_.blockedFor(request, currentTime());
     }
 
-    // Records that the connection to a target was lost before the end of its answer. Finds out whether the target has
-    // crashed, which suspends the fiber.
-    void connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
+    // Records that the connection to a target was lost before the end of its answer, or where the end cannot be told.
+    // Finds out whether the target has crashed, which suspends the fiber, and returns it.
+    bool connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
 
-    // Records that a target answered the request to the end.
+    // Records that a target answered the request from its beginning to its end.
     void answerCompleted(const fleet::RequestTraits& request);
 
     // Applies what a peer has observed.
@@ -72,10 +72,12 @@
     // Requests that were lost on the same target wait for one probe of it.
     struct Probe {
         std::vector<fleet::CrashSuspect> suspects;
+        // Requests that wait for the result, which is set before they are woken.
         std::vector<FiberEvent*> waiters;
+        std::shared_ptr<bool> crashed = std::make_shared<bool>(false);
     };
 
-    void probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
+    bool probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
     void recordOwn(const std::vector<fleet::CrashSuspect>& suspects);
     void record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation);
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -56,6 +56,8 @@
         bool begun = false;
         // A piece of the stream was passed on.
         bool forwarded = false;
+        // The target was asked for the answer from its beginning, not for the remainder of a stream.
+        bool isWhole = true;
         // Time without a complete event after which the stream may be given up.
         Duration maxSilence = Duration::max();
     };
@@ -85,7 +87,7 @@
         if (!service_->engine)
             caller_.generation.reset();
         if (!context_.crashes.isQuiet()) {
-            const fleet::CrashAdmission admission = context_.crashes.admit(traits());
+            const fleet::CrashAdmission admission = admitSuspect();
             isTrial_ = admission == fleet::CrashAdmission::Trial;
             if (admission == fleet::CrashAdmission::Blocked) {
                 refuseBlocked();
@@ -116,11 +118,32 @@
         giveUp("targets crashed on requests like this one", 502, context_.crashes.blockedFor(traits()));
     }
 
-    // Records that a target has answered the request to the end, which shows that it does not crash targets.
-    void recordCompleted()
+    // A request for the remainder of a stream can't be a trial, because its answer would show nothing.
+    fleet::CrashAdmission admitSuspect()
     {
-        if (!context_.crashes.isQuiet())
-            context_.crashes.answerCompleted(traits());
+        if (!caller_.resumeAfter)
+            return context_.crashes.admit(traits());
+        return context_.crashes.isBlocked(traits()) ? fleet::CrashAdmission::Blocked : fleet::CrashAdmission::Allowed;
+    }
+
+    // Records that a target has answered to the end. Only an answer that one target produced from the beginning shows
+    // that the request does not crash targets: the remainder of a stream may end before the moment of the crash.
+    void recordCompleted(const Attempt& attempt)
+    {
+        if (!attempt.isWhole || context_.crashes.isQuiet())
+            return;
+        // An answer without a length or chunks ends with its connection, also when the target crashes.
+        if (!attempt.stream->isDelimited() && mayHaveCrashed(attempt))
+            return;
+        context_.crashes.answerCompleted(traits());
+    }
+
+    // Finds out whether a target has crashed after its connection ended, and records it. Suspends the fiber.
+    bool mayHaveCrashed(const Attempt& attempt)
+    {
+        return context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)
+            || context_.crashes.connectionLost(
+                caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
     }
 
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
@@ -312,6 +335,7 @@
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
         ForwardParameters parameters{target.target, deadline_ - now, 5, resumeAfter()};
+        attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
         limits.deadline = deadline_;
         limits.connectTimeout = RelayLimits::connectTimeout;
@@ -367,11 +391,8 @@
         }
         endSend(attempt, timedOut ? fleet::SendOutcome::NoAnswer : fleet::SendOutcome::Failed);
         isTrial_ = false;
-        if (errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed
-            && !context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)) {
-            context_.crashes.connectionLost(
-                caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
-        }
+        if (errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed)
+            mayHaveCrashed(attempt);
         if (timedOut && currentTime() >= deadline_) {
             history_.add(fleet::SendResult::OutcomeUnknown);
             return finishAtDeadline();
@@ -519,7 +540,7 @@
         memory->keep();
         const bool targetFailed = response.status >= 500;
         if (success)
-            recordCompleted();
+            recordCompleted(attempt);
         endSend(attempt, targetFailed ? fleet::SendOutcome::Failed : fleet::SendOutcome::Answered);
         if (targetFailed) {
             const int status = response.status;
@@ -635,7 +656,7 @@
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
         }
-        recordCompleted();
+        recordCompleted(attempt);
         endSend(attempt, fleet::SendOutcome::Answered);
         outcome_ = exchange_.endStream().ok() ? RelayOutcome::Delivered : RelayOutcome::CallerLeft;
     }
--- a/tests/gateway/CrashingPromptTest.cpp
+++ b/tests/gateway/CrashingPromptTest.cpp
@@ -231,6 +231,199 @@
     EXPECT_LE(crashes_, 4);
 }
 
+class ResumedCrashTest : public CrashingPromptTest {
+protected:
+    static constexpr int eventsInAll = 12;
+
+    enum class Framing { Chunks, None };
+
+    // Adds a target that ends while it runs "crash" after the given number of events, if the stream has more of them.
+    // Other requests get all events.
+    void addTargetThatCrashesAfter(int events)
+    {
+        const std::size_t number = rawTargets_.size();
+        addRawTarget(
+            engineService, [this, number, events](RawTargetConnection& connection, const HttpRequest& request) {
+                const int after = std::stoi(std::string(request.headers.find("Last-Event-Id").value_or("0")));
+                const bool crashes = request.body == "crash" && after + events < eventsInAll;
+                const bool chunked = framing_ == Framing::Chunks;
+                connection.write(answerHead(request, chunked ? "Transfer-Encoding: chunked" : "Connection: close"));
+                for (int id = after + 1; id <= (crashes ? after + events : eventsInAll); ++id) {
+                    const std::string event = fmt::format("id: {}\ndata: e{}\n\n", id, id);
+                    connection.write(chunked ? fmt::format("{:x}\r\n{}\r\n", event.size(), event) : event);
+                    sleepFor(3ms);
+                }
+                if (crashes) {
+                    ++crashes_;
+                    rawTargets_[number]->close();
+                } else if (chunked) {
+                    connection.write("0\r\n\r\n");
+                } else {
+                    connection.close();
+                }
+            });
+    }
+
+    void startWithTargetsThatCrashAfter(int events)
+    {
+        for (int i = 0; i < 10; ++i)
+            addTargetThatCrashesAfter(events);
+        start();
+        relayDuty_->run([this] {
+            context_.crashes.setOutputs({[](const auto&) {}, [this](const auto&) { ++clearings_; }});
+        });
+    }
+
+    // Sends the crashing request, from its beginning or as a caller that has read some events. Returns the status; 0 if
+    // the answer is not complete.
+    int sendCrashing(const std::string& path, std::optional<int> lastEvent = std::nullopt)
+    {
+        HttpRequest sent = request(path);
+        sent.headers.set("X-Attempt-Id", fmt::format("id-{}", ++attempts_));
+        sent.headers.set("X-Prompt-Prefix", "1:10,7:20,64:5");
+        if (lastEvent)
+            sent.headers.set("Last-Event-Id", std::to_string(*lastEvent));
+        sent.body = "crash";
+        const auto answer = client().send(sent);
+        return answer.ok() ? answer->status : 0;
+    }
+
+    std::atomic<Framing> framing_{Framing::Chunks};
+    std::atomic<int> clearings_{0};
+    int attempts_ = 0;
+};
+
+// Guards against a request that crashes one target after another because its resumed streams are short enough to end
+// whole at the next target, which clears it on all instances.
+TEST_F(ResumedCrashTest, TheRemainderOfAResumedStreamDoesNotClearItsRequest)
+{
+    startWithTargetsThatCrashAfter(10);
+    for (int i = 1; i <= 6; ++i)
+        EXPECT_EQ(sendCrashing("/stream/x"), i <= 2 ? 200 : i == 3 ? 0 : 503) << i;
+    EXPECT_EQ(crashes_, 3);
+    EXPECT_EQ(clearings_, 0);
+}
+
+// Guards against the same where the caller resumes the stream itself.
+TEST_F(ResumedCrashTest, TheRemainderThatACallerAsksForDoesNotClearItsRequest)
+{
+    startWithTargetsThatCrashAfter(10);
+    for (int i = 1; i <= 6; ++i) {
+        EXPECT_EQ(sendCrashing("/once/x"), i <= 3 ? 0 : 503) << i;
+        EXPECT_EQ(sendCrashing("/once/x", 10), i <= 2 ? 200 : 503) << i;
+    }
+    EXPECT_EQ(crashes_, 3);
+    EXPECT_EQ(clearings_, 0);
+}
+
+// Guards against a trial that shows nothing, and takes the place of one that would, because its caller resumes.
+TEST_F(ResumedCrashTest, ARequestForARemainderIsNoTrial)
+{
+    startWithTargetsThatCrashAfter(10);
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(sendCrashing("/once/x"), i <= 3 ? 0 : 503) << i;
+    clock_->advance(21s);
+    EXPECT_EQ(sendCrashing("/once/x", 10), 503);
+    EXPECT_EQ(crashes_, 3);
+    EXPECT_EQ(sendCrashing("/once/x"), 0);
+    EXPECT_EQ(crashes_, 4);
+    EXPECT_EQ(sendCrashing("/once/x"), 503);
+}
+
+// Guards against a crash between two events of a stream without length or chunks that is taken for its end and clears
+// the request.
+TEST_F(ResumedCrashTest, AStreamWithoutLengthThatEndsWithItsTargetDoesNotClearItsRequest)
+{
+    startWithTargetsThatCrashAfter(10);
+    EXPECT_EQ(sendCrashing("/once/x"), 0);
+    framing_ = Framing::None;
+    for (int i = 2; i <= 6; ++i)
+        EXPECT_EQ(sendCrashing("/once/x"), i <= 3 ? 200 : 503) << i;
+    EXPECT_EQ(crashes_, 3);
+    EXPECT_EQ(clearings_, 0);
+}
+
+// Guards against sound requests that are never cleared because their answers have neither a length nor chunks.
+TEST_F(ResumedCrashTest, AStreamWithoutLengthWhoseTargetGoesOnClearsItsRequest)
+{
+    startWithTargetsThatCrashAfter(10);
+    for (int i = 1; i <= 2; ++i)
+        EXPECT_EQ(sendCrashing("/once/x"), 0) << i;
+    EXPECT_EQ(crashes_, 2);
+    for (int i = 0; i < 2; ++i)
+        addTargetThatCrashesAfter(eventsInAll);
+    relayDuty_->run([this] {
+        for (int i = 0; i < 10; ++i)
+            context_.registry.remove(TargetId(fmt::format("raw{}", i)));
+    });
+    framing_ = Framing::None;
+    EXPECT_EQ(sendCrashing("/once/x"), 200);
+    EXPECT_EQ(clearings_, 1);
+}
+
+// Guards against sound streams, and requests with the same prompt part, that are refused because they were resumed
+// after several crashes in a row and their remainders do not clear them.
+TEST_F(CrashingPromptTest, SoundStreamsThatAreResumedAfterSeveralCrashesAreNotRefused)
+{
+    constexpr int targetCount = 16;
+    constexpr int soundCount = 24;
+    std::atomic<int> resumed{0};
+    for (std::size_t number = 0; number < targetCount; ++number) {
+        addTarget(engineService, [this, number, &resumed](ScriptedTarget& target, HttpExchange& exchange) {
+            if (!exchange.request().body.starts_with("crash")) {
+                resumed += exchange.request().headers.find("Last-Event-Id").has_value();
+                return events(20)(target, exchange);
+            }
+            exchange.beginStream(200, sealedHeaders(exchange.request())).IgnoreError();
+            for (int id = 1; id <= 10; ++id) {
+                exchange.write(fmt::format("id: {}\ndata: e{}\n\n", id, id)).IgnoreError();
+                sleepFor(3ms);
+            }
+            ++crashes_;
+            targets_[number]->server->close();
+            exchange.abort();
+        });
+    }
+    start();
+    std::atomic<bool> stop{false};
+    std::atomic<int> refused{0};
+    std::atomic<int> whole{0};
+    std::vector<std::jthread> callers;
+    callers.reserve(soundCount);
+    for (int i = 0; i < soundCount; ++i) {
+        callers.emplace_back([&, i] {
+            for (int attempt = 0; !stop; ++attempt) {
+                HttpRequest sent = request("/stream/x");
+                sent.headers.set("X-Attempt-Id", fmt::format("sound-{}-{}", i, attempt));
+                sent.headers.set("X-Prompt-Prefix", fmt::format("5:50,{:x}:5", 100 + i));
+                sent.body = fmt::format("sound {}", i);
+                const auto answer = client().send(sent);
+                refused += answer.ok() && answer->body.find("crashed") != std::string::npos;
+                whole += answer.ok() && answer->body == expectedEvents(20);
+            }
+        });
+    }
+    for (const char* body : {"crash one", "crash two"}) {
+        for (int i = 1; i <= 4; ++i) {
+            std::this_thread::sleep_for(200ms);
+            HttpRequest sent = request("/stream/x");
+            sent.headers.set("X-Attempt-Id", fmt::format("{}-{}", body, i));
+            sent.headers.set("X-Prompt-Prefix", "5:50,64:5");
+            sent.body = body;
+            static_cast<void>(client().send(sent));
+        }
+    }
+    const int wholeBefore = whole;
+    std::this_thread::sleep_for(300ms);
+    EXPECT_GE(whole - wholeBefore, soundCount);
+    stop = true;
+    callers.clear();
+    EXPECT_EQ(refused, 0);
+    EXPECT_GE(resumed, 6);
+    EXPECT_GE(crashes_, 6);
+    EXPECT_LE(crashes_, 9);
+}
+
 } // namespace
 } // namespace lychee::gateway
 
