Keep a strike when only the remainder of a stream has completed

An attempt that resumed a stream now ends without a strike and clears none.

CrashingRequestTest.TheRemainderOfAResumedStreamDoesNotClearItsRequest failed before: the third request was not refused with 422.

--- a/src/daemon/CompletionCall.cpp
+++ b/src/daemon/CompletionCall.cpp
@@ -273,7 +273,11 @@
     attemptOutcome_ = AttemptOutcome::Incomplete;
     const std::shared_ptr<TrackedAttempt> tracked = dependencies_.crashes.started(
         {bodyHash_, choice.target, trial_}, choice.endpoint, makeCancelFunction(choice, **attempt));
+    const bool isWhole = lastToken_ == 0;
     const AttemptResult result = receive(**attempt, startedAt);
+    // The remainder of a stream may end before the moment at which its request crashes engines, so it shows nothing.
+    if (!isWhole && attemptOutcome_ == AttemptOutcome::Completed)
+        attemptOutcome_ = AttemptOutcome::Incomplete;
     const bool finished = result == AttemptResult::Finished;
     dispatcher.attemptEnded(
         choice.target, route_, finished ? std::optional<Duration>(currentTime() - startedAt) : std::nullopt, priority_);
--- a/tests/process/CrashingRequestTest.cpp
+++ b/tests/process/CrashingRequestTest.cpp
@@ -255,6 +255,28 @@
     EXPECT_EQ(healthy->status, 200) << healthy->body;
 }
 
+// Guards against a streamed request that crashes one engine after another because the remainder of its resumed stream
+// ends before the moment of the crash and clears it.
+TEST_F(CrashingRequestTest, TheRemainderOfAResumedStreamDoesNotClearItsRequest)
+{
+    constexpr int tokens = 20;
+    for (std::size_t i = 0; i < deployment_.engineCount(); ++i)
+        deployment_.engine(i).postFault({{"path", "/v1/"}, {"kind", "crash_on_body"}, {"count", -1},
+            {"delay_ms", crashDelayMs}, {"body", crashingText}});
+    const HttpRequest request = Deployment::chat("model-0", crashingText, tokens, true);
+    const auto resumed = client(0).open(request);
+    ASSERT_TRUE(resumed.ok()) << resumed.status();
+    const auto text = readCompletion(**resumed);
+    ASSERT_TRUE(text.ok()) << text.status();
+    EXPECT_EQ(*text, Deployment::expectedText("model-0", crashingText, tokens));
+    const auto broken = client(0).open(request);
+    ASSERT_TRUE(broken.ok()) << broken.status();
+    EXPECT_FALSE(readCompletion(**broken).ok());
+    const auto refused = client(0).send(request);
+    ASSERT_TRUE(refused.ok()) << refused.status();
+    EXPECT_EQ(refused->status, 422) << refused->body;
+}
+
 // Guards against dropped answers of running engines that are mistaken for crashes, so that a healthy request is
 // refused.
 TEST_F(CrashingRequestTest, DoesNotSuspectABodyForBrokenConnections)
