Let a duty stop although a wait was ended early

HttpTest aborted with "Duty server cannot stop: 1 fibers still wait", or failed a check.

Cause of the abort: when a duty stops, all its timed waits expire at once. The wait of an idle connection for its next request took that for a timeout before its limit and waited again, each time anew, because in the loop that drains the fibers the timers expire before the error of the closed socket arrives. A call of the HTTP client that may not be given up did the same. Which one came first depended on the scheduling of the thread. It has nothing to do with the exception: no catch block of src/ or platform/ outside lycheectl suspends its fiber (the one in HttpServer only logs, and logging hands the line to another thread), and no destructor there does.

Cause of the failed check: the test read activeExchanges() when its client had the answer, which may be before the server has counted the exchange as ended.

Change: runBefore() returns operation_aborted instead of timed_out when the duty is being stopped. The check now comes after the end of a connection, which follows the count.

The daemon ends its process without stopping its duties, so only tests were affected.

--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -10,7 +10,9 @@
 
 namespace lychee {
 
-// Runs `operation(error)`, which suspends the fiber on `socket`, and cancels it at `deadline`.
+// Runs `operation(error)`, which suspends the fiber on `socket`, and cancels it at `deadline`. Returns timed_out then,
+// or operation_aborted when the duty is being stopped: the stop ends every timed wait early, and callers that wait
+// again after a timeout would keep the duty from stopping.
 template <typename Operation>
 boost::system::error_code runBefore(boost::asio::ip::tcp::socket& socket, TimePoint deadline, Operation&& operation)
 {
@@ -27,9 +29,9 @@
     boost::system::error_code error;
     operation(error);
     timers.cancel(timer);
-    if (expired && error)
-        return boost::asio::error::timed_out;
-    return error;
+    if (!expired || !error)
+        return error;
+    return Duty::current()->isStopping() ? boost::asio::error::operation_aborted : boost::asio::error::timed_out;
 }
 
 // Converts an error of a socket to a status of this layer.
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <thread>
 
 namespace lychee {
@@ -36,6 +37,15 @@
         });
     }
 
+    // Waits for as long as a busy machine may take to receive the begun requests.
+    void awaitActiveExchanges(std::size_t count) const
+    {
+        const auto limit = std::chrono::steady_clock::now() + 5s;
+        while (server_->activeExchanges() != count && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(5ms);
+        ASSERT_EQ(server_->activeExchanges(), count);
+    }
+
     std::shared_ptr<RuntimeClock> clock_ = RuntimeClock::createRunning();
     std::unique_ptr<Duty> serverDuty_ = Duty::start("server", clock_).value();
     std::unique_ptr<Duty> clientDuty_ = Duty::start("client", clock_).value();
@@ -202,7 +212,7 @@
     listen({}, [](HttpExchange& exchange) { exchange.respond({200, {}, exchange.request().body}).IgnoreError(); });
     test::RawConnection connection(endpoint_);
     connection.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
-    std::this_thread::sleep_for(100ms);
+    awaitActiveExchanges(1);
     server_->stopAccepting();
     std::this_thread::sleep_for(100ms);
     connection.write("body");
@@ -219,7 +229,7 @@
     test::RawConnection connection(endpoint_);
     connection.write("POST / HTTP/1.1\r\nHost: a\r\n");
     std::this_thread::sleep_for(100ms);
-    EXPECT_EQ(server_->activeExchanges(), 1u);
+    awaitActiveExchanges(1);
     connection.write("Connection: close\r\nContent-Length: 0\r\n\r\n");
     EXPECT_TRUE(connection.readUntilClosed().has_value());
     EXPECT_EQ(server_->activeExchanges(), 0u);
@@ -272,9 +282,54 @@
         EXPECT_FALSE(client.call(endpoint_, {"GET", "/throws"}, {}).status.ok());
         EXPECT_EQ(client.call(endpoint_, {"GET", "/"}, {}).answer.status, 200);
     });
+    // A client may have the whole answer before the server has counted the exchange as ended. The end of a connection
+    // comes after that.
+    test::RawConnection connection(endpoint_);
+    connection.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const auto answer = connection.readUntilClosed();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->starts_with("HTTP/1.1 200")) << *answer;
     EXPECT_EQ(server_->activeExchanges(), 0u);
 }
 
+// Guards against a stop that does not end, because an idle connection takes the early end of its wait for a timeout and
+// waits again. The duty is kept busy, so that it begins to stop before it closes the connection.
+TEST_F(HttpTest, AStopWithAnIdleConnectionEnds)
+{
+    listen({}, [](HttpExchange& exchange) { exchange.respond({}).IgnoreError(); });
+    test::RawConnection idle(endpoint_);
+    std::this_thread::sleep_for(100ms);
+    std::promise<void> busy;
+    serverDuty_->spawn([&] {
+        busy.set_value();
+        std::this_thread::sleep_for(200ms);
+    });
+    busy.get_future().wait();
+    server_.reset();
+    serverDuty_.reset();
+    EXPECT_TRUE(idle.readUntilClosed().has_value());
+}
+
+// Guards against a stop that does not end, because a call that may not be given up takes the early end of its wait for
+// the silence of its peer.
+TEST_F(HttpTest, AStopEndsACallThatMayNotBeGivenUp)
+{
+    listen({}, [](HttpExchange& exchange) {
+        sleepFor(3s);
+        exchange.abort();
+    });
+    absl::Status status;
+    clientDuty_->spawn([&] {
+        HttpClient client;
+        HttpCallLimits limits;
+        limits.mayGiveUp = [] { return false; };
+        status = client.call(endpoint_, {}, limits).status;
+    });
+    std::this_thread::sleep_for(100ms);
+    clientDuty_.reset();
+    EXPECT_EQ(errorOf<TransportError>(status), TransportError::ConnectionClosed) << status;
+}
+
 // Guards against methods whose requests the HTTP library refuses to send with a body, by an exception.
 TEST_F(HttpTest, EveryMethodIsSentWithItsBody)
 {
