Send interrupted requests again for as long as their callers wait

A request that the relay gave up for the silence of its target got 502 at once when the next target declined it and no other was there, although its caller still waited and the silent target might have answered. A stream that had started was aborted 0.2 s before most callers of its route abandon it, also for callers that wait for longer. Neither depends on what a target did: silence is no reason to end an answer before its deadline.

Both are now sent again with growing pauses, within the retry budget, until a target takes them, the caller leaves or the deadline passes (504, or the stream is aborted). A failure that a target reported is still forwarded at once. The pause ends when the instance has to give its last answers.

SilentTargetTest: GivenUpRequestIsSentAgainUntilItsDeadline, GivenUpStreamIsSentAgainUntilItsDeadline and GivenUpRequestEndsAtItsDeadline got 502 before (after 0.3 s on a route of 2 s, after 2.5 s on one of 6 s), InterruptedStreamIsContinuedForAsLongAsItsCallerWaits was cut; all four pass. SilentTargetTest, InterruptedStreamTest, RelayTest and StoppingInstanceTest pass.

--- a/src/fleet/RetryPolicy.cpp
+++ b/src/fleet/RetryPolicy.cpp
@@ -16,7 +16,7 @@
     return route.isRepeatable() && history.possibleRuns + 1 < route.attempts && history.sends + 1 < maxSends;
 }
 
-bool mayContinueStream(const Route& route, const SendHistory& history)
+bool mayRunAgain(const Route& route, const SendHistory& history)
 {
     return route.isRepeatable() && history.possibleRuns < route.attempts;
 }
--- a/src/fleet/RetryPolicy.h
+++ b/src/fleet/RetryPolicy.h
@@ -45,8 +45,8 @@
 // Whether the request may be sent to another target if the outcome of its next send turns out to be unknown.
 bool mayRetryAfterUnknown(const Route& route, const SendHistory& history);
 
-// Whether a stream that has started may still be continued by a further send, now or later.
-bool mayContinueStream(const Route& route, const SendHistory& history);
+// Whether the request may run once more, now or later.
+bool mayRunAgain(const Route& route, const SendHistory& history);
 
 // Returns the step after a send, which `history` already includes. `budgetLeft` is whether the retry budget allows one
 // more send.
--- a/src/fleet/StreamTimeouts.h
+++ b/src/fleet/StreamTimeouts.h
@@ -15,7 +15,7 @@
 // Silence of a target in the middle of a stream after which another target may continue the stream.
 Duration maxTargetSilence(const Route& route);
 
-// Time after the last event within which an interrupted stream may be continued.
+// Time after the last event within which an interrupted stream has to continue before most callers abandon it.
 Duration resumeWindow(const Route& route);
 
 } // namespace lychee::fleet
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -159,7 +159,7 @@
                 continue;
             }
             if (pauseIsDue_) {
-                pauseInterruptedStream();
+                pauseInterruptedRequest();
                 continue;
             }
             const fleet::ChosenTarget& target = std::get<fleet::ChosenTarget>(choice);
@@ -187,11 +187,15 @@
         return fleet::chooseTarget(context_.registry, input);
     }
 
-    // The latest start at which the next send is of use. An interrupted stream is late already, but of use for as long
+    // Whether the caller has no answer because the request was interrupted: its stream has started, or a target was
+    // given up that might still have answered.
+    bool isInterrupted() const { return streamStarted_ || (gaveUpSilentTarget_ && !targetFailure_); }
+
+    // The latest start at which the next send is of use. An interrupted request is late already, but of use for as long
     // as its caller waits.
     Duration latencyObjective() const
     {
-        return streamStarted_ ? std::max(route_->latencyObjective, timeToResume()) : route_->latencyObjective;
+        return isInterrupted() ? std::max(route_->latencyObjective, timeToResume()) : route_->latencyObjective;
     }
 
     // Whether a request whose target is silent can be sent to another one. If not, giving it up would only lose an
@@ -207,35 +211,39 @@
         return std::holds_alternative<fleet::ChosenTarget>(chooseTarget(excluded, route_->latencyObjective));
     }
 
-    // A stream that has started is not aborted at once when no target is available: one may become available while the
-    // caller still waits for the next event.
+    // An interrupted request is not ended at once when no target is available: one may become available while the
+    // caller still waits. Callers that wait no longer leave by themselves.
     bool pauseBeforeResume()
     {
-        if (!streamStarted_ || timeToResume() <= Duration(0))
+        if (!isInterrupted() || currentTime() >= deadline_)
             return false;
         excludedTargets_.clear();
-        pauseInterruptedStream();
+        pauseInterruptedRequest();
         return true;
     }
 
-    // Time left in which an interrupted stream may be continued.
-    Duration timeToResume() const { return lastEventAt_ + fleet::resumeWindow(*route_) - currentTime(); }
+    // Time left until most callers of the route abandon an interrupted request.
+    Duration timeToResume() const
+    {
+        return (streamStarted_ ? lastEventAt_ : startedAt_) + fleet::resumeWindow(*route_) - currentTime();
+    }
 
-    void pauseInterruptedStream()
+    void pauseInterruptedRequest()
     {
-        sleepFor(std::min({resumeDelay_, timeToResume(), deadline_ - currentTime()}));
+        sleepFor(std::min(resumeDelay_, std::min(deadline_, context_.stopsAt) - currentTime()));
         resumeDelay_ = std::min(2 * resumeDelay_, RelayLimits::maxResumeRetryDelay);
         pauseIsDue_ = false;
     }
 
-    // Waits until an interrupted stream may be sent again, although it was sent several times already or the retry
-    // budget is used up. `result` is how the last send ended. Returns false when the stream cannot be continued.
-    bool awaitStreamRetry(fleet::SendResult result)
+    // Waits until an interrupted request may be sent again, although it was sent several times already or the retry
+    // budget is used up. `result` is how the last send ended. Returns false when the request may not run again.
+    bool awaitRetry(fleet::SendResult result)
     {
-        if (!streamStarted_ || !fleet::mayContinueStream(*route_, history_))
+        if (!isInterrupted() || !fleet::mayRunAgain(*route_, history_))
             return false;
         while (pauseBeforeResume()) {
-            if (cancellation_->isRequested() || currentTime() >= deadline_ || !fleet::usesRetryBudget(result))
+            if (cancellation_->isRequested() || currentTime() >= std::min(deadline_, context_.stopsAt)
+                || !fleet::usesRetryBudget(result))
                 return true;
             if (context_.retryBudget.isAvailable(service_->id, currentTime())) {
                 context_.retryBudget.take(service_->id, currentTime());
@@ -376,6 +384,7 @@
             history_.add(fleet::SendResult::OutcomeUnknown);
             return finishAtDeadline();
         }
+        gaveUpSilentTarget_ = gaveUpSilentTarget_ || timedOut;
         resendOrFinish(attempt, fleet::SendResult::OutcomeUnknown, messageOf(attempt.status));
     }
 
@@ -470,14 +479,14 @@
         relayLog.info("request={} route={} target={} send={} problem=\"{}\" next={} budget={} left_ms={}",
             caller_.attempt, route_->id, attempt.target.target, history_.sends, problem, static_cast<int>(step), budget,
             std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now).count());
-        if (step != fleet::NextStep::SendAgain && awaitStreamRetry(result))
+        if (step != fleet::NextStep::SendAgain && awaitRetry(result))
             return;
         switch (step) {
         case fleet::NextStep::SendAgain:
             if (fleet::usesRetryBudget(result))
                 context_.retryBudget.take(service_->id, now);
-            // One interrupted stream must not use up the retry budget while its targets are full.
-            pauseIsDue_ = streamStarted_ && result == fleet::SendResult::NotRun;
+            // One interrupted request must not use up the retry budget while its targets are full.
+            pauseIsDue_ = isInterrupted() && result == fleet::SendResult::NotRun;
             return;
         case fleet::NextStep::Refuse:
             if (streamStarted_)
@@ -753,7 +762,9 @@
     Duration longestGap_{0};
     // The process is about to end, and no answer of a target is waited for any more.
     bool isStopping_ = false;
-    // Pause before the next attempt to continue an interrupted stream, and whether it is due before the next send.
+    // The request was given up at a target that was silent, and might still have been answered there.
+    bool gaveUpSilentTarget_ = false;
+    // Pause before the next attempt to send an interrupted request, and whether it is due before the next send.
     Duration resumeDelay_ = RelayLimits::resumeRetryDelay;
     bool pauseIsDue_ = false;
     std::optional<TimePoint> adapterLoadedAt_;
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -229,6 +229,89 @@
     EXPECT_EQ(answer->status, 503);
 }
 
+// Guards against an interrupted stream that is aborted before its deadline while its caller still waits.
+TEST_F(SilentTargetTest, InterruptedStreamIsContinuedForAsLongAsItsCallerWaits)
+{
+    fleet::TargetRecord record;
+    addTarget(engineService, [&](ScriptedTarget& target, HttpExchange& exchange) {
+        const bool first = receivedRequests() == 1;
+        if (first)
+            relayDuty_->run([&] { context_.registry.remove(record.id); });
+        events(5, first ? 3 : 0)(target, exchange);
+    });
+    record = recordOf(0);
+    start();
+    std::thread restart([&] {
+        while (receivedRequests() == 0)
+            std::this_thread::sleep_for(5ms);
+        // Longer than the gap of 2 s that most callers of this route accept.
+        std::this_thread::sleep_for(2050ms);
+        relayDuty_->run([&] { context_.registry.update(record); });
+    });
+    expectWhole(5, 2);
+    restart.join();
+}
+
+// Guards against a request that was given up for silence and ends with 502 because the next target is full for a
+// moment.
+TEST_F(SilentTargetTest, GivenUpRequestIsSentAgainUntilItsDeadline)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            const std::size_t received = receivedRequests();
+            if (received == 1)
+                sleepFor(2500ms);
+            else if (received == 2)
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+            else
+                answerWhole(target, exchange);
+        });
+    }
+    start();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(receivedRequests(), 3u);
+}
+
+// The same for a stream before its first event.
+TEST_F(SilentTargetTest, GivenUpStreamIsSentAgainUntilItsDeadline)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(engineService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            const std::size_t received = receivedRequests();
+            if (received == 1)
+                sleepFor(4000ms);
+            else if (received == 2)
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+            else
+                events(5)(target, exchange);
+        });
+    }
+    start();
+    expectWhole(5, 3, "/long-gap/x");
+}
+
+// Guards against a request that waits for a target beyond its deadline after it was given up for silence.
+TEST_F(SilentTargetTest, GivenUpRequestEndsAtItsDeadline)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [this](ScriptedTarget&, HttpExchange& exchange) {
+            if (receivedRequests() == 1)
+                sleepFor(2500ms);
+            else
+                exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+        });
+    }
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 504);
+    EXPECT_GE(std::chrono::steady_clock::now() - begin, 1950ms);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2300ms);
+}
+
 // Guards against a stalled stream that is not resumed on another target because its target sends a byte now and then.
 TEST_F(SilentTargetTest, TrickledEventIsResumedOnAnotherTarget)
 {
