Await the pauses of sound plain targets before sending again

A repeatable request to a plain service was sent to a second target after 0.3 s of silence plus three times the expected wait, at most half of its time. A sound target may pause for a second or so, and giving it up is final: when the second target broke off, the caller got 502 although the first was about to answer. Streams already waited for 1.5 s.

Plain requests now use the same bound where it leaves another target the time of the objective. A request that has waited for 0.3 s more than expected is late in either case, so its caller loses nothing by the longer wait; a target that does not answer at all is given up later.

SilentTargetTest.PauseBeforeAPlainAnswerIsAwaited (pause of 1.2 s, the second target breaks off) got 502 after 0.3 s before and passes; SilentPlainTargetIsGivenUpBeforeTheDeadline passes before and after. SilentTargetTest, RelayTest and StoppingInstanceTest pass.

--- a/src/fleet/StreamTimeouts.cpp
+++ b/src/fleet/StreamTimeouts.cpp
@@ -11,9 +11,7 @@
 constexpr int acceptedLatencyObjectives = 4;
 constexpr int acceptedGapObjectives = 8;
 
-// Bounds of the silence after which a target is given up. Sound targets pause for a second or a little longer. A target
-// that is silent beyond the upper bound is treated as failed, even where callers accept longer gaps.
-constexpr Duration minSilence = std::chrono::milliseconds(1500);
+// A target that is silent beyond this time is treated as failed, even where callers accept longer gaps.
 constexpr Duration maxSilence = std::chrono::milliseconds(2500);
 
 // The time that a continued stream needs to reach its caller.
@@ -27,7 +25,10 @@
         acceptedGapObjectives * route.eventGapObjective});
 }
 
-Duration maxTargetSilence(const Route& route) { return std::clamp(maxAcceptedGap(route) / 2, minSilence, maxSilence); }
+Duration maxTargetSilence(const Route& route)
+{
+    return std::clamp(maxAcceptedGap(route) / 2, maxSoundSilence, maxSilence);
+}
 
 Duration resumeWindow(const Route& route) { return maxAcceptedGap(route) - resumeMargin; }
 
--- a/src/fleet/StreamTimeouts.h
+++ b/src/fleet/StreamTimeouts.h
@@ -9,6 +9,9 @@
 
 namespace lychee::fleet {
 
+// Sound targets pause for a second or a little longer; one that is silent beyond this time has probably failed.
+inline constexpr Duration maxSoundSilence = std::chrono::milliseconds(1500);
+
 // The longest gap before or between events that callers of the route accept; they abandon a stream after it.
 Duration maxAcceptedGap(const Route& route);
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -358,12 +358,14 @@
     }
 
     // How long to wait for the answer of a target when the request may still be sent to another one: well above the
-    // expected time, but short enough to leave another target time to answer before the deadline.
+    // expected time and the pauses of sound targets, but short enough to leave another target time to answer before the
+    // deadline.
     Duration answerTimeoutFor(const fleet::ChosenTarget& target) const
     {
+        const Duration remaining = deadline_ - currentTime();
         const Duration expected = 3 * target.predicted + route_->latencyObjective;
-        const Duration half = (deadline_ - currentTime()) / 2;
-        return std::max(std::min(expected, half), RelayLimits::minAnswerTimeout);
+        const Duration pause = std::min(fleet::maxSoundSilence, remaining - route_->latencyObjective);
+        return std::max({std::min(expected, remaining / 2), pause, RelayLimits::minAnswerTimeout});
     }
 
     void afterFailedSend(Attempt& attempt)
--- a/tests/gateway/SilentTargetTest.cpp
+++ b/tests/gateway/SilentTargetTest.cpp
@@ -312,6 +312,44 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 2300ms);
 }
 
+// Guards against the answer of a sound target that is given up during a short pause and lost because the other target
+// fails.
+TEST_F(SilentTargetTest, PauseBeforeAPlainAnswerIsAwaited)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            if (receivedRequests() > 1)
+                return exchange.abort();
+            sleepFor(1200ms);
+            answerWhole(target, exchange);
+        });
+    }
+    start();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(receivedRequests(), 1u);
+}
+
+// Guards against a plain request that waits for a silent target until its deadline although another one could answer.
+TEST_F(SilentTargetTest, SilentPlainTargetIsGivenUpBeforeTheDeadline)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [this](ScriptedTarget& target, HttpExchange& exchange) {
+            if (receivedRequests() == 1)
+                sleepFor(2500ms);
+            else
+                answerWhole(target, exchange);
+        });
+    }
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 1800ms);
+}
+
 // Guards against a stalled stream that is not resumed on another target because its target sends a byte now and then.
 TEST_F(SilentTargetTest, TrickledEventIsResumedOnAnotherTarget)
 {
