Answer an early request during a planned stop

A request that arrived behind another one in the same read was dropped when the instance stopped accepting meanwhile, although the answer before it did not say that the connection ends: the connection was closed without an answer. One whose bytes were still in the socket was answered.

HttpTest.EarlyRequestIsAnsweredDuringAStop got only the first answer before and passes; HttpTest passes without AnExceptionOfTheHandlerEndsItsConnectionOnly, which is listed as known red and was not run.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -297,7 +297,7 @@
     bool awaitRequest()
     {
         if (buffer_.size() > 0)
-            return !state_->draining_;
+            return true;
         if (state_->draining_ && peekPeer(socket_) != PeerSign::Sent)
             return false;
         const TimePoint idleSince = currentTime();
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -312,5 +312,25 @@
     EXPECT_TRUE(gone);
 }
 
+// Guards against a planned stop that closes a connection whose next request has arrived in full, although the answer
+// to the one before it did not say that the connection ends.
+TEST_F(HttpTest, EarlyRequestIsAnsweredDuringAStop)
+{
+    listen({}, [](HttpExchange& exchange) {
+        exchange.beginStream(200, {}).IgnoreError();
+        sleepFor(300ms);
+        exchange.write(exchange.request().target).IgnoreError();
+        exchange.endStream().IgnoreError();
+    });
+    test::RawConnection connection(endpoint_);
+    connection.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    server_->stopAccepting();
+    const auto answers = connection.readUntilClosed();
+    ASSERT_TRUE(answers.has_value());
+    EXPECT_NE(answers->find("/first"), std::string::npos) << *answers;
+    EXPECT_NE(answers->find("/second"), std::string::npos) << *answers;
+}
+
 } // namespace
 } // namespace lychee
