Notice that a caller leaves behind an early request

The watch for the caller's leaving ended as soon as bytes of its next request arrived, so a target went on working for a caller that had gone until its answer was written. The server now takes early bytes, up to 16 KB, into the buffer from which the next request is read, and watches on.

HttpTest.TellsWhenAPeerWithAnEarlyRequestHasGone was never told before and passes; EarlyRequestIsAnsweredInItsTurn passes before and after.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
 #include <set>
 
 namespace lychee {
@@ -29,6 +31,9 @@
 constexpr std::size_t discardBytes = 16384;
 constexpr int maxDiscardReads = 512;
 
+// Bytes of a next request that are read while another one is handled. A header fits in usually.
+constexpr std::size_t maxEarlyBytes = 16384;
+
 HttpRequest toRequest(http::request<http::string_body>&& message)
 {
     HttpRequest request;
@@ -230,12 +235,27 @@
                 self->watching_ = false;
                 if (error == boost::asio::error::operation_aborted || exchange != self->exchanges_ || !self->busy_)
                     return;
-                // Readable without an end means that the next request has arrived early; it is read in its turn.
-                if (self->isPeerGone() && self->peerGone_)
-                    std::exchange(self->peerGone_, nullptr)();
+                if (self->isPeerGone()) {
+                    if (self->peerGone_)
+                        std::exchange(self->peerGone_, nullptr)();
+                } else if (self->takeEarlyBytes()) {
+                    self->watchPeer();
+                }
             });
     }
 
+    // Moves bytes of the next request, which arrived early, to the buffer, where it is read in its turn; the end of the
+    // connection shows only behind them. Returns false when the peer has sent too many of them.
+    bool takeEarlyBytes()
+    {
+        if (buffer_.size() >= maxEarlyBytes)
+            return false;
+        const auto space = buffer_.prepare(maxEarlyBytes - buffer_.size());
+        const ssize_t count = ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        buffer_.commit(count > 0 ? static_cast<std::size_t>(count) : 0);
+        return true;
+    }
+
     void stopWatching()
     {
         ++exchanges_;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -332,5 +332,51 @@
     EXPECT_NE(answers->find("/second"), std::string::npos) << *answers;
 }
 
+// Guards against a caller's leaving that is not noticed because bytes of its next request arrived before.
+TEST_F(HttpTest, TellsWhenAPeerWithAnEarlyRequestHasGone)
+{
+    std::atomic<bool> gone{false};
+    listen({}, [&](HttpExchange& exchange) {
+        FiberEvent event;
+        exchange.onPeerGone([&] {
+            gone = true;
+            event.notify();
+        });
+        event.waitUntil(Duty::current()->timers(), currentTime() + 2s);
+    });
+    auto connection = std::make_unique<test::RawConnection>(endpoint_);
+    connection->write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    connection->write("GET /second HTTP/1.1\r\n");
+    std::this_thread::sleep_for(100ms);
+    EXPECT_FALSE(gone);
+    connection.reset();
+    const auto end = std::chrono::steady_clock::now() + 1s;
+    while (!gone && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(gone);
+}
+
+// Guards against an early request that is lost or cut because its first bytes arrived while another was handled.
+TEST_F(HttpTest, EarlyRequestIsAnsweredInItsTurn)
+{
+    listen({}, [](HttpExchange& exchange) {
+        FiberEvent event;
+        exchange.onPeerGone([&] { event.notify(); });
+        event.waitUntil(Duty::current()->timers(), currentTime() + 300ms);
+        exchange.respond({200, {}, exchange.request().target}).IgnoreError();
+    });
+    test::RawConnection connection(endpoint_);
+    connection.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    connection.write("GET /second HTTP/1.1\r\nHost: a\r\n");
+    std::this_thread::sleep_for(400ms);
+    connection.write("Connection: close\r\n\r\n");
+    const auto answers = connection.readUntilClosed();
+    ASSERT_TRUE(answers.has_value());
+    EXPECT_NE(answers->find("/first"), std::string::npos) << *answers;
+    EXPECT_TRUE(answers->ends_with("/second")) << *answers;
+}
+
 } // namespace
 } // namespace lychee
