--- a/src/fleet/StreamTimeouts.h
+++ b/src/fleet/StreamTimeouts.h
@@ -9,13 +9,16 @@
 
 namespace lychee::fleet {
 
+// Sound targets pause for a second or a little longer; one that is silent beyond this time has probably failed.
+inline constexpr Duration maxSoundSilence = std::chrono::milliseconds(1500);
+
 // The longest gap before or between events that callers of the route accept; they abandon a stream after it.
 Duration maxAcceptedGap(const Route& route);
 
 // Silence of a target in the middle of a stream after which another target may continue the stream.
 Duration maxTargetSilence(const Route& route);
 
-// Time after the last event within which an interrupted stream may be continued.
+// Time after the last event within which an interrupted stream has to continue before most callers abandon it.
 Duration resumeWindow(const Route& route);
 
 } // namespace lychee::fleet
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
 #include <set>
 
 namespace lychee {
@@ -29,6 +31,9 @@
 constexpr std::size_t discardBytes = 16384;
 constexpr int maxDiscardReads = 512;
 
+// Bytes of a next request that are read while another one is handled. A header fits in usually.
+constexpr std::size_t maxEarlyBytes = 16384;
+
 HttpRequest toRequest(http::request<http::string_body>&& message)
 {
     HttpRequest request;
@@ -159,8 +164,13 @@
         message.body() = response.body;
         prepare(message);
         message.prepare_payload();
-        return finish(
-            write("write answer", [&](error_code& error) { http::async_write(socket_, message, FiberToken{error}); }));
+        http::response_serializer<http::string_body> serializer(message);
+        return finish(write("write answer", [&](error_code& error) {
+            if (isHead())
+                http::async_write_header(socket_, serializer, FiberToken{error});
+            else
+                http::async_write(socket_, serializer, FiberToken{error});
+        }));
     }
 
     absl::Status beginStream(int status, const HttpHeaders& headers) override
@@ -176,7 +186,7 @@
 
     absl::Status write(std::string_view piece) override
     {
-        if (piece.empty())
+        if (piece.empty() || isHead())
             return absl::OkStatus();
         return write("write body", [&](error_code& error) {
             boost::asio::async_write(
@@ -186,6 +196,8 @@
 
     absl::Status endStream() override
     {
+        if (isHead())
+            return finish(absl::OkStatus());
         return finish(write("write end",
             [&](error_code& error) { boost::asio::async_write(socket_, http::make_chunk_last(), FiberToken{error}); }));
     }
@@ -207,6 +219,9 @@
     TimePoint startedAt() const override { return startedAt_; }
 
 private:
+    // The answer to a HEAD request ends with its header, whatever the header says of a body.
+    bool isHead() const { return request_.method == "HEAD"; }
+
     // An exception of the handler ends its connection only.
     void handleRequest()
     {
@@ -230,12 +245,27 @@
                 self->watching_ = false;
                 if (error == boost::asio::error::operation_aborted || exchange != self->exchanges_ || !self->busy_)
                     return;
-                // Readable without an end means that the next request has arrived early; it is read in its turn.
-                if (self->isPeerGone() && self->peerGone_)
-                    std::exchange(self->peerGone_, nullptr)();
+                if (self->isPeerGone()) {
+                    if (self->peerGone_)
+                        std::exchange(self->peerGone_, nullptr)();
+                } else if (self->takeEarlyBytes()) {
+                    self->watchPeer();
+                }
             });
     }
 
+    // Moves bytes of the next request, which arrived early, to the buffer, where it is read in its turn; the end of the
+    // connection shows only behind them. Returns false when the peer has sent too many of them.
+    bool takeEarlyBytes()
+    {
+        if (buffer_.size() >= maxEarlyBytes)
+            return false;
+        const auto space = buffer_.prepare(maxEarlyBytes - buffer_.size());
+        const ssize_t count = ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        buffer_.commit(count > 0 ? static_cast<std::size_t>(count) : 0);
+        return true;
+    }
+
     void stopWatching()
     {
         ++exchanges_;
@@ -274,6 +304,7 @@
         parser.header_limit(static_cast<std::uint32_t>(state_->options_.maxHeaderBytes));
         parser.body_limit(state_->options_.maxBodyBytes);
         startedAt_ = currentTime();
+        request_ = {};
         error_code error = runBefore(socket_, currentTime() + state_->options_.headerTimeout,
             [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
         if (!error && (!hasValidHost(parser.get()) || !hasKnownLength(parser.get())))
@@ -297,7 +328,7 @@
     bool awaitRequest()
     {
         if (buffer_.size() > 0)
-            return !state_->draining_;
+            return true;
         if (state_->draining_ && peekPeer(socket_) != PeerSign::Sent)
             return false;
         const TimePoint idleSince = currentTime();
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -400,5 +400,101 @@
     EXPECT_TRUE(gone);
 }
 
+// Guards against a planned stop that closes a connection whose next request has arrived in full, although the answer
+// to the one before it did not say that the connection ends.
+TEST_F(HttpTest, EarlyRequestIsAnsweredDuringAStop)
+{
+    listen({}, [](HttpExchange& exchange) {
+        exchange.beginStream(200, {}).IgnoreError();
+        sleepFor(300ms);
+        exchange.write(exchange.request().target).IgnoreError();
+        exchange.endStream().IgnoreError();
+    });
+    test::RawConnection connection(endpoint_);
+    connection.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    server_->stopAccepting();
+    const auto answers = connection.readUntilClosed();
+    ASSERT_TRUE(answers.has_value());
+    EXPECT_NE(answers->find("/first"), std::string::npos) << *answers;
+    EXPECT_NE(answers->find("/second"), std::string::npos) << *answers;
+}
+
+// Guards against a caller's leaving that is not noticed because bytes of its next request arrived before.
+TEST_F(HttpTest, TellsWhenAPeerWithAnEarlyRequestHasGone)
+{
+    std::atomic<bool> gone{false};
+    listen({}, [&](HttpExchange& exchange) {
+        FiberEvent event;
+        exchange.onPeerGone([&] {
+            gone = true;
+            event.notify();
+        });
+        event.waitUntil(Duty::current()->timers(), currentTime() + 2s);
+    });
+    auto connection = std::make_unique<test::RawConnection>(endpoint_);
+    connection->write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    connection->write("GET /second HTTP/1.1\r\n");
+    std::this_thread::sleep_for(100ms);
+    EXPECT_FALSE(gone);
+    connection.reset();
+    const auto end = std::chrono::steady_clock::now() + 1s;
+    while (!gone && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(gone);
+}
+
+// Guards against an early request that is lost or cut because its first bytes arrived while another was handled.
+TEST_F(HttpTest, EarlyRequestIsAnsweredInItsTurn)
+{
+    listen({}, [](HttpExchange& exchange) {
+        FiberEvent event;
+        exchange.onPeerGone([&] { event.notify(); });
+        event.waitUntil(Duty::current()->timers(), currentTime() + 300ms);
+        exchange.respond({200, {}, exchange.request().target}).IgnoreError();
+    });
+    test::RawConnection connection(endpoint_);
+    connection.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    connection.write("GET /second HTTP/1.1\r\nHost: a\r\n");
+    std::this_thread::sleep_for(400ms);
+    connection.write("Connection: close\r\n\r\n");
+    const auto answers = connection.readUntilClosed();
+    ASSERT_TRUE(answers.has_value());
+    EXPECT_NE(answers->find("/first"), std::string::npos) << *answers;
+    EXPECT_TRUE(answers->ends_with("/second")) << *answers;
+}
+
+// Guards against the answer to a HEAD request that is awaited until its deadline, for a body that does not come.
+TEST_F(HttpTest, AnswerToAHeadRequestEndsWithItsHeader)
+{
+    listen({}, [](HttpExchange& exchange) {
+        if (exchange.request().target == "/stream") {
+            exchange.beginStream(200, {}).IgnoreError();
+            exchange.write("piece").IgnoreError();
+            exchange.endStream().IgnoreError();
+        } else {
+            exchange.respond({200, {}, "body"}).IgnoreError();
+        }
+    });
+    onClient([&](HttpClient& client) {
+        for (const char* target : {"/whole", "/stream"}) {
+            HttpCallLimits limits;
+            limits.deadline = currentTime() + 500ms;
+            const auto outcome = client.call(endpoint_, {"HEAD", target, {}, ""}, limits);
+            ASSERT_TRUE(outcome.status.ok()) << outcome.status;
+            EXPECT_EQ(outcome.answer.body, "");
+        }
+    });
+    test::RawConnection connection(endpoint_);
+    connection.write("HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\nHEAD /whole HTTP/1.1\r\nHost: a\r\n"
+                     "Connection: close\r\n\r\n");
+    const auto answers = connection.readUntilClosed();
+    ASSERT_TRUE(answers.has_value());
+    EXPECT_EQ(answers->find("\r\n\r\nHTTP/1.1 200"), answers->find("\r\n\r\n")) << *answers;
+    EXPECT_TRUE(answers->ends_with("\r\n\r\n")) << *answers;
+}
+
 } // namespace
 } // namespace lychee
