Give each adapter that is asked for its turn on an engine

The report that was read at once after the 202 was older than the order and replaced the known sequence, so the next order was refused as well. Each conflict cost a report (250 ms), in which all other adapters of the engine waited, and a second order in vain. Nothing bounded how long an adapter that is asked for goes without a place.

Change: - AdapterPlaces decides who yields. An adapter in use that has to yield leaves the announced holdings first and is unloaded when its use is no longer reported (at the latest after 6 s), so the engine does not block meanwhile. Its place is kept for the adapter that has waited longest, which is loaded even if its request has gone. A request waits up to 300 ms for the place if it may be free by then. - Uses count for the interval of the reports and 200 ms, at least 400 ms. - No adapter is ordered while the engine executes an order: a model load or unload, the unload of an adapter in use, or an order of an earlier owner, which shows by a conflict without a change of the sequence. Requests are refused at once, so that they try another engine. - Reports older than the last accepted order are ignored for 1 s, also when the state is unknown. An unload that an earlier owner ordered before is answered 202 and not counted; a lower sequence is taken over after that time. - Adapters being unloaded count as occupying their places and memory. - Log lines: which adapter yields to which and why, how long an unload took, what a freed place was given to and whether its request had gone, and requests that took 100 ms or more with the time in the queue.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -297,8 +297,14 @@
         // would take it for silent.
         if (owner_.owns() || lease_.isRenewing())
             return ControlLimits::statusInterval;
+        return peerStatusInterval();
+    }
+
+    // The interval of instances that do not hold the lease.
+    Duration peerStatusInterval() const
+    {
         const auto factor = static_cast<std::int64_t>(1 + mesh_->peerCount() / ControlLimits::peersPerStatusStep);
-        return std::min(ControlLimits::statusInterval * factor, ControlLimits::maxStatusInterval);
+        return std::min<Duration>(ControlLimits::statusInterval * factor, ControlLimits::maxStatusInterval);
     }
 
     void reportConnectivity()
@@ -313,6 +319,7 @@
         while (!duty_.isStopping()) {
             const auto table = routes_->read();
             const bool owns = lease_.maySendOrders() && table && targetWatch_.isComplete();
+            owner_.dispatcher().setUseReportInterval(peerStatusInterval());
             owner_.tick(owns, table, targets_.targets(), demandOfAll());
             sleepFor(ControlLimits::placementInterval);
         }
--- a/src/gateway/EngineState.cpp
+++ b/src/gateway/EngineState.cpp
@@ -25,9 +25,11 @@
 
 void EngineState::failRequests(std::string_view reason)
 {
-    for (const std::shared_ptr<AdapterRequest>& request : pendingAdapters)
-        request->finish(makeError(TransportError::Stopped, reason));
-    pendingAdapters.clear();
+    for (auto* requests : {&pendingAdapters, &placeRequests}) {
+        for (const std::shared_ptr<AdapterRequest>& request : *requests)
+            request->finish(makeError(TransportError::Stopped, reason));
+        requests->clear();
+    }
     steps.clear();
 }
 
--- a/src/gateway/EngineState.h
+++ b/src/gateway/EngineState.h
@@ -1,6 +1,7 @@
 // What the placement owner keeps for one engine.
 #pragma once
 
+#include "fleet/AdapterPlaces.h"
 #include "fleet/PlacementPlan.h"
 #include "fleet/TargetRecord.h"
 #include "gateway/EngineOrder.h"
@@ -19,10 +20,15 @@
     ModelId model;
     AdapterId adapter;
     TimePoint deadline;
+    TimePoint createdAt;
+    // Time until the dispatcher began with it.
+    Duration queued{0};
     bool done = false;
     absl::Status status;
     std::vector<FiberEvent*> waitingFibers;
 
+    fleet::AdapterName name() const { return {model, adapter}; }
+
     // Sets the result and wakes the waiting fibers.
     void finish(absl::Status result);
 
@@ -39,10 +45,27 @@
     Duration loadTime{0};
 };
 
+// An adapter whose unload the engine has accepted while requests use it.
+struct DrainingAdapter {
+    // The sequence of the engine after that order.
+    fleet::OrderSequence sequence;
+    TimePoint since;
+};
+
+// An adapter in use that is to be unloaded when the requests that use it have ended. An engine accepts no other order
+// while it waits for them, so the order is not sent before.
+struct YieldingAdapter {
+    fleet::AdapterName name;
+    // When the unload is ordered even if requests still use the adapter.
+    TimePoint unloadBy;
+    TimePoint nextTryAt;
+};
+
 // What the placement owner knows about one engine, and the orders that it still has to send to it.
 struct EngineState {
     fleet::TargetRecord record;
-    // `record.holdings` is the state of the engine after exactly `holdings.sequence` accepted orders.
+    // `record.holdings` is the state of the engine, without the adapters that yield or drain, after exactly
+    // `holdings.sequence` accepted orders.
     bool synced = false;
     // A fiber is processing this engine.
     bool fiberRunning = false;
@@ -61,9 +84,19 @@
     // The engine is still executing an order of an earlier owner, so its holdings do not show the result of that order.
     bool earlierOrderActive = false;
     std::deque<std::shared_ptr<AdapterRequest>> pendingAdapters;
-    std::map<std::pair<ModelId, AdapterId>, TimePoint> lastUse;
+    // Requests that wait for the place of the adapter that yields.
+    std::deque<std::shared_ptr<AdapterRequest>> placeRequests;
+    // Not listed in `record.holdings`, so that no requests are sent to them, but they occupy their places.
+    std::map<fleet::AdapterName, DrainingAdapter> drainingAdapters;
+    std::optional<YieldingAdapter> yielding;
+    // The place of an adapter that yields has become free and is kept for the adapter that has waited longest.
+    bool placeFreed = false;
+    // When the engine last accepted an order of this owner.
+    TimePoint acceptedAt;
     TimePoint nextReportAt;
     TimePoint pausedUntil;
+    // The engine executes an order that this owner does not know, probably until this time.
+    TimePoint unknownOrderUntil;
 
     // Fails all adapter requests with TransportError::Stopped and drops the planned steps.
     void failRequests(std::string_view reason);
--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -7,6 +7,7 @@
 #include "gateway/EngineOrder.h"
 #include "gateway/EngineState.h"
 #include "gateway/OrderLimits.h"
+#include "gateway/RelayLimits.h"
 #include "transport/Duty.h"
 #include "transport/FiberEvent.h"
 #include "transport/Log.h"
@@ -44,6 +45,7 @@
     void beginTerm(const std::vector<fleet::TargetRecord>& engines)
     {
         states_.clear();
+        places_.clear();
         ++term_;
         loadLimiter_.emplace(loadsPerSecond_, currentTime());
         for (const fleet::TargetRecord& record : engines)
@@ -66,6 +68,7 @@
             if (state) {
                 state->failRequests("the engine has restarted");
                 settleUnansweredLoad(*state);
+                placesOf(*state).removeTarget(record.id);
             }
             state = std::make_shared<State>();
             state->record = record;
@@ -88,6 +91,7 @@
             return;
         found->second->failRequests("the engine was removed from the list of targets");
         settleUnansweredLoad(*found->second);
+        placesOf(*found->second).removeTarget(target);
         states_.erase(found);
     }
 
@@ -108,7 +112,7 @@
                 else
                     engine.leaving.insert(step.model);
             }
-            engine.models = state->record.holdings.models;
+            engine.models = occupiedModels(*state);
             for (const auto& [model, time] : state->loadedAt) {
                 if (currentTime() - time < OrderLimits::minCopyAge)
                     engine.fresh.insert(model);
@@ -144,7 +148,8 @@
     void pollReports()
     {
         for (const auto& [id, state] : states_) {
-            if ((isChanging(*state) || !state->synced) && !state->fiberRunning && currentTime() >= state->nextReportAt)
+            const bool isAwaited = isChanging(*state) || !state->synced || !state->drainingAdapters.empty();
+            if ((isAwaited && currentTime() >= state->nextReportAt) || yieldIsDue(*state))
                 startProcessing(state);
         }
     }
@@ -152,7 +157,15 @@
     void recordUse(const TargetId& target, const ModelId& model, const AdapterId& adapter)
     {
         if (const auto found = states_.find(target); found != states_.end())
-            found->second->lastUse[{model, adapter}] = currentTime();
+            placesOf(*found->second).recordUse(target, {model, adapter}, currentTime());
+    }
+
+    // Sets how often instances report the adapters that they use.
+    void setUseReportInterval(Duration interval)
+    {
+        useWindow_ = std::max(OrderLimits::adapterUseWindow, interval + OrderLimits::maxUseReportDelay);
+        for (auto& [service, places] : places_)
+            places.setUseWindow(useWindow_);
     }
 
     // Returns once the engine holds the adapter. Suspends the calling fiber. Fails with TransportError::TimedOut at the
@@ -165,9 +178,13 @@
         if (found == states_.end())
             return makeError(TransportError::Stopped, "the placement owner does not know the engine");
         const std::shared_ptr<State> state = found->second;
-        state->lastUse[{model, adapter}] = currentTime();
-        if (holds(*state, model, adapter))
+        if (holds(*state, model, adapter)) {
+            placesOf(*state).recordUse(target, {model, adapter}, currentTime());
             return absl::OkStatus();
+        }
+        placesOf(*state).recordRequest(target, {model, adapter}, currentTime());
+        if (state->synced && executesOrder(*state))
+            return makeError(TransportError::RingFull, "the engine is executing another order");
         if (state->pendingAdapters.size() >= OrderLimits::maxPendingAdapters)
             return makeError(TransportError::RingFull, "the queue of adapters to load on the engine is full");
         for (const std::shared_ptr<Request>& request : state->pendingAdapters) {
@@ -178,6 +195,7 @@
         request->model = model;
         request->adapter = adapter;
         request->deadline = deadline;
+        request->createdAt = currentTime();
         state->pendingAdapters.push_back(request);
         startProcessing(state);
         return AdapterRequest::await(request, deadline);
@@ -213,6 +231,55 @@
     using Request = AdapterRequest;
     using State = EngineState;
 
+    fleet::AdapterPlaces& placesOf(const State& state)
+    {
+        const auto [found, inserted] = places_.try_emplace(state.record.service);
+        if (inserted)
+            found->second.setUseWindow(useWindow_);
+        return found->second;
+    }
+
+    // Whether the engine refuses all orders because it executes one. While an adapter in use is unloaded, that is until
+    // the requests that use it have ended; reports do not show it as busy.
+    static bool executesOrder(const State& state)
+    {
+        return isChanging(state) || !state.drainingAdapters.empty() || currentTime() < state.unknownOrderUntil;
+    }
+
+    // The adapters that have left the holdings and still occupy places.
+    static std::vector<fleet::AdapterName> leavingAdapters(const State& state)
+    {
+        std::vector<fleet::AdapterName> names;
+        for (const auto& entry : state.drainingAdapters)
+            names.push_back(entry.first);
+        if (state.yielding)
+            names.push_back(state.yielding->name);
+        return names;
+    }
+
+    // The models in the memory of the engine, with all adapters that occupy places.
+    static std::vector<fleet::HeldModel> occupiedModels(const State& state)
+    {
+        std::vector<fleet::HeldModel> models = state.record.holdings.models;
+        for (const auto& [model, adapter] : leavingAdapters(state)) {
+            for (fleet::HeldModel& held : models) {
+                if (held.model == model)
+                    held.adapters.insert(adapter);
+            }
+        }
+        return models;
+    }
+
+    bool isHeldElsewhere(const State& state, const fleet::AdapterName& name) const
+    {
+        return std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+            const State& other = *entry.second;
+            const fleet::HeldModel* held = other.record.holdings.find(name.first);
+            return &other != &state && other.record.service == state.record.service && !other.record.draining && held
+                && held->adapters.contains(name.second);
+        });
+    }
+
     static bool holds(const State& state, const ModelId& model, const AdapterId& adapter)
     {
         const fleet::HeldModel* held = state.record.holdings.find(model);
@@ -222,7 +289,7 @@
     bool isOrderable(const State& state) const
     {
         return state.synced && !state.earlierOrderActive && state.steps.empty() && !state.arriving && !state.leaving
-            && !state.record.draining && currentTime() >= state.pausedUntil;
+            && !state.record.draining && !executesOrder(state) && currentTime() >= state.pausedUntil;
     }
 
     const fleet::Engine* engineOf(const State& state) const
@@ -236,7 +303,7 @@
     static double freeMegabytes(const fleet::Engine& engine, const State& state)
     {
         fleet::PlannedEngine planned;
-        planned.models = state.record.holdings.models;
+        planned.models = occupiedModels(state);
         planned.arriving = state.arriving;
         double largest = 0;
         for (const fleet::Model& model : engine.models)
@@ -322,30 +389,182 @@
                 break;
             }
             if (!state->synced
-                || (isChanging(*state) && currentTime() >= state->nextReportAt && state->pendingAdapters.empty())) {
+                || (isChanging(*state) && currentTime() >= state->nextReportAt && state->pendingAdapters.empty())
+                || (!state->drainingAdapters.empty() && currentTime() >= state->nextReportAt)) {
                 if (!readReport(state, term))
                     break;
                 continue;
             }
-            if (!state->steps.empty() && currentTime() >= state->nextStepAt) {
+            endPlaceWaits(*state);
+            if (state->placeFreed && !executesOrder(*state)) {
+                state->placeFreed = false;
+                fillFreedPlace(state, term);
+                continue;
+            }
+            if (yieldIsDue(*state)) {
+                unloadYieldingAdapter(state, term);
+                continue;
+            }
+            const bool stepMayBeSent = state->drainingAdapters.empty() && currentTime() >= state->unknownOrderUntil;
+            if (!state->steps.empty() && stepMayBeSent && currentTime() >= state->nextStepAt) {
                 sendStep(state, term);
                 continue;
             }
             if (state->pendingAdapters.empty()) {
-                if (state->steps.empty())
+                if (state->steps.empty() && state->placeRequests.empty())
                     break;
-                sleepFor(std::min<Duration>(state->nextStepAt - currentTime(), OrderLimits::adapterPollInterval));
+                Duration pause = OrderLimits::adapterPollInterval;
+                if (!state->steps.empty() && stepMayBeSent)
+                    pause = std::min<Duration>(pause, state->nextStepAt - currentTime());
+                sleepFor(pause);
                 continue;
             }
-            const std::shared_ptr<Request> request = state->pendingAdapters.front();
-            state->pendingAdapters.pop_front();
-            absl::Status status = loadAdapter(state, *request, term);
-            request->finish(std::move(status));
+            processRequest(state, takeLongestWaiting(*state), term);
         }
         state->fiberRunning = false;
     }
 
-    // Reads the engine's report. Returns false when the state of the engine is still unknown.
+    std::shared_ptr<Request> takeLongestWaiting(State& state)
+    {
+        const fleet::AdapterPlaces& places = placesOf(state);
+        const TimePoint now = currentTime();
+        const auto longest = std::max_element(
+            state.pendingAdapters.begin(), state.pendingAdapters.end(), [&](const auto& left, const auto& right) {
+                return places.waited(left->name(), now) < places.waited(right->name(), now);
+            });
+        std::shared_ptr<Request> request = *longest;
+        state.pendingAdapters.erase(longest);
+        return request;
+    }
+
+    void processRequest(
+        const std::shared_ptr<State>& state, const std::shared_ptr<Request>& request, std::uint64_t term)
+    {
+        request->queued = currentTime() - request->createdAt;
+        absl::Status status = loadAdapter(state, *request, term);
+        if (!status.ok() && isCurrent(state, term) && waitsForPlace(*state, *request)) {
+            state->placeRequests.push_back(request);
+            return;
+        }
+        finishRequest(*state, *request, std::move(status));
+    }
+
+    // Whether the callers of a request have probably stopped waiting for it.
+    static bool hasGone(const Request& request)
+    {
+        return request.waitingFibers.empty() || currentTime() - request.createdAt > RelayLimits::adapterLoadTimeout;
+    }
+
+    static void finishRequest(const State& state, Request& request, absl::Status status)
+    {
+        if (currentTime() - request.createdAt >= OrderLimits::loggedWait)
+            orderLog.info("target={} adapter={}/{} queued_ms={} total_ms={} gone={} result=\"{}\"", state.record.id,
+                request.model, request.adapter, milliseconds(request.queued),
+                milliseconds(currentTime() - request.createdAt), hasGone(request),
+                status.ok() ? "held" : messageOf(status));
+        request.finish(std::move(status));
+    }
+
+    static std::int64_t milliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
+    // Whether the request gets the place of the adapter that yields, and its callers may still wait for it.
+    bool waitsForPlace(const State& state, const Request& request)
+    {
+        const TimePoint limit = placeWaitLimit(request);
+        return state.yielding && !executesOrder(state) && currentTime() < limit
+            && placesOf(state).idleFrom(state.record.id, state.yielding->name) < limit
+            && nextForFreedPlace(state) == request.name();
+    }
+
+    // Whether the adapter that yields can be unloaded now.
+    bool yieldIsDue(const State& state)
+    {
+        if (!state.yielding || !state.synced || executesOrder(state) || currentTime() < state.yielding->nextTryAt)
+            return false;
+        return currentTime() > placesOf(state).idleFrom(state.record.id, state.yielding->name)
+            || currentTime() >= state.yielding->unloadBy;
+    }
+
+    void unloadYieldingAdapter(const std::shared_ptr<State>& state, std::uint64_t term)
+    {
+        const fleet::AdapterName name = state->yielding->name;
+        state->yielding->nextTryAt = currentTime() + OrderLimits::reportInterval;
+        const absl::Status status = unloadAdapter(state, name, term);
+        if (!isCurrent(state, term))
+            return;
+        if (status.ok() || state->drainingAdapters.contains(name))
+            state->yielding.reset();
+        state->placeFreed = state->placeFreed || status.ok();
+    }
+
+    static TimePoint placeWaitLimit(const Request& request)
+    {
+        return std::min(request.deadline, request.createdAt + OrderLimits::maxPlaceWait);
+    }
+
+    // Refuses the requests that have waited for a place for too long.
+    void endPlaceWaits(State& state)
+    {
+        std::erase_if(state.placeRequests, [&](const std::shared_ptr<Request>& request) {
+            if (currentTime() < placeWaitLimit(*request))
+                return false;
+            finishRequest(state, *request,
+                makeError(TransportError::RingFull, "the adapter that yields its place is still used by requests"));
+            return true;
+        });
+    }
+
+    // The adapter that gets the next free place of the engine: the one that has waited longest and is not held
+    // anywhere.
+    std::optional<fleet::AdapterName> nextForFreedPlace(const State& state)
+    {
+        return placesOf(state).longestWaiting(
+            state.record.id,
+            [&](const fleet::AdapterName& name) {
+                return state.record.holdings.find(name.first) && !holds(state, name.first, name.second)
+                    && !isLeaving(state, name) && !isHeldElsewhere(state, name);
+            },
+            currentTime());
+    }
+
+    static bool isLeaving(const State& state, const fleet::AdapterName& name)
+    {
+        return state.drainingAdapters.contains(name) || (state.yielding && state.yielding->name == name);
+    }
+
+    // Loads the adapter that has waited longest into a place that an adapter in use has left, even if the requests for
+    // it have gone: their callers come again.
+    void fillFreedPlace(const std::shared_ptr<State>& state, std::uint64_t term)
+    {
+        const auto next = nextForFreedPlace(*state);
+        if (!next)
+            return;
+        Request request;
+        std::tie(request.model, request.adapter) = *next;
+        request.createdAt = currentTime();
+        request.deadline = currentTime() + OrderLimits::answerTimeout;
+        const Duration waited = placesOf(*state).waited(*next, currentTime());
+        const absl::Status status = loadAdapter(state, request, term);
+        if (!isCurrent(state, term))
+            return;
+        bool gone = true;
+        for (auto* requests : {&state->placeRequests, &state->pendingAdapters}) {
+            std::erase_if(*requests, [&](const std::shared_ptr<Request>& waiting) {
+                if (!status.ok() || waiting->name() != *next)
+                    return false;
+                gone = gone && hasGone(*waiting);
+                finishRequest(*state, *waiting, status);
+                return true;
+            });
+        }
+        orderLog.info("target={} adapter={}/{} freed_place=true waited_ms={} gone={} result=\"{}\"", state->record.id,
+            next->first, next->second, milliseconds(waited), gone, status.ok() ? "held" : messageOf(status));
+    }
+
+    // Reads the engine's report. Returns false when it could not be read or the engine has restarted.
     bool readReport(const std::shared_ptr<State>& state, std::uint64_t term)
     {
         // A report that is read too soon after an order shows the state before the order.
@@ -360,23 +579,24 @@
             state->failRequests("the report of the engine could not be read");
             return false;
         }
-        applyReport(*state, *report);
-        return state->synced;
+        return applyReport(*state, *report);
     }
 
-    void applyReport(State& state, const fleet::EngineReport& report)
+    // Returns false when the report is of a later start of the engine.
+    bool applyReport(State& state, const fleet::EngineReport& report)
     {
         if (report.incarnation != state.record.incarnation && report.incarnation != fleet::TargetIncarnation()) {
             // The state is unknown until the list of targets shows the restart.
             state.synced = false;
             state.failRequests("the engine has restarted");
-            return;
+            return false;
         }
         if (state.unansweredLoad && report.holdings.sequence > *state.unansweredLoad)
             settleUnansweredLoad(state);
         // The report is older than the last order.
-        if (report.holdings.sequence < state.record.holdings.sequence && state.synced)
-            return;
+        if (report.holdings.sequence < state.record.holdings.sequence
+            && currentTime() - state.acceptedAt < OrderLimits::maxReportAge)
+            return true;
         const auto loading = std::move(state.record.holdings.loading);
         state.record.holdings = report.holdings;
         if (report.holdings.busy)
@@ -384,6 +604,7 @@
         // A model counts as held in a report until its last request has ended.
         if (report.holdings.busy && state.leaving)
             dropModel(state, *state.leaving);
+        updateLeavingAdapters(state);
         state.record.weightsInMemory = report.weightsInMemory;
         state.record.weightsOnDisk = report.weightsOnDisk;
         state.synced = true;
@@ -399,6 +620,36 @@
             state.leaving.reset();
         }
         handlers_.holdingsChanged(state.record);
+        return true;
+    }
+
+    // An adapter counts as held in a report until the last request that uses it has ended.
+    static void updateLeavingAdapters(State& state)
+    {
+        if (state.yielding && !dropAdapter(state, state.yielding->name) && state.leaving != state.yielding->name.first)
+            state.yielding.reset();
+        std::erase_if(state.drainingAdapters, [&](const auto& entry) {
+            const auto& [name, draining] = entry;
+            const bool listed = dropAdapter(state, name) || state.leaving == name.first;
+            // The engine does not count an unload that another owner has ordered before.
+            const bool isOld = state.record.holdings.sequence < draining.sequence
+                && currentTime() - draining.since < OrderLimits::maxReportAge;
+            if (listed || isOld)
+                return false;
+            orderLog.info("target={} adapter={}/{} unloaded drained_ms={}", state.record.id, name.first, name.second,
+                milliseconds(currentTime() - draining.since));
+            state.placeFreed = true;
+            return true;
+        });
+    }
+
+    // Returns whether the engine held the adapter.
+    static bool dropAdapter(State& state, const fleet::AdapterName& name)
+    {
+        bool dropped = false;
+        for (fleet::HeldModel& held : state.record.holdings.models)
+            dropped = (held.model == name.first && held.adapters.erase(name.second) > 0) || dropped;
+        return dropped;
     }
 
     static void dropModel(State& state, const ModelId& model)
@@ -429,6 +680,7 @@
             // unload counts with both answers, because it may complete at once.
             if (answer == OrderAnswer::Accepted || kind == EngineOrderKind::Unload) {
                 state.record.holdings.sequence = state.record.holdings.sequence.next();
+                state.acceptedAt = currentTime();
                 settleUnansweredLoad(state);
             }
             return true;
@@ -513,10 +765,15 @@
     absl::Status loadAdapter(const std::shared_ptr<State>& state, const Request& request, std::uint64_t term)
     {
         absl::Status status = tryLoadAdapter(state, request, term);
+        const fleet::OrderSequence expected = state->record.holdings.sequence;
         const bool stale = !state->synced && currentTime() >= state->pausedUntil;
-        if (!status.ok() && stale && isCurrent(state, term) && readReport(state, term))
-            status = tryLoadAdapter(state, request, term);
-        return status;
+        if (status.ok() || !stale || !isCurrent(state, term) || !readReport(state, term) || !state->synced)
+            return status;
+        if (state->record.holdings.sequence == expected) {
+            state->unknownOrderUntil = currentTime() + OrderLimits::unknownOrderPause;
+            return status;
+        }
+        return tryLoadAdapter(state, request, term);
     }
 
     absl::Status tryLoadAdapter(const std::shared_ptr<State>& state, const Request& request, std::uint64_t term)
@@ -526,6 +783,10 @@
         if (currentTime() >= request.deadline)
             return makeError(TransportError::TimedOut, "the deadline passed before the adapter could be ordered");
         fleet::Holdings& holdings = state->record.holdings;
+        if (isLeaving(*state, request.name()))
+            return makeError(TransportError::RingFull, "the adapter yields its place to another");
+        if (executesOrder(*state))
+            return makeError(TransportError::RingFull, "the engine is executing another order");
         if (!holdings.find(request.model))
             return makeError(TransportError::Stopped, "the engine does not hold the model of the adapter");
         if (holdings.arriving.size() >= OrderLimits::maxArrivingAdapters)
@@ -534,9 +795,10 @@
         const fleet::Model* declared = engine ? engine->find(request.model) : nullptr;
         if (!declared)
             return makeError(TransportError::Stopped, "the service of the engine does not declare the model");
-        const bool placeFree = holdings.adapterCount() < static_cast<std::size_t>(std::max(engine->adapterSlots, 0));
+        const bool placeFree = holdings.adapterCount() + leavingAdapters(*state).size()
+            < static_cast<std::size_t>(std::max(engine->adapterSlots, 0));
         if (!placeFree || freeMegabytes(*engine, *state) < declared->adapterMegabytes) {
-            absl::Status room = unloadIdleAdapter(state, term);
+            absl::Status room = makeRoom(state, request.name(), *declared, term);
             if (!room.ok())
                 return room;
         }
@@ -553,51 +815,80 @@
             if (held.model == request.model)
                 held.adapters.insert(request.adapter);
         }
+        placesOf(*state).recordLoad(state->record.id, request.name(), hasGone(request), currentTime());
         handlers_.holdingsChanged(state->record);
         return absl::OkStatus();
     }
 
-    // Unloads the least recently used adapter, unless it may still be in use.
-    absl::Status unloadIdleAdapter(const std::shared_ptr<State>& state, std::uint64_t term)
+    // Has an adapter yield its place to `wanted`. Fails with TransportError::RingFull when none yields, or when
+    // requests still use the one that does.
+    absl::Status makeRoom(const std::shared_ptr<State>& state, const fleet::AdapterName& wanted,
+        const fleet::Model& declared, std::uint64_t term)
     {
-        std::optional<std::pair<ModelId, AdapterId>> oldest;
-        TimePoint oldestUse = TimePoint::max();
+        std::vector<fleet::AdapterName> resident;
         for (const fleet::HeldModel& held : state->record.holdings.models) {
-            for (const AdapterId& adapter : held.adapters) {
-                const auto used = state->lastUse.find({held.model, adapter});
-                const TimePoint use = used == state->lastUse.end() ? TimePoint() : used->second;
-                if (use < oldestUse && (use == TimePoint() || currentTime() - use > OrderLimits::adapterUseWindow)) {
-                    oldest = {held.model, adapter};
-                    oldestUse = use;
-                }
-            }
+            for (const AdapterId& adapter : held.adapters)
+                resident.emplace_back(held.model, adapter);
         }
-        if (!oldest)
+        fleet::AdapterPlaces& places = placesOf(*state);
+        const auto yield = places.yieldFor(
+            state->record.id, wanted, resident,
+            [&](const fleet::AdapterName& name) { return isHeldElsewhere(*state, name); }, currentTime());
+        const bool isTurn = yield && yield->reason == fleet::YieldReason::Turn;
+        if (!yield || (isTurn && (state->yielding || !declares(declared, wanted.second))))
             return makeError(TransportError::RingFull,
                 "no adapter can be unloaded to make room: none is loaded, or all were used recently");
-        const OrderAnswer answer = send(state, EngineOrderKind::Unload, oldest->first, oldest->second);
+        orderLog.info("target={} adapter={}/{} yields_to={}/{} reason={} waited_ms={}", state->record.id,
+            yield->adapter.first, yield->adapter.second, wanted.first, wanted.second, nameOf(yield->reason),
+            milliseconds(places.waited(wanted, currentTime())));
+        if (!isTurn)
+            return unloadAdapter(state, yield->adapter, term);
+        // From now on, new requests for the adapter are not sent to this engine.
+        state->yielding = YieldingAdapter{yield->adapter, currentTime() + OrderLimits::maxYieldTime, currentTime()};
+        dropAdapter(*state, yield->adapter);
+        places.recordTurn(state->record.id, currentTime());
+        handlers_.holdingsChanged(state->record);
+        return makeError(TransportError::RingFull, "the adapter that yields its place is still used by requests");
+    }
+
+    // Fails with TransportError::RingFull when requests still use the adapter.
+    absl::Status unloadAdapter(const std::shared_ptr<State>& state, const fleet::AdapterName& name, std::uint64_t term)
+    {
+        const OrderAnswer answer = send(state, EngineOrderKind::Unload, name.first, name.second);
         if (!isCurrent(state, term))
             return makeError(TransportError::Stopped, "this instance no longer owns placement");
         if (!applyAnswer(*state, EngineOrderKind::Unload, answer))
             return makeError(TransportError::Stopped, nameOf(answer));
-        for (fleet::HeldModel& held : state->record.holdings.models) {
-            if (held.model == oldest->first)
-                held.adapters.erase(oldest->second);
+        dropAdapter(*state, name);
+        placesOf(*state).recordUnload(state->record.id, name);
+        if (answer == OrderAnswer::Accepted) {
+            state->drainingAdapters[name] = {state->record.holdings.sequence, currentTime()};
+            state->nextReportAt = currentTime() + OrderLimits::reportInterval;
         }
         handlers_.holdingsChanged(state->record);
         if (answer == OrderAnswer::Done)
             return absl::OkStatus();
-        // Requests still use the adapter. A later report shows when its place is free.
-        state->synced = false;
         return makeError(
             TransportError::RingFull, "the adapter that was unloaded to make room is still used by requests");
     }
 
+    // Whether the configuration has the adapter. Callers may ask for any name.
+    static bool declares(const fleet::Model& model, const AdapterId& adapter)
+    {
+        for (int number = 1; number <= model.adapters; ++number) {
+            if (adapter.value() == fmt::format("a{}", number))
+                return true;
+        }
+        return false;
+    }
+
     Duty& duty_;
     Handlers handlers_;
     Channel channel_;
     std::shared_ptr<const fleet::RouteTable> routes_;
     std::map<TargetId, std::shared_ptr<State>> states_;
+    std::map<ServiceId, fleet::AdapterPlaces> places_;
+    Duration useWindow_ = OrderLimits::adapterUseWindow;
     double loadsPerSecond_ = 0;
     // Counts a load from the weight store when its order is sent, since a planned load may have to wait for unloads.
     std::optional<fleet::LoadRateLimiter> loadLimiter_;
--- a/src/gateway/OrderLimits.h
+++ b/src/gateway/OrderLimits.h
@@ -1,7 +1,7 @@
 // Timeouts and limits of the orders to engines.
 #pragma once
 
-#include "transport/RuntimeClock.h"
+#include "fleet/AdapterPlaces.h"
 
 namespace lychee::gateway {
 
@@ -12,12 +12,24 @@
     // Shortest time between reads of an engine's report, and from an order to the next read. A report shows the state
     // of a few hundred milliseconds ago.
     static constexpr Duration reportInterval = std::chrono::milliseconds(250);
+    // Age above which a report is not the state before the last order.
+    static constexpr Duration maxReportAge = std::chrono::seconds(1);
     // Copies of models younger than this are not unloaded, so that models do not replace each other in turns.
     static constexpr Duration minCopyAge = std::chrono::seconds(5);
     // Loading an adapter takes 5 to 10 ms.
     static constexpr Duration adapterLoadTime = std::chrono::milliseconds(10);
-    // An adapter last used within this time may still be in use: instances report used adapters five times a second.
-    static constexpr Duration adapterUseWindow = std::chrono::milliseconds(400);
+    static constexpr Duration adapterUseWindow = fleet::AdapterPlaces::useWindow;
+    // Time that a report of used adapters may take in addition to the interval of the reports.
+    static constexpr Duration maxUseReportDelay = std::chrono::milliseconds(200);
+    // An adapter in use is unloaded after this time even if requests still use it. Most streams end earlier.
+    static constexpr Duration maxYieldTime = std::chrono::seconds(6);
+    // Pause after an order was refused because the engine executes an order that this owner does not know.
+    static constexpr Duration unknownOrderPause = std::chrono::milliseconds(500);
+    // How long a request waits for a place that another adapter has to leave first. Below the time for which relays
+    // wait for the placement owner, so that they learn the reason.
+    static constexpr Duration maxPlaceWait = std::chrono::milliseconds(300);
+    // Requests for adapters that took at least this time are logged.
+    static constexpr Duration loggedWait = std::chrono::milliseconds(100);
     // Time from the end of a load until all instances know that the model is loaded.
     static constexpr Duration loadMargin = std::chrono::milliseconds(300);
     // Pauses before the attempts to send the step after an unload, which lasts until the last request of the unloaded
