--- a/tests/gateway/StoppingInstanceTest.cpp
+++ b/tests/gateway/StoppingInstanceTest.cpp
@@ -109,5 +109,30 @@
     EXPECT_EQ(receivedRequests(), 1u);
 }
 
+// Guards against a request that pauses before its next send until the process has ended.
+TEST_F(StoppingInstanceTest, ARequestThatWaitsForATargetGetsALastAnswer)
+{
+    for (int i = 0; i < 2; ++i) {
+        addTarget(plainService, [this](ScriptedTarget&, HttpExchange& exchange) {
+            if (receivedRequests() == 1) {
+                sleepFor(2500ms);
+                return;
+            }
+            relayDuty_->run([&] {
+                for (const char* target : {"t0", "t1"})
+                    context_.registry.remove(TargetId(target));
+            });
+            exchange.respond({503, {{"X-Not-Executed", "1"}}, ""}).IgnoreError();
+        });
+    }
+    start();
+    // The third pause would last from 1.8 s to the deadline at 2 s.
+    stopAfter(1900ms);
+    const auto answer = client().send(request("/safe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_EQ(receivedRequests(), 2u);
+}
+
 } // namespace
 } // namespace lychee::gateway
