Let a larger share of the retry budget wait one window

Cause: a process that started had its whole share of the fixed number (slack / instances) at once, although its predecessor had just used the same share. The surviving instances, too, took over the share of an instance that was gone before its retries had left the window.

Change: a share that grows takes effect one window later; a process starts with a share of 0. The share that is usable at any time is thus at most the one that was set at the beginning of the window, and those add up to the fixed number. The part that follows from the requests that an instance has seen is not delayed. Earning the share linearly over the first window was rejected: together with what the predecessor used late in it, the sum could still exceed the slack.

What callers lose: in the first window (10 s) after the start of a process a service with few requests gets no repeats through it, as the first repeat then needs six requests (0.9 x 0.2 x 6). This holds for the first start of a whole deployment, too; `bootstrap` is not used, because a process that is killed in the first seconds would start anew with it. Sends that did not reach a target stay free. A paused instance that resumes still adds its old share to those that the others have raised meanwhile; that is not covered.

--- a/src/fleet/ServiceRetryBudget.cpp
+++ b/src/fleet/ServiceRetryBudget.cpp
@@ -10,6 +10,29 @@
 
 } // namespace
 
+void ServiceRetryBudget::setOptions(const ServiceRetryBudgetOptions& options)
+{
+    options_ = options;
+    formerShares_.clear();
+}
+
+void ServiceRetryBudget::updateOptions(const ServiceRetryBudgetOptions& options, TimePoint now)
+{
+    if (options.share != options_.share)
+        formerShares_.push_back({options_.share, now});
+    options_ = options;
+}
+
+double ServiceRetryBudget::usableShare(TimePoint now)
+{
+    while (!formerShares_.empty() && now - formerShares_.front().until >= options_.window)
+        formerShares_.pop_front();
+    double share = options_.share;
+    for (const FormerShare& former : formerShares_)
+        share = std::min(share, former.share);
+    return share;
+}
+
 std::int64_t ServiceRetryBudget::stepOf(TimePoint now) const
 {
     return now.time_since_epoch() / (options_.window / static_cast<std::int64_t>(stepsInWindow));
@@ -39,7 +62,7 @@
         if (age < static_cast<std::int64_t>(stepsInWindow))
             requests += counted.requests;
     }
-    return retries + count <= usableFraction * (options_.part * requests + options_.share);
+    return retries + count <= usableFraction * (options_.part * requests + usableShare(now));
 }
 
 void ServiceRetryBudget::take(const ServiceId& service, TimePoint now) { current(service, now).retries += 1; }
--- a/src/fleet/ServiceRetryBudget.h
+++ b/src/fleet/ServiceRetryBudget.h
@@ -1,13 +1,15 @@
 // Limits retries, which are sends of a request to a further target, for each service. All instances together may use a
 // fraction of the requests in any window plus a fixed number of retries. Each instance takes that fraction of its own
 // requests and an equal share of the fixed number, so the total keeps to the limit without communication between
-// instances.
+// instances. A share that grows can be used only after one window, because until then the part that was added may have
+// been used by the instance that had it before: one that is gone, or the predecessor of this process.
 #pragma once
 
 #include "protocol/Ids.h"
 #include "transport/RuntimeClock.h"
 
 #include <array>
+#include <deque>
 #include <unordered_map>
 
 namespace lychee::fleet {
@@ -22,7 +24,11 @@
 
 class ServiceRetryBudget {
 public:
-    void setOptions(const ServiceRetryBudgetOptions& options) { options_ = options; }
+    // Sets the options at once, a larger share included.
+    void setOptions(const ServiceRetryBudgetOptions& options);
+
+    // Sets the options at `now`, but for a larger share, which takes effect one window later.
+    void updateOptions(const ServiceRetryBudgetOptions& options, TimePoint now);
 
     // Records the arrival of a request.
     void request(const ServiceId& service, TimePoint now);
@@ -46,10 +52,20 @@
 
     using Counts = std::array<Count, stepsInWindow + 1>;
 
+    // A share and when it was replaced by the next one.
+    struct FormerShare {
+        double share = 0;
+        TimePoint until;
+    };
+
     std::int64_t stepOf(TimePoint now) const;
     Count& current(const ServiceId& service, TimePoint now);
 
+    // The smallest share of the window that ends at `now`.
+    double usableShare(TimePoint now);
+
     ServiceRetryBudgetOptions options_;
+    std::deque<FormerShare> formerShares_;
     std::unordered_map<ServiceId, Counts> services_;
 };
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -103,6 +103,11 @@
             [this](const std::vector<fleet::RequestTrait>& traits) {
                 postToControl([this, traits] { control_->announceCleared(traits); });
             }});
+        // Before this process there may have been another one of the same instance, whose retries are still in the
+        // window.
+        fleet::ServiceRetryBudgetOptions withoutShare;
+        withoutShare.share = 0;
+        context_.retryBudget.setOptions(withoutShare);
         setRetryBudget(*settings_, assumedInstances);
         setAnswerMemory(*settings_);
         return absl::OkStatus();
@@ -250,7 +255,7 @@
         options.share = settings.retries.slack() / static_cast<double>(instances);
         options.window
             = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(settings.retries.windowSeconds()));
-        context_.retryBudget.setOptions(options);
+        context_.retryBudget.updateOptions(options, clock_->now());
     }
 
     void setAnswerMemory(const GatewaySettings& settings)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -62,7 +62,10 @@
     : SettingSection(sections, "retries",
         "Retry budget: limits how many requests are sent again to another target, over all instances.")
     , part(*this, {"part", "0.2", "", "Retries allowed per request of a service."}, {0, 1})
-    , slack(*this, {"slack", "50", "", "Retries allowed in one window in addition to that part, over all instances."},
+    , slack(*this,
+          {"slack", "50", "",
+              "Retries allowed in one window in addition to that part, over all instances. A process has its share one "
+              "window after its start."},
           {0, 100000})
     , windowSeconds(*this, {"window_s", "10", "s", "Length of the window over which requests and retries are counted."},
           {1, 3600})
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -26,6 +26,8 @@
     // Number of events of a stream, and the time between two events.
     int events = 20;
     std::chrono::milliseconds eventPause{20};
+    // Window of the retry budget. An instance has its share of the fixed number of retries one window after its start.
+    std::chrono::seconds retryWindow{10};
 };
 
 // Member functions throw std::runtime_error when a part of the deployment cannot be started or configured.
