Hold the configuration while its targets are visited

TargetMonitor iterated over the targets of a configuration to which it held no reference: the temporary that Published::read() returns ended before the loop began. When another duty published the next configuration meanwhile, the loop read freed memory. Found while MemoryBoundProcessTest was traced; it is the only loop of that kind in src/ and platform/. There is no test for it, as the loop takes about a microsecond. MemoryBoundProcessTest, MemoryTakeoverProcessTest and ReachabilityProcessTest passed one run each with it.

--- a/src/daemon/TargetMonitor.cpp
+++ b/src/daemon/TargetMonitor.cpp
@@ -22,7 +22,8 @@
 {
     duty_.spawn([this] {
         while (!duty_.isStopping()) {
-            for (const Target& target : configuration_->read()->targets) {
+            const std::shared_ptr<const Configuration> configuration = configuration_->read();
+            for (const Target& target : configuration->targets) {
                 if (target.kind != TargetKind::Engine || !polledTargets_.insert(target.id).second)
                     continue;
                 duty_.spawn([this, id = target.id] { pollRepeatedly(id); });
