Show the logs of the instances when the memory tests fail

A failure to recover now prints whether each instance runs, what it shows and the end of its log. The checks are unchanged.

From the code: an instance that knows no live peer reads the configuration from the platform itself, and the others try the endpoints that the platform lists at every heartbeat, so a loss of peers alone does not explain that the instance lacked the configuration too; that its process had ended would, and is not shown.

--- a/tests/process/MemoryDeployment.h
+++ b/tests/process/MemoryDeployment.h
@@ -122,7 +122,7 @@
             Deployment::await("recovery", recovered, recoveryLimit);
         } catch (const std::runtime_error&) {
             ADD_FAILURE() << failure << ": did not recover within the limit; missing:" << missing << "\n"
-                          << deployment_.status(runningInstance()).dump(1);
+                          << deployment_.status(runningInstance()).dump(1) << describeInstances();
         }
         fmt::print("{}: all models and adapters answer after {} ms\n", failure,
             std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count());
@@ -192,6 +192,20 @@
     }
 
 private:
+    // Whether each instance runs, what it shows and the end of its log.
+    std::string describeInstances()
+    {
+        constexpr std::size_t shownBytes = 20000;
+        std::string text;
+        for (std::size_t i = 0; i < deployment_.instanceCount(); ++i) {
+            Instance& instance = deployment_.instance(i);
+            const std::string log = instance.process->logText();
+            text += fmt::format("\n{} {}: {}\n{}", instance.id, instance.process->isRunning() ? "runs" : "has ended",
+                deployment_.status(instance).dump(), log.substr(log.size() - std::min(log.size(), shownBytes)));
+        }
+        return text;
+    }
+
     void setVersion(int model, int version)
     {
         const std::size_t section = answersText_.find(fmt::format("[model {}]", modelName(model)));
