Unload no adapters in use right after a term begins

A new placement owner knows no uses of adapters until instances report them, up to a second later, and took all adapters that were loaded before its term for idle. Adapters with unknown uses now count as used when the term began.

AdapterTurnTest.KeepsAdaptersInUseWhenATermBegins and AdapterPlacesTest.AdaptersWithUnknownUsesAreNotIdleAtFirst fail without the change. The ask in askUntilHeld no longer stops the simulated reports of uses while it waits, which had an adapter unloaded that was still in use (one failure of LoadsAnAdapterThatIsAskedForWhileAllPlacesAreInUse).

--- a/src/fleet/AdapterPlaces.cpp
+++ b/src/fleet/AdapterPlaces.cpp
@@ -110,7 +110,7 @@
 TimePoint AdapterPlaces::idleFrom(const TargetId& target, const AdapterName& adapter) const
 {
     const Residence* residence = find(find(target), adapter);
-    return residence ? idleFrom(*residence) : TimePoint::min();
+    return residence ? idleFrom(*residence) : knownSince_ + useWindow_;
 }
 
 const AdapterPlaces::Engine* AdapterPlaces::find(const TargetId& target) const
@@ -134,8 +134,8 @@
     TimePoint oldestUse = TimePoint::max();
     for (const AdapterName& adapter : resident) {
         const Residence* residence = find(engine, adapter);
-        const TimePoint use = residence ? residence->usedAt : TimePoint::min();
-        if (use < oldestUse && (!residence || now > idleFrom(*residence))) {
+        const TimePoint use = residence ? residence->usedAt : knownSince_;
+        if (use < oldestUse && now > (residence ? idleFrom(*residence) : knownSince_ + useWindow_)) {
             oldest = adapter;
             oldestUse = use;
         }
--- a/src/fleet/AdapterPlaces.h
+++ b/src/fleet/AdapterPlaces.h
@@ -58,6 +58,12 @@
     static constexpr Duration waitMemory = std::chrono::seconds(60);
     static constexpr std::size_t maxWaiting = 4096;
 
+    // The uses before `now` are unknown; all adapters count as used then.
+    explicit AdapterPlaces(TimePoint now)
+        : knownSince_(now)
+    {
+    }
+
     // Sets how long an adapter counts as in use after its last reported use.
     void setUseWindow(Duration window) { useWindow_ = window; }
 
@@ -126,6 +132,7 @@
         absl::FunctionRef<bool(const AdapterName&)> heldElsewhere, TimePoint now);
     void removeOldWaits(TimePoint now);
 
+    TimePoint knownSince_;
     Duration useWindow_ = useWindow;
     std::map<TargetId, Engine> engines_;
     std::map<AdapterName, Wait> waits_;
--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -72,6 +72,7 @@
             }
             state = std::make_shared<State>();
             state->record = record;
+            placesOf(*state);
             return;
         }
         // The entry may be older than the last report. A newer one leads to a new report.
@@ -233,7 +234,7 @@
 
     fleet::AdapterPlaces& placesOf(const State& state)
     {
-        const auto [found, inserted] = places_.try_emplace(state.record.service);
+        const auto [found, inserted] = places_.try_emplace(state.record.service, currentTime());
         if (inserted)
             found->second.setUseWindow(useWindow_);
         return found->second;
--- a/tests/gateway/AdapterTurnTest.cpp
+++ b/tests/gateway/AdapterTurnTest.cpp
@@ -43,10 +43,10 @@
     Duration askUntilHeld(OrderDispatcher<FakeChannel>& dispatcher, Duration limit) const
     {
         const TimePoint begin = currentTime();
-        while (currentTime() - begin < limit) {
-            if (ensure(dispatcher, "a6", 400ms).ok())
-                break;
-            useFrequentAdapters(dispatcher, 900ms);
+        bool held = false;
+        while (!held && currentTime() - begin < limit) {
+            Duty::current()->spawn([&] { held = ensure(dispatcher, "a6", 400ms).ok() || held; });
+            useFrequentAdapters(dispatcher, 1s);
         }
         return currentTime() - begin;
     }
@@ -154,6 +154,19 @@
     EXPECT_FALSE(overcommitted());
 }
 
+// Guards against a new placement owner that unloads adapters in use before it has learnt of their uses.
+TEST_F(AdapterTurnTest, KeepsAdaptersInUseWhenATermBegins)
+{
+    adapterSlots_ = 1;
+    engine().holdings.models.front().adapters = {AdapterId("a1")};
+    engine().adapterUses[AdapterId("a1")] = TimePoint(10s);
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        EXPECT_FALSE(ensure(dispatcher, "a2", 300ms).ok());
+        EXPECT_TRUE(isHeld(dispatcher, "a1"));
+    });
+    EXPECT_TRUE(FakeEngines::instance().orders.empty());
+}
+
 // Guards against a new placement owner that counts an unload which its predecessor had ordered, and ignores all reports
 // from then on because they seem older than that order.
 TEST_F(AdapterTurnTest, UnloadsAnAdapterThatAnEarlierOwnerHasOrderedUnloaded)
@@ -163,6 +176,7 @@
     engine().holdings.models.front().adapters = {AdapterId("a1")};
     engine().drainingAdapters[AdapterId("a1")] = TimePoint(800ms);
     run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        sleepFor(OrderLimits::adapterUseWindow + 20ms);
         EXPECT_FALSE(ensure(dispatcher, "a2", 400ms).ok());
         for (int i = 0; i < 16; ++i) {
             dispatcher.pollReports();
--- a/tests/unit/AdapterPlacesTest.cpp
+++ b/tests/unit/AdapterPlacesTest.cpp
@@ -51,7 +51,7 @@
 
     const TargetId target_{"t0"};
     TimePoint now_{10s};
-    AdapterPlaces places_;
+    AdapterPlaces places_{now_};
     std::vector<AdapterName> resident_;
 };
 
@@ -66,6 +66,19 @@
     EXPECT_EQ(yield->reason, YieldReason::Idle);
 }
 
+// Guards against a new placement owner that takes adapters in use for idle before it has learnt of their uses.
+TEST_F(AdapterPlacesTest, AdaptersWithUnknownUsesAreNotIdleAtFirst)
+{
+    resident_ = {named(0), named(1)};
+    now_ += AdapterPlaces::useWindow - 100ms;
+    EXPECT_FALSE(yieldFor(named(9)));
+    places_.recordUse(target_, named(0), now_);
+    now_ += 200ms;
+    const auto yield = yieldFor(named(9));
+    ASSERT_TRUE(yield);
+    EXPECT_EQ(yield->adapter, named(1));
+}
+
 // Guards against an adapter that is never loaded because all places are in constant use.
 TEST_F(AdapterPlacesTest, AnAdapterInUseYieldsToOneThatHasWaited)
 {
@@ -255,7 +268,7 @@
     SeededRandom random_;
     Duration rareInterval_;
     const TargetId target_{"t0"};
-    AdapterPlaces places_;
+    AdapterPlaces places_{begin};
     std::vector<AdapterName> resident_;
     std::optional<TimePoint> draining_;
     std::vector<TimePoint> nextRequest_;
