Read the report again while adapters are on their way

A report that showed an adapter on its way was kept as the engine's state: the adapter was not announced when it had arrived, and after it was ordered again its place counted twice until the next report, which a quiet engine never leads to. Such an engine's report is now read again every 250 ms until the adapter has arrived, and an adapter that is answered as held no longer counts as on its way.

AdapterTurnTest.ReadsTheReportAgainWhileAnAdapterIsOnItsWay fails without the change.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -149,7 +149,7 @@
     void pollReports()
     {
         for (const auto& [id, state] : states_) {
-            const bool isAwaited = isChanging(*state) || !state->synced || !state->drainingAdapters.empty();
+            const bool isAwaited = isChanging(*state) || !state->synced || hasAdapterInTransit(*state);
             if ((isAwaited && currentTime() >= state->nextReportAt) || yieldIsDue(*state))
                 startProcessing(state);
         }
@@ -247,6 +247,12 @@
         return isChanging(state) || !state.drainingAdapters.empty() || currentTime() < state.unknownOrderUntil;
     }
 
+    // Whether only a later report shows that an adapter has been loaded or unloaded.
+    static bool hasAdapterInTransit(const State& state)
+    {
+        return !state.drainingAdapters.empty() || !state.record.holdings.arriving.empty();
+    }
+
     // The adapters that have left the holdings and still occupy places.
     static std::vector<fleet::AdapterName> leavingAdapters(const State& state)
     {
@@ -391,7 +397,7 @@
             }
             if (!state->synced
                 || (isChanging(*state) && currentTime() >= state->nextReportAt && state->pendingAdapters.empty())
-                || (!state->drainingAdapters.empty() && currentTime() >= state->nextReportAt)) {
+                || (hasAdapterInTransit(*state) && currentTime() >= state->nextReportAt)) {
                 if (!readReport(state, term))
                     break;
                 continue;
@@ -816,6 +822,7 @@
             if (held.model == request.model)
                 held.adapters.insert(request.adapter);
         }
+        holdings.arriving.erase(request.name());
         placesOf(*state).recordLoad(state->record.id, request.name(), hasGone(request), currentTime());
         handlers_.holdingsChanged(state->record);
         return absl::OkStatus();
--- a/tests/gateway/AdapterTurnTest.cpp
+++ b/tests/gateway/AdapterTurnTest.cpp
@@ -125,6 +125,24 @@
     EXPECT_FALSE(overcommitted());
 }
 
+// Guards against an adapter that is never announced, and a place that counts as occupied from then on, because a report
+// showed the adapter on its way.
+TEST_F(AdapterTurnTest, ReadsTheReportAgainWhileAnAdapterIsOnItsWay)
+{
+    engine().holdings.arriving = {{ModelId("m0"), AdapterId("a1")}};
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        engine().holdings.arriving.clear();
+        engine().holdings.models.front().adapters = {AdapterId("a1")};
+        for (int i = 0; i < 4; ++i) {
+            dispatcher.pollReports();
+            sleepFor(100ms);
+        }
+        EXPECT_TRUE(isHeld(dispatcher, "a1"));
+        EXPECT_TRUE(ensure(dispatcher, "a2", 400ms).ok());
+    });
+    EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a2"});
+}
+
 // Guards against orders that an engine refuses, because it unloads an adapter that requests still use, or because a
 // report from before the last order was taken for its state.
 TEST_F(AdapterTurnTest, SendsNoOrdersWhileAnAdapterInUseIsUnloaded)
