Kill an engine only while it streams in WholeAnswerTest

WholeAnswer.EngineKilledMidStream failed once at a load average of 17 with "no stream was resumed": it killed an engine that ran two requests, and half of the requests are not streamed, so the killed ones may have been whole answers only. All answers were complete.

The stand-in engine now counts the streams that have begun, and the test waits for an engine with one. Its checks are unchanged.

--- a/tests/process/WholeAnswerTest.cpp
+++ b/tests/process/WholeAnswerTest.cpp
@@ -130,9 +130,11 @@
         EXPECT_EQ(counts.whole + counts.streamed, callerThreads * requests);
     }
 
-    std::uint64_t running(std::size_t engine)
+    // Whether the engine runs at least `count` requests, of which at least one is a stream that has begun.
+    bool isStreaming(std::size_t engine, std::uint64_t count)
     {
-        return deployment_.engine(engine).stats()["running"].get<std::uint64_t>();
+        const auto stats = deployment_.engine(engine).stats();
+        return stats["running"].get<std::uint64_t>() >= count && stats["streaming"].get<std::uint64_t>() > 0;
     }
 
     // Checks that at least one stream was interrupted and resumed, so that the test had an effect.
@@ -147,13 +149,13 @@
         EXPECT_NE(metrics.find("lychee_resumes_total"), std::string::npos) << "no stream was resumed";
     }
 
-    // The first engine with at least `count` requests running.
+    // The first engine with at least `count` requests running, one of them a stream that has begun.
     std::size_t awaitBusyEngine(std::uint64_t count)
     {
         std::size_t busy = 0;
         Deployment::await("an engine that runs requests", [&] {
             for (std::size_t i = 0; i < deployment_.engineCount(); ++i) {
-                if (running(i) >= count) {
+                if (isStreaming(i, count)) {
                     busy = i;
                     return true;
                 }
@@ -174,7 +176,7 @@
     ResultCounts counts;
     runCallers(requests, counts, [&] {
         Standin& engine = deployment_.engine(awaitBusyEngine(2));
-        // Wait until the streams have sent some of their tokens.
+        // Wait until the stream has sent some more of its tokens.
         std::this_thread::sleep_for(answerTokens * 1000ms / tokensPerSecond / 4);
         engine.process().kill();
         std::this_thread::sleep_for(1500ms);
--- a/tests/standins/engine_standin/Engine.cpp
+++ b/tests/standins/engine_standin/Engine.cpp
@@ -99,6 +99,7 @@
     const BatchLoad load = scheduler_.load();
     stats["running"] = load.running;
     stats["queued"] = load.queued;
+    stats["streaming"] = streaming_.load();
     memory_.addToStats(stats);
     return stats;
 }
@@ -223,6 +224,8 @@
     if (!connection.beginStream(
             {{"Content-Type", "text/event-stream"}, {"Lychee-Artifact", artifact}, {"Lychee-Run", "yes"}}))
         return false;
+    const auto release = [](std::atomic<std::uint64_t>* count) { --*count; };
+    std::unique_ptr<std::atomic<std::uint64_t>, decltype(release)> begun(nullptr, release);
     for (std::uint64_t index = generation.resumeAfter + 1; index <= generation.tokens; ++index) {
         if (!waitUntil(dueTime(start, index - generation.resumeAfter), isCancelled))
             return false;
@@ -230,6 +233,10 @@
         if (!connection.writeEvent(
                 fmt::format("id: {}\ndata: {}\n\n", index, chunk(generation, artifact, index).dump())))
             return false;
+        if (!begun) {
+            ++streaming_;
+            begun.reset(&streaming_);
+        }
     }
     return connection.writeEvent("data: [DONE]\n\n") && connection.endStream();
 }
--- a/tests/standins/engine_standin/Engine.h
+++ b/tests/standins/engine_standin/Engine.h
@@ -91,6 +91,8 @@
     std::atomic<std::uint64_t> cutOff_{0};
     std::atomic<std::uint64_t> notRun_{0};
     std::atomic<std::uint64_t> tokens_{0};
+    // Streams of which a part has been sent.
+    std::atomic<std::uint64_t> streaming_{0};
 };
 
 } // namespace lychee::standin
