Count the memory of adapters on their way

Cause: an adapter that a report shows as on its way was counted for its place, but not for its memory, neither by the planner nor by the check right before a model or an adapter is ordered. An order could exceed the memory of the engine, which crashes it.

OrderDispatcherTest.CountsTheMemoryOfAdaptersOnTheirWay failed before (a load was ordered) and passes now.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -264,11 +264,13 @@
         return names;
     }
 
-    // The models in the memory of the engine, with all adapters that occupy places.
+    // The models in the memory of the engine, with all adapters that occupy places, those on their way included.
     static std::vector<fleet::HeldModel> occupiedModels(const State& state)
     {
         std::vector<fleet::HeldModel> models = state.record.holdings.models;
-        for (const auto& [model, adapter] : leavingAdapters(state)) {
+        std::vector<fleet::AdapterName> further = leavingAdapters(state);
+        further.insert(further.end(), state.record.holdings.arriving.begin(), state.record.holdings.arriving.end());
+        for (const auto& [model, adapter] : further) {
             for (fleet::HeldModel& held : models) {
                 if (held.model == model)
                     held.adapters.insert(adapter);
--- a/tests/gateway/DispatcherFixture.h
+++ b/tests/gateway/DispatcherFixture.h
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 namespace lychee::gateway {
 
 using namespace std::chrono_literals;
@@ -201,7 +203,8 @@
         service.engine->adapterSlots = adapterSlots_;
         service.engine->loadsPerSecond = loadsPerSecond_;
         for (int i = 0; i < 5; ++i)
-            service.engine->models.push_back({ModelId(fmt::format("m{}", i)), 90, 1, 9, 5s, 1s, 400ms});
+            service.engine->models.push_back(
+                {ModelId(fmt::format("m{}", i)), 90, adapterMegabytes_[static_cast<std::size_t>(i)], 9, 5s, 1s, 400ms});
         return fleet::RouteTable::create(ConfigurationVersion(1), {}, {service}, {});
     }
 
@@ -237,6 +240,7 @@
     // High enough that a load does not wait for the weight store.
     double loadsPerSecond_ = 200;
     int adapterSlots_ = 2;
+    std::array<double, 5> adapterMegabytes_{1, 1, 1, 1, 1};
     bool granted_ = true;
     int changes_ = 0;
 };
--- a/tests/gateway/OrderDispatcherTest.cpp
+++ b/tests/gateway/OrderDispatcherTest.cpp
@@ -75,6 +75,20 @@
     EXPECT_EQ(FakeEngines::instance().orders, std::vector<std::string>{"load m0/a1"});
 }
 
+// Guards against a model that is loaded beside adapters whose memory is not counted, because a report shows them on
+// their way.
+TEST_F(OrderDispatcherTest, CountsTheMemoryOfAdaptersOnTheirWay)
+{
+    adapterMegabytes_[0] = 30;
+    FakeEngines::instance().engines[TargetId("t0")].holdings.arriving = {{ModelId("m0"), AdapterId("a1")}};
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        dispatcher.sendOrders({{TargetId("t0"), fleet::ModelOrderKind::Load, ModelId("m1"), fleet::PlanReason::Demand,
+            true, 20ms, {}, {}}});
+        sleepFor(100ms);
+    });
+    EXPECT_TRUE(FakeEngines::instance().orders.empty());
+}
+
 // Guards against refusing requests because an order that arrived late has changed the state of the engine, although a
 // second attempt would load their adapter.
 TEST_F(OrderDispatcherTest, LoadsAnAdapterAfterALateOrder)
