Unload as many adapters as a larger one needs

Cause: after one adapter had been unloaded, the next one was ordered without looking at the memory again. Where the models of a service have adapters of different sizes, the one that was unloaded may be smaller, and the order exceeds the memory of the engine, which crashes it. The place and the memory are now checked after each unload, with the configuration then in force.

OrderDispatcherTest.UnloadsAsManyAdaptersAsALargerOneNeeds failed before (one unload, then the load) and passes now.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -800,13 +800,14 @@
             return makeError(TransportError::Stopped, "the engine does not hold the model of the adapter");
         if (holdings.arriving.size() >= OrderLimits::maxArrivingAdapters)
             return makeError(TransportError::RingFull, "too many adapters are being loaded on the engine");
-        const fleet::Engine* engine = engineOf(*state);
-        const fleet::Model* declared = engine ? engine->find(request.model) : nullptr;
-        if (!declared)
-            return makeError(TransportError::Stopped, "the service of the engine does not declare the model");
-        const bool placeFree = holdings.adapterCount() + leavingAdapters(*state).size()
-            < static_cast<std::size_t>(std::max(engine->adapterSlots, 0));
-        if (!placeFree || freeMegabytes(*engine, *state) < declared->adapterMegabytes) {
+        // An adapter that yields may be smaller than the wanted one, and the configuration may change during an order.
+        while (true) {
+            const fleet::Engine* engine = engineOf(*state);
+            const fleet::Model* declared = engine ? engine->find(request.model) : nullptr;
+            if (!declared)
+                return makeError(TransportError::Stopped, "the service of the engine does not declare the model");
+            if (hasRoomForAdapter(*engine, *declared, *state))
+                break;
             absl::Status room = makeRoom(state, request.name(), *declared, term);
             if (!room.ok())
                 return room;
@@ -830,6 +831,14 @@
         return absl::OkStatus();
     }
 
+    // Whether the engine has a free place and enough free memory for an adapter of the model.
+    static bool hasRoomForAdapter(const fleet::Engine& engine, const fleet::Model& model, const State& state)
+    {
+        const std::size_t occupied = state.record.holdings.adapterCount() + leavingAdapters(state).size();
+        return occupied < static_cast<std::size_t>(std::max(engine.adapterSlots, 0))
+            && freeMegabytes(engine, state) >= model.adapterMegabytes;
+    }
+
     // Has an adapter yield its place to `wanted`. Fails with TransportError::RingFull when none yields, or when
     // requests still use the one that does.
     absl::Status makeRoom(const std::shared_ptr<State>& state, const fleet::AdapterName& wanted,
--- a/tests/gateway/OrderDispatcherTest.cpp
+++ b/tests/gateway/OrderDispatcherTest.cpp
@@ -89,6 +89,23 @@
     EXPECT_TRUE(FakeEngines::instance().orders.empty());
 }
 
+// Guards against an adapter that is loaded into too little memory, because the one unloaded for it is smaller.
+TEST_F(OrderDispatcherTest, UnloadsAsManyAdaptersAsALargerOneNeeds)
+{
+    adapterSlots_ = 4;
+    adapterMegabytes_ = {10, 20, 1, 1, 1};
+    FakeEngines::instance().engines[TargetId("t0")].holdings.models.push_back({ModelId("m1"), 1, {}});
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        ASSERT_TRUE(ensure(dispatcher, "a1").ok());
+        ASSERT_TRUE(ensure(dispatcher, "a2").ok());
+        sleepFor(OrderLimits::adapterUseWindow + 50ms);
+        EXPECT_TRUE(
+            dispatcher.ensureAdapter(TargetId("t0"), ModelId("m1"), AdapterId("a3"), currentTime() + 400ms).ok());
+    });
+    EXPECT_EQ(FakeEngines::instance().orders,
+        (std::vector<std::string>{"load m0/a1", "load m0/a2", "unload m0/a1", "unload m0/a2", "load m1/a3"}));
+}
+
 // Guards against refusing requests because an order that arrived late has changed the state of the engine, although a
 // second attempt would load their adapter.
 TEST_F(OrderDispatcherTest, LoadsAnAdapterAfterALateOrder)
