Keep a freed place for an adapter that is held but not served

Cause: an adapter that another engine holds without serving it makes an adapter in use yield its place after 4 s, but the freed place was kept only for adapters that no engine holds. If its request had gone, the place went to whichever adapter was asked for next, probably a frequent one. Both decisions now follow the same rule.

AdapterTurnTest.KeepsAFreedPlaceForAnAdapterThatIsHeldElsewhereAndNotServed failed before and passes now.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -526,15 +526,17 @@
         });
     }
 
-    // The adapter that gets the next free place of the engine: the one that has waited longest and is not held
-    // anywhere.
+    // The adapter that gets the next free place of the engine: the one that has waited longest of those that no engine
+    // holds, or that no engine has served for long although one holds them.
     std::optional<fleet::AdapterName> nextForFreedPlace(const State& state)
     {
         return placesOf(state).longestWaiting(
             state.record.id,
             [&](const fleet::AdapterName& name) {
                 return state.record.holdings.find(name.first) && !holds(state, name.first, name.second)
-                    && !isLeaving(state, name) && !isHeldElsewhere(state, name);
+                    && !isLeaving(state, name)
+                    && (placesOf(state).waited(name, currentTime()) >= fleet::AdapterPlaces::maxWaitWhenHeld
+                        || !isHeldElsewhere(state, name));
             },
             currentTime());
     }
--- a/tests/gateway/AdapterTurnTest.cpp
+++ b/tests/gateway/AdapterTurnTest.cpp
@@ -240,6 +240,26 @@
     EXPECT_EQ(countOrders("unload"), 0u);
 }
 
+// Guards against a place in use that is left for an adapter and then not kept for it, because another engine holds the
+// adapter without serving it.
+TEST_F(AdapterTurnTest, KeepsAFreedPlaceForAnAdapterThatIsHeldElsewhereAndNotServed)
+{
+    setUpPlaces();
+    addEngine("t1", {"m0"});
+    FakeEngines::instance().engines[TargetId("t1")].holdings.models.front().adapters = {AdapterId("a6")};
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        fillPlaces(dispatcher, 900ms);
+        for (int i = 0; i < 5; ++i) {
+            EXPECT_FALSE(ensure(dispatcher, "a6", 400ms).ok());
+            useFrequentAdapters(dispatcher, 900ms);
+        }
+        EXPECT_FALSE(ensure(dispatcher, "a6", 400ms).ok());
+        useFrequentAdapters(dispatcher, 2500ms);
+        EXPECT_TRUE(isHeld(dispatcher, "a6"));
+    });
+    EXPECT_FALSE(overcommitted());
+}
+
 // Guards against unloads for adapters that callers ask for and that do not exist.
 TEST_F(AdapterTurnTest, KeepsAdaptersInUseWhenTheWantedOneIsNotDeclared)
 {
