Forget the adapter that yields when its model is unloaded

Cause: an adapter that yielded while its model was unloaded stayed the one that yields until a second report after the unload. If the engine was asked for its next order before, it got an unload for the adapter that it no longer held; an order that is refused pauses the orders for 500 ms, and one answered as done counts as accepted although the engine may not count it.

AdapterTurnTest.UnloadsNoAdapterOfAModelThatHasLeft failed before and passes now.

--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -753,6 +753,8 @@
             // From now on, new requests for the model are not sent to this engine.
             dropModel(*state, step.model);
             state->leaving = step.model;
+            if (state->yielding && state->yielding->name.first == step.model)
+                state->yielding.reset();
         }
         handlers_.holdingsChanged(state->record);
     }
--- a/tests/gateway/AdapterTurnTest.cpp
+++ b/tests/gateway/AdapterTurnTest.cpp
@@ -260,6 +260,27 @@
     EXPECT_FALSE(overcommitted());
 }
 
+// Guards against an order for an adapter that has left with its model, which the engine refuses.
+TEST_F(AdapterTurnTest, UnloadsNoAdapterOfAModelThatHasLeft)
+{
+    setUpPlaces();
+    run([&](OrderDispatcher<FakeChannel>& dispatcher) {
+        fillPlaces(dispatcher, 400ms);
+        useFrequentAdapters(dispatcher, 1s);
+        EXPECT_FALSE(ensure(dispatcher, "a6", 400ms).ok());
+        useFrequentAdapters(dispatcher, 2s);
+        EXPECT_FALSE(ensure(dispatcher, "a6", 400ms).ok());
+        FakeEngines::instance().unloadTime = 400ms;
+        dispatcher.sendOrders({{TargetId("t0"), fleet::ModelOrderKind::Unload, ModelId("m0"), fleet::PlanReason::Room,
+            true, 20ms, {}, {}}});
+        for (int i = 0; i < 15; ++i) {
+            dispatcher.pollReports();
+            sleepFor(100ms);
+        }
+    });
+    EXPECT_EQ(FakeEngines::instance().orders.back(), "unload m0");
+}
+
 // Guards against unloads for adapters that callers ask for and that do not exist.
 TEST_F(AdapterTurnTest, KeepsAdaptersInUseWhenTheWantedOneIsNotDeclared)
 {
