Keep the demand of this instance while its status is read

Cause: the status was cleared before the relay duty was asked for it. The fiber that plans runs during that wait and then read no demand of the owner itself; when the relay duty took no further task, none was read or announced until the next status. Since last copies of models that nobody asks for yield at once, a model in use could lose its last copy without the wait of 2 s. The new status now replaces the last one when it is complete, and keeps the demand of the last one when the relay duty cannot be asked.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -323,14 +323,18 @@
         while (!duty_.isStopping()) {
             const TimePoint now = currentTime();
             targets_.removeExpired(now);
-            status_ = {};
-            relay_.readStatus(status_);
-            status_.readsPlatform = availability_.isAvailable(now) && now - targetWatch_.answeredAt() < maxReadAge();
-            status_.configurationRow = configurationWatch_.replica().newestRow();
-            status_.targetRows = targetWatch_.replica().version();
-            status_.holdsLease = lease_.isRenewing();
-            for (const MeshAdapterUse& use : status_.uses)
+            // The fiber that plans reads the demand while this one waits for the relay duty, so it is not cleared
+            // before.
+            MeshStatus status;
+            status.demand = status_.demand;
+            relay_.readStatus(status);
+            status.readsPlatform = availability_.isAvailable(now) && now - targetWatch_.answeredAt() < maxReadAge();
+            status.configurationRow = configurationWatch_.replica().newestRow();
+            status.targetRows = targetWatch_.replica().version();
+            status.holdsLease = lease_.isRenewing();
+            for (const MeshAdapterUse& use : status.uses)
                 owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
+            status_ = std::move(status);
             mesh_->broadcast(status_);
             ready_.store(routes_->read() != nullptr && targetWatch_.isComplete());
             reportConnectivity();
