--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -264,11 +264,13 @@
         return names;
     }
 
-    // The models in the memory of the engine, with all adapters that occupy places.
+    // The models in the memory of the engine, with all adapters that occupy places, those on their way included.
     static std::vector<fleet::HeldModel> occupiedModels(const State& state)
     {
         std::vector<fleet::HeldModel> models = state.record.holdings.models;
-        for (const auto& [model, adapter] : leavingAdapters(state)) {
+        std::vector<fleet::AdapterName> further = leavingAdapters(state);
+        further.insert(further.end(), state.record.holdings.arriving.begin(), state.record.holdings.arriving.end());
+        for (const auto& [model, adapter] : further) {
             for (fleet::HeldModel& held : models) {
                 if (held.model == model)
                     held.adapters.insert(adapter);
@@ -524,15 +526,17 @@
         });
     }
 
-    // The adapter that gets the next free place of the engine: the one that has waited longest and is not held
-    // anywhere.
+    // The adapter that gets the next free place of the engine: the one that has waited longest of those that no engine
+    // holds, or that no engine has served for long although one holds them.
     std::optional<fleet::AdapterName> nextForFreedPlace(const State& state)
     {
         return placesOf(state).longestWaiting(
             state.record.id,
             [&](const fleet::AdapterName& name) {
                 return state.record.holdings.find(name.first) && !holds(state, name.first, name.second)
-                    && !isLeaving(state, name) && !isHeldElsewhere(state, name);
+                    && !isLeaving(state, name)
+                    && (placesOf(state).waited(name, currentTime()) >= fleet::AdapterPlaces::maxWaitWhenHeld
+                        || !isHeldElsewhere(state, name));
             },
             currentTime());
     }
@@ -749,6 +753,8 @@
             // From now on, new requests for the model are not sent to this engine.
             dropModel(*state, step.model);
             state->leaving = step.model;
+            if (state->yielding && state->yielding->name.first == step.model)
+                state->yielding.reset();
         }
         handlers_.holdingsChanged(state->record);
     }
@@ -798,13 +804,14 @@
             return makeError(TransportError::Stopped, "the engine does not hold the model of the adapter");
         if (holdings.arriving.size() >= OrderLimits::maxArrivingAdapters)
             return makeError(TransportError::RingFull, "too many adapters are being loaded on the engine");
-        const fleet::Engine* engine = engineOf(*state);
-        const fleet::Model* declared = engine ? engine->find(request.model) : nullptr;
-        if (!declared)
-            return makeError(TransportError::Stopped, "the service of the engine does not declare the model");
-        const bool placeFree = holdings.adapterCount() + leavingAdapters(*state).size()
-            < static_cast<std::size_t>(std::max(engine->adapterSlots, 0));
-        if (!placeFree || freeMegabytes(*engine, *state) < declared->adapterMegabytes) {
+        // An adapter that yields may be smaller than the wanted one, and the configuration may change during an order.
+        while (true) {
+            const fleet::Engine* engine = engineOf(*state);
+            const fleet::Model* declared = engine ? engine->find(request.model) : nullptr;
+            if (!declared)
+                return makeError(TransportError::Stopped, "the service of the engine does not declare the model");
+            if (hasRoomForAdapter(*engine, *declared, *state))
+                break;
             absl::Status room = makeRoom(state, request.name(), *declared, term);
             if (!room.ok())
                 return room;
@@ -828,6 +835,14 @@
         return absl::OkStatus();
     }
 
+    // Whether the engine has a free place and enough free memory for an adapter of the model.
+    static bool hasRoomForAdapter(const fleet::Engine& engine, const fleet::Model& model, const State& state)
+    {
+        const std::size_t occupied = state.record.holdings.adapterCount() + leavingAdapters(state).size();
+        return occupied < static_cast<std::size_t>(std::max(engine.adapterSlots, 0))
+            && freeMegabytes(engine, state) >= model.adapterMegabytes;
+    }
+
     // Has an adapter yield its place to `wanted`. Fails with TransportError::RingFull when none yields, or when
     // requests still use the one that does.
     absl::Status makeRoom(const std::shared_ptr<State>& state, const fleet::AdapterName& wanted,
