Let one adapter in use at a time yield to another one

A request asks for its adapter on up to six engines. When the adapter had waited long enough, an adapter in use began to yield its place on each of them, and none was given back once the wanted one was held somewhere: up to six frequent adapters lost their places for one rare one.

An adapter for which one in use yields has no further one yield for 3 s.

AdapterPlacesTest.OneAdapterInUseAtATimeYieldsToAnotherOne fails without the limit and passes; AdapterPlacesTest passes 11 of 11.

--- a/src/fleet/AdapterPlaces.cpp
+++ b/src/fleet/AdapterPlaces.cpp
@@ -31,9 +31,9 @@
             removeOldWaits(now);
         if (waits_.size() >= maxWaiting)
             return;
-        found = waits_.emplace(adapter, Wait{now, now, {}}).first;
+        found = waits_.emplace(adapter, Wait{now, now, {}, {}}).first;
     } else if (now - found->second.lastRequest > waitMemory) {
-        found->second = Wait{now, now, {}};
+        found->second = Wait{now, now, {}, {}};
     }
     found->second.lastRequest = now;
     found->second.requests[target] = now;
@@ -49,6 +49,13 @@
     engines_[target].residences.erase(adapter);
 }
 
+void AdapterPlaces::recordTurn(const TargetId& target, const AdapterName& wanted, TimePoint now)
+{
+    engines_[target].lastTurn = now;
+    if (const auto found = waits_.find(wanted); found != waits_.end())
+        found->second.lastTurn = now;
+}
+
 void AdapterPlaces::removeTarget(const TargetId& target)
 {
     engines_.erase(target);
@@ -66,6 +73,9 @@
     absl::FunctionRef<bool(const AdapterName&)> heldElsewhere, TimePoint now) const
 {
     const Duration wait = waited(wanted, now);
+    const auto asked = waits_.find(wanted);
+    if (asked != waits_.end() && asked->second.lastTurn && now - *asked->second.lastTurn < turnTime)
+        return false;
     if (wait < maxWait || (wait < maxWaitWhenHeld && heldElsewhere(wanted)))
         return false;
     return !engine || !engine->lastTurn || now - *engine->lastTurn >= minTurnInterval;
--- a/src/fleet/AdapterPlaces.h
+++ b/src/fleet/AdapterPlaces.h
@@ -48,6 +48,8 @@
     static constexpr Duration minHoldTime = std::chrono::milliseconds(2500);
     // Shortest time between two adapters in use that yield on one engine.
     static constexpr Duration minTurnInterval = std::chrono::seconds(2);
+    // An adapter for which one in use yields has no further ones yield on other engines for this time.
+    static constexpr Duration turnTime = std::chrono::seconds(3);
     // An adapter that was loaded for requests that have gone keeps its place for this time until their callers retry.
     static constexpr Duration retryWindow = std::chrono::milliseconds(1500);
     // The caller of a request that was not served probably retries within this time, and may come again within the
@@ -76,8 +78,8 @@
     // `awaitsRetry` says that the requests for the adapter have gone, and their callers may come again.
     void recordLoad(const TargetId& target, const AdapterName& adapter, bool awaitsRetry, TimePoint now);
 
-    // An adapter in use begins to yield its place on the engine.
-    void recordTurn(const TargetId& target, TimePoint now) { engines_[target].lastTurn = now; }
+    // An adapter in use begins to yield its place on the engine to `wanted`.
+    void recordTurn(const TargetId& target, const AdapterName& wanted, TimePoint now);
 
     // An engine has accepted the unload of an adapter.
     void recordUnload(const TargetId& target, const AdapterName& adapter);
@@ -119,6 +121,8 @@
         TimePoint lastRequest;
         // When the adapter was last asked for on each engine.
         std::map<TargetId, TimePoint> requests;
+        // When an adapter in use last began to yield its place to this one.
+        std::optional<TimePoint> lastTurn;
     };
 
     TimePoint idleFrom(const Residence& residence) const;
--- a/src/fleet/PlacementPlan.h
+++ b/src/fleet/PlacementPlan.h
@@ -70,7 +70,8 @@
 
 // Returns the orders to send now, the most urgent first and at most one for each engine. At most `storeLoads` of them
 // are loads from the weight store. The last copy of a declared model is unloaded only for a model in `unserved`: one
-// that is not asked for yields at once, and another one when the model has waited for UnservedModels::maxWait.
+// that is not asked for yields at once, and one that keeps its engine busy for at most half of the time when the model
+// has waited for UnservedModels::maxWait.
 std::vector<ModelOrder> planModels(const Engine& engine, std::span<const PlannedEngine> engines,
     std::span<const ModelDemand> demand, int storeLoads, const UnservedTimes& unserved = {});
 
--- a/src/gateway/OrderDispatcher.h
+++ b/src/gateway/OrderDispatcher.h
@@ -869,7 +869,7 @@
         // From now on, new requests for the adapter are not sent to this engine.
         state->yielding = YieldingAdapter{yield->adapter, currentTime() + OrderLimits::maxYieldTime, currentTime()};
         dropAdapter(*state, yield->adapter);
-        places.recordTurn(state->record.id, currentTime());
+        places.recordTurn(state->record.id, wanted, currentTime());
         handlers_.holdingsChanged(state->record);
         return makeError(TransportError::RingFull, "the adapter that yields its place is still used by requests");
     }
--- a/tests/unit/AdapterPlacesTest.cpp
+++ b/tests/unit/AdapterPlacesTest.cpp
@@ -125,7 +125,7 @@
 {
     load(3);
     askFor(named(9), AdapterPlaces::minHoldTime);
-    places_.recordTurn(target_, now_);
+    places_.recordTurn(target_, named(9), now_);
     places_.recordUnload(target_, named(0));
     std::erase(resident_, named(0));
     askFor(named(8), AdapterPlaces::minTurnInterval - 100ms);
@@ -134,6 +134,26 @@
     EXPECT_TRUE(yieldFor(named(8)));
 }
 
+// Guards against one rare adapter that takes the places of adapters in use on all engines that it is asked for on.
+TEST_F(AdapterPlacesTest, OneAdapterInUseAtATimeYieldsToAnotherOne)
+{
+    const TargetId second("t1");
+    load(3);
+    for (const AdapterName& adapter : resident_)
+        places_.recordLoad(second, adapter, false, now_);
+    askFor(named(9), AdapterPlaces::minHoldTime + 300ms);
+    const auto yieldOnSecond = [&] {
+        for (const AdapterName& adapter : resident_)
+            places_.recordUse(second, adapter, now_);
+        return places_.yieldFor(second, named(9), resident_, nowhere, now_);
+    };
+    EXPECT_TRUE(yieldOnSecond());
+    places_.recordTurn(target_, named(9), now_);
+    EXPECT_FALSE(yieldOnSecond());
+    askFor(named(9), AdapterPlaces::turnTime);
+    EXPECT_TRUE(yieldOnSecond());
+}
+
 // Guards against an adapter that is unloaded before the caller that waited for it has come again.
 TEST_F(AdapterPlacesTest, AnAdapterThatAwaitsARetryKeepsItsPlace)
 {
@@ -258,7 +278,7 @@
         places_.recordUnload(target_, yield->adapter);
         if (yield->reason == YieldReason::Idle)
             return true;
-        places_.recordTurn(target_, now);
+        places_.recordTurn(target_, name, now);
         draining_ = now + 1s;
         return false;
     }
