Estimate the size of a machine from its memory

The template passed limits.cpuShare for the preference of larger machines in the placement lease.

The memory of the machine is known without the template, and machines with a larger processor have more of it. processor_share is 0 by default now, which takes half a processor for 512 MB; it can still be set.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -36,6 +36,8 @@
     // The part of the memory of the process that answers of targets may take. An answer is copied when it grows and
     // when it is sent, so it takes up to three times its size.
     static constexpr std::size_t answerMemoryDivisor = 8;
+    // The memory of machines with one processor of which only the memory is known.
+    static constexpr double megabytesOfOneProcessor = 1024;
     // Longest time to receive the body of a request.
     static constexpr Duration bodyTimeout = std::chrono::seconds(30);
     // The remaining file descriptors of the process are for connections to targets and peers.
@@ -146,6 +148,14 @@
         return absl::OkStatus();
     }
 
+    // The setting, or an estimate: machines with a larger processor have more memory, too.
+    static double processorShare(const GatewaySettings& settings)
+    {
+        const double configured = settings.process.processorShare();
+        const double megabytes = static_cast<double>(machineMemory()) / (1 << 20);
+        return configured > 0 ? configured : megabytes / GatewayLimits::megabytesOfOneProcessor;
+    }
+
     ControlOptions controlOptions() const
     {
         ControlOptions options{self_, settings_->instance.id(), {settings_->peers.address(), settings_->peers.port()},
@@ -155,7 +165,7 @@
         // another.
         options.lease.acquireDelay
             = std::chrono::milliseconds(std::hash<std::string>()(self_.value()) % takeDelaySpreadMs);
-        options.lease.smallMachineDelay = fleet::smallMachineDelay(settings_->process.processorShare());
+        options.lease.smallMachineDelay = fleet::smallMachineDelay(processorShare(*settings_));
         return options;
     }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -25,9 +25,9 @@
               "machine."},
           {0, 1 << 20})
     , processorShare(*this,
-          {"processor_share", "1", "",
+          {"processor_share", "0", "",
               "Part of a processor that the process may use. Instances with less than a half take the placement lease "
-              "later than others."},
+              "later than others. 0 estimates it from the memory of the machine."},
           {0, 1024})
 {
 }
--- a/tests/unit/UnservedModelsTest.cpp
+++ b/tests/unit/UnservedModelsTest.cpp
@@ -112,9 +112,11 @@
     constexpr int engineCount = 10;
     const Engine engine = engineWith(models);
     std::vector<PlayedEngine> engines;
+    engines.reserve(engineCount);
     for (int i = 0; i < engineCount; ++i)
         engines.push_back({target(i, {3 * i, 3 * i + 1, 3 * i + 2}), {}, {}});
     std::vector<ModelDemand> demand;
+    demand.reserve(models);
     for (int i = 0; i < models; ++i)
         demand.push_back({ModelId(fmt::format("m{}", i)), i < busyModels ? 0.3 : 0.01});
     UnservedModels unserved;
