Identify customers by their keys

Change: customers, keys, priorities and limits are decoded into strong types. A request needs exactly one key of a customer unless its route is exempt; the key is removed from what targets get, and the name of the customer is set. Without customers in the configuration no key is asked for.

--- a/src/fleet/CallerRequest.h
+++ b/src/fleet/CallerRequest.h
@@ -32,6 +32,14 @@
     std::optional<TokenCount> outputHint;
 };
 
+// The key with which a caller shows whose request it sends.
+struct CallerCredential {
+    // How many keys the request has; one is proper.
+    std::size_t count = 0;
+    // The first of them. Never logged.
+    std::string key;
+};
+
 // One attempt of a caller.
 struct CallerRequest {
     RequestId attempt;
@@ -39,6 +47,7 @@
     // How long the caller waits for the answer, counted from the arrival of the request.
     std::optional<Duration> patience;
     std::optional<GenerationNeed> generation;
+    CallerCredential credential;
     // Set when the caller resumes a broken stream: the last event that it has received.
     std::optional<std::uint64_t> resumeAfter;
 };
--- a/src/fleet/RouteTable.cpp
+++ b/src/fleet/RouteTable.cpp
@@ -23,14 +23,15 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-std::shared_ptr<const RouteTable> RouteTable::create(
-    ConfigurationVersion version, std::vector<Route> routes, std::vector<Service> services, CallerLimits limits)
+std::shared_ptr<const RouteTable> RouteTable::create(ConfigurationVersion version, std::vector<Route> routes,
+    std::vector<Service> services, CallerLimits limits, CustomerDirectory customers)
 {
     std::shared_ptr<RouteTable> table(new RouteTable());
     table->version_ = version;
     table->routes_ = std::move(routes);
     table->services_ = std::move(services);
     table->limits_ = limits;
+    table->customers_ = std::move(customers);
     for (std::size_t i = 0; i < table->routes_.size(); ++i)
         table->byPrefix_.emplace(prefixKey(table->routes_[i].host, table->routes_[i].prefix), i);
     for (std::size_t i = 0; i < table->services_.size(); ++i)
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -2,6 +2,7 @@
 // take.
 #pragma once
 
+#include "fleet/Customer.h"
 #include "protocol/Ids.h"
 #include "transport/RuntimeClock.h"
 
@@ -51,6 +52,8 @@
     int attempts = 1;
     // Whether a broken stream may be continued on another target.
     bool resumable = false;
+    // Whether requests need no key of a customer.
+    bool acceptsAnonymous = false;
 
     // Whether a request may be sent again after its outcome is unknown.
     bool isRepeatable() const
@@ -107,8 +110,8 @@
 // Immutable once created.
 class RouteTable {
 public:
-    static std::shared_ptr<const RouteTable> create(
-        ConfigurationVersion version, std::vector<Route> routes, std::vector<Service> services, CallerLimits limits);
+    static std::shared_ptr<const RouteTable> create(ConfigurationVersion version, std::vector<Route> routes,
+        std::vector<Service> services, CallerLimits limits, CustomerDirectory customers = {});
 
     ConfigurationVersion version() const { return version_; }
 
@@ -124,6 +127,9 @@
 
     const CallerLimits& limits() const { return limits_; }
 
+    // Empty where anyone may send requests.
+    const CustomerDirectory& customers() const { return customers_; }
+
 private:
     RouteTable() = default;
 
@@ -131,6 +137,7 @@
     std::vector<Route> routes_;
     std::vector<Service> services_;
     CallerLimits limits_;
+    CustomerDirectory customers_;
     // Index into routes_ by host, a NUL byte and prefix.
     std::unordered_map<std::string, std::size_t> byPrefix_;
     std::unordered_map<ServiceId, std::size_t> byService_;
--- a/src/gateway/RelayContext.cpp
+++ b/src/gateway/RelayContext.cpp
@@ -47,9 +47,11 @@
 {
     const auto milliseconds
         = [](Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
-    logChannel.info("request={} route={} model={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} "
-                    "first_ms={} gap_ms={} reason=\"{}\"",
-        record.caller->attempt, record.route ? record.route->id.value() : std::string("-"), modelName(*record.caller),
+    logChannel.info(
+        "request={} route={} customer={} model={} config={} end=\"{}\" status={} target={} sends={} runs={} ms={} "
+        "first_ms={} gap_ms={} reason=\"{}\"",
+        record.caller->attempt, record.route ? record.route->id.value() : std::string("-"),
+        record.customer.empty() ? std::string("-") : record.customer.value(), modelName(*record.caller),
         record.configuration, nameOf(record.outcome), record.status, record.target, record.sends, record.possibleRuns,
         milliseconds(record.total), record.firstEvent ? milliseconds(*record.firstEvent) : -1,
         milliseconds(record.longestGap),
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -43,6 +43,8 @@
     // Whether the placement owner is known and can be reached; without it no models or adapters are loaded. Set by the
     // control duty, which hears the owner.
     bool placementReached = false;
+    // Whether the configuration is known to be recent enough to accept keys of customers.
+    std::function<bool()> configurationIsConfirmed = [] { return true; };
     // From this time on, requests are answered without waiting for a target, because the process is about to end.
     TimePoint stopsAt = TimePoint::max();
     // Functions of the requests in progress that end their waits. They do not suspend the fiber.
@@ -95,6 +97,8 @@
     const fleet::CallerRequest* caller = nullptr;
     const fleet::Route* route = nullptr;
     const fleet::Service* service = nullptr;
+    // Empty when the request needs no customer.
+    fleet::CustomerId customer;
     ConfigurationVersion configuration;
     RelayOutcome outcome = RelayOutcome::CallerLeft;
     int status = 0;
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -1,8 +1,8 @@
 // Translation between the HTTP headers of a platform and the types of the relay. A dialect takes no decisions.
 #pragma once
 
-#include "fleet/CallerRequest.h"
 #include "fleet/TargetRegistry.h"
+#include "fleet/Customer.h"
 #include "transport/HttpClient.h"
 
 #include <concepts>
@@ -18,6 +18,8 @@
     int urgency = 0;
     // Id of the last event that the caller has received, when a stream is resumed.
     std::optional<std::uint64_t> resumeAfter;
+    // The customer that sent the request; empty when it needs none.
+    fleet::CustomerId customer;
 };
 
 // What the status and the headers of a target's answer say about it.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -1,6 +1,7 @@
 // Relays requests of callers to targets. One fiber handles a request from its header to the end of its answer.
 #pragma once
 
+#include "fleet/CallerAuthorization.h"
 #include "fleet/RetryPolicy.h"
 #include "fleet/StopPolicy.h"
 #include "fleet/StreamTimeouts.h"
@@ -77,6 +78,8 @@
             reject(404, "no route matches the host and path of the request");
             return false;
         }
+        if (!authorize())
+            return false;
         const ServiceId* picked = fleet::pickService(*route_, splitFraction(caller_.attempt));
         service_ = picked ? table_->service(*picked) : nullptr;
         if (!service_) {
@@ -102,6 +105,33 @@
         return true;
     }
 
+    // Finds out whose request it is, and answers it when it may not run. Called before each send, because keys may be
+    // taken away while a request waits.
+    bool authorize()
+    {
+        authorizedBy_ = context_.routes->read();
+        const fleet::Authorization authorization
+            = fleet::authorize(*authorizedBy_, *route_, caller_.credential, context_.configurationIsConfirmed());
+        customer_ = authorization.customer;
+        switch (authorization.outcome) {
+        case fleet::AuthorizationOutcome::Anonymous:
+        case fleet::AuthorizationOutcome::Customer:
+            return true;
+        case fleet::AuthorizationOutcome::Unconfirmed:
+            giveUp("the configuration could not be confirmed", 502, RelayLimits::noConfigurationRetryAfter);
+            return false;
+        case fleet::AuthorizationOutcome::Rejected:
+            if (history_.possibleRuns > 0)
+                giveUp("the key of the request was taken away", 502, Duration(0));
+            else
+                reject(401, "the request has no valid key");
+            return false;
+        }
+        return false;
+    }
+
+    fleet::CustomerId customerId() const { return customer_ ? customer_->id : fleet::CustomerId(); }
+
     const fleet::RequestTraits& traits()
     {
         if (!traits_) {
@@ -308,6 +338,8 @@
             return refuseBlocked();
         if (target.adapterMissing && !ensureAdapter(target))
             return;
+        if (!authorize())
+            return;
         const AdapterUse use(context_, target.target, caller_.generation);
         Attempt attempt = open(target);
         const bool failed = !attempt.status.ok();
@@ -354,7 +386,7 @@
         attempt.startedAt = now;
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
-        ForwardParameters parameters{target.target, deadline_ - now, 5, resumeAfter()};
+        ForwardParameters parameters{target.target, deadline_ - now, 5, resumeAfter(), customerId()};
         attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
         limits.deadline = deadline_;
@@ -757,6 +789,7 @@
         record.caller = &caller_;
         record.route = route_;
         record.service = service_;
+        record.customer = customerId();
         record.configuration = table_ ? table_->version() : ConfigurationVersion();
         record.outcome = outcome_.value_or(RelayOutcome::CallerLeft);
         record.status = answerStatus_;
@@ -779,6 +812,9 @@
     std::shared_ptr<HttpCancellation> cancellation_;
     const fleet::Route* route_ = nullptr;
     const fleet::Service* service_ = nullptr;
+    // The configuration that knows `customer_`, which is null when the request needs none.
+    std::shared_ptr<const fleet::RouteTable> authorizedBy_;
+    const fleet::Customer* customer_ = nullptr;
     TimePoint startedAt_;
     TimePoint deadline_;
     // Computed when first needed, because it hashes the body.
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -210,5 +210,42 @@
         EXPECT_NE(all.find(part), std::string::npos) << part << "\n" << all;
 }
 
+// Guards against keys, priorities and limits of customers that are lost or given to another one.
+TEST(PlatformDocuments, ReadsCustomers)
+{
+    std::string text = configuration;
+    text.replace(text.find("\"attempts\":1"), 12, "\"attempts\":1,\"authExempt\":true");
+    text.insert(text.size() - 1,
+        R"(,"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,"unit":"token_stream","plainTokens":200,)"
+        R"("ratePerS":6000,"burst":9000},{"name":"t2","apiKeys":["k3"],"ratePerS":0}])");
+    const auto table = decodeConfiguration(text);
+    ASSERT_TRUE(table.ok()) << table.status();
+    EXPECT_TRUE((*table)->match("a.example", "/y/")->acceptsAnonymous);
+    EXPECT_FALSE((*table)->match("a.example", "/x/")->acceptsAnonymous);
+    const fleet::Customer* first = (*table)->customers().findByKey("k2");
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(first->id, fleet::CustomerId("t1"));
+    EXPECT_EQ(first->priority, 1);
+    EXPECT_EQ(first->limit, (fleet::CustomerLimit{6000, 9000, fleet::LimitUnit::Tokens, 200}));
+    const fleet::Customer* second = (*table)->customers().findByKey("k3");
+    ASSERT_NE(second, nullptr);
+    EXPECT_FALSE(second->priority || second->limit);
+}
+
+// Guards against a key that reaches a target, and against a caller that names the customer itself.
+TEST(CallerDialect, TargetsGetTheNameOfTheCustomerAndNoKey)
+{
+    const HttpRequest request{"POST", "/x/",
+        {{"X-Attempt-Id", "id"}, {"x-credential", "key-1"}, {"X-CREDENTIAL", "key-2"}, {"x-tenant", "other"}}, ""};
+    EXPECT_EQ(CallerDialect::readRequest(request).credential.count, 2u);
+    EXPECT_EQ(CallerDialect::readRequest(request).credential.key, "key-1");
+    gateway::ForwardParameters parameters{TargetId("t")};
+    EXPECT_FALSE(CallerDialect::targetRequest(request, parameters).headers.find("X-Tenant").has_value());
+    parameters.customer = fleet::CustomerId("north");
+    const HttpRequest sent = CallerDialect::targetRequest(request, parameters);
+    EXPECT_FALSE(sent.headers.find("X-Credential").has_value());
+    EXPECT_EQ(sent.headers.find("X-Tenant"), "north");
+}
+
 } // namespace
 } // namespace lychee::platform
