Send the urgency of a request to engines

Cause: all requests had urgency 5, so a prompt of 800 tokens waits behind all prompts of 9,000 tokens on its engine. Change: the urgency follows the priorities of the routes of a service where a more urgent route has no looser latency objective than a less urgent one, and the priority of the customer goes first. Elsewhere it stays 5, as the priorities of the earlier deployments contradict their objectives.

--- a/src/fleet/RouteTable.cpp
+++ b/src/fleet/RouteTable.cpp
@@ -32,6 +32,7 @@
     table->services_ = std::move(services);
     table->limits_ = limits;
     table->customers_ = std::move(customers);
+    table->urgency_ = UrgencyPolicy(table->routes_, table->customers_);
     for (std::size_t i = 0; i < table->routes_.size(); ++i)
         table->byPrefix_.emplace(prefixKey(table->routes_[i].host, table->routes_[i].prefix), i);
     for (std::size_t i = 0; i < table->services_.size(); ++i)
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/Customer.h"
+#include "fleet/UrgencyPolicy.h"
 #include "protocol/Ids.h"
 #include "transport/RuntimeClock.h"
 
@@ -130,6 +131,8 @@
     // Empty where anyone may send requests.
     const CustomerDirectory& customers() const { return customers_; }
 
+    const UrgencyPolicy& urgency() const { return urgency_; }
+
 private:
     RouteTable() = default;
 
@@ -138,6 +141,7 @@
     std::vector<Service> services_;
     CallerLimits limits_;
     CustomerDirectory customers_;
+    UrgencyPolicy urgency_;
     // Index into routes_ by host, a NUL byte and prefix.
     std::unordered_map<std::string, std::size_t> byPrefix_;
     std::unordered_map<ServiceId, std::size_t> byService_;
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fleet/TargetRegistry.h"
-#include "fleet/Customer.h"
+#include "fleet/UrgencyPolicy.h"
 #include "transport/HttpClient.h"
 
 #include <concepts>
@@ -14,8 +14,7 @@
     TargetId target;
     // Time left until the deadline of the request.
     Duration remaining{0};
-    // 0 is the most urgent, 9 the least.
-    int urgency = 0;
+    fleet::Urgency urgency = fleet::UrgencyPolicy::standard;
     // Id of the last event that the caller has received, when a stream is resumed.
     std::optional<std::uint64_t> resumeAfter;
     // The customer that sent the request; empty when it needs none.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -89,6 +89,7 @@
         }
         if (!service_->engine)
             caller_.generation.reset();
+        urgency_ = table_->urgency().urgencyOf(*route_, service_->id, customer_);
         if (!context_.crashes.isQuiet()) {
             const fleet::CrashAdmission admission = admitSuspect();
             isTrial_ = admission == fleet::CrashAdmission::Trial;
@@ -386,7 +387,7 @@
         attempt.startedAt = now;
         attempt.send
             = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
-        ForwardParameters parameters{target.target, deadline_ - now, 5, resumeAfter(), customerId()};
+        ForwardParameters parameters{target.target, deadline_ - now, urgency_, resumeAfter(), customerId()};
         attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
         limits.deadline = deadline_;
@@ -815,6 +816,7 @@
     // The configuration that knows `customer_`, which is null when the request needs none.
     std::shared_ptr<const fleet::RouteTable> authorizedBy_;
     const fleet::Customer* customer_ = nullptr;
+    fleet::Urgency urgency_ = fleet::UrgencyPolicy::standard;
     TimePoint startedAt_;
     TimePoint deadline_;
     // Computed when first needed, because it hashes the body.
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -147,7 +147,7 @@
     EXPECT_EQ(caller.generation->adapter, AdapterId("a3"));
     EXPECT_EQ(caller.generation->parts.size(), 2u);
     EXPECT_EQ(caller.generation->maxOutputTokens, TokenCount(80));
-    const HttpRequest sent = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, 2, {}});
+    const HttpRequest sent = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
     EXPECT_EQ(sent.headers.find("X-Target-Instance"), "i-1");
     EXPECT_EQ(sent.headers.find("X-Deadline-Ms"), "1500");
     EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
