Estimate the wait at an engine by the urgency of requests

Cause: engines prefill more urgent prompts first, but the estimate counted all queued prompts before each request, so an urgent one avoided engines where it would have gone first and was refused as too busy. Change: instances keep and report queued prompt tokens by urgency. A request counts those that are at least as urgent and half a chunk. One that cannot be in time but still has a waiting caller is sent with the least urgency instead of being refused.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -11,6 +11,9 @@
 // Prompt tokens that an engine prefills in a millisecond, according to the deployments' data sheets.
 constexpr double prefillTokensPerMillisecond = 38.7;
 
+// Longest piece of a prompt that an engine prefills between two decoding steps, according to the data sheets.
+constexpr double prefillChunkTokens = 4096;
+
 // Fraction of the shared prompt that is expected in the cache of the target that all instances prefer for it. Below 1,
 // because the first request after a move or an eviction has to prefill it again.
 constexpr double preferredCacheShare = 0.8;
@@ -89,6 +92,8 @@
     const TargetState* state = nullptr;
     // Estimated time to the first event.
     double milliseconds = 0;
+    // The same for the least urgency, with which late requests are sent.
+    double lateMilliseconds = 0;
     // The estimate plus all penalties of the target.
     double cost = 0;
     bool adapterMissing = false;
@@ -119,13 +124,26 @@
         if (!best)
             return decideWithoutCandidate();
         const Duration predicted = toDuration(best->milliseconds);
+        if (predicted > admitted && isWorthALateAnswer(*best))
+            return chosen(*best, toDuration(best->lateMilliseconds), true);
         if (predicted > admitted)
             return NoTarget{NoTargetReason::TooBusy, std::max(predicted - admitted, minRetryAfter)};
-        const TargetRecord& record = best->state->record;
-        return ChosenTarget{record.id, record.endpoint, record.incarnation, predicted, best->adapterMissing};
+        return chosen(*best, predicted, false);
     }
 
 private:
+    static ChosenTarget chosen(const Candidate& best, Duration predicted, bool late)
+    {
+        const TargetRecord& record = best.state->record;
+        return {record.id, record.endpoint, record.incarnation, predicted, best.adapterMissing, late};
+    }
+
+    bool isWorthALateAnswer(const Candidate& best) const
+    {
+        return input_.need
+            && toDuration(best.lateMilliseconds) <= fraction(std::min(input_.remaining, input_.lateObjective));
+    }
+
     // The longest time to the first event with which a request is admitted. A generation that would start later than
     // its objective is refused, although its caller would wait longer: if those are queued, all that follow are late
     // too.
@@ -246,13 +264,15 @@
         candidate.milliseconds = excess / slots * occupancy;
         double penalty = static_cast<double>(work.running) / slots;
         if (input_.need) {
-            const double queued = work.prefillTokens / prefillTokensPerMillisecond;
-            candidate.milliseconds += queued;
+            const double queued = work.prefill.total() / prefillTokensPerMillisecond;
+            const double ahead = tokensAhead(work.prefill) / prefillTokensPerMillisecond;
+            candidate.milliseconds += ahead;
             candidate.milliseconds += promptTokensToPrefill(state) / prefillTokensPerMillisecond;
             candidate.milliseconds += memoryWait(work);
             penalty = static_cast<double>(work.running) * batchSlowdownMilliseconds;
             penalty += queued * prefillDelayFactor();
             evaluateAdapter(state, candidate, penalty);
+            candidate.lateMilliseconds = candidate.milliseconds + queued - ahead;
         } else {
             penalty *= slotOccupancyMilliseconds;
         }
@@ -267,6 +287,14 @@
         return candidate;
     }
 
+    // Prompt tokens that the engine prefills before those of this request. It finishes a chunk that it has begun, also
+    // of a less urgent request; on average half of it is left.
+    double tokensAhead(const PrefillQueue& queue) const
+    {
+        const double ahead = queue.aheadOf(input_.urgency);
+        return ahead + std::min(queue.total() - ahead, prefillChunkTokens) / 2;
+    }
+
     double prefillDelayFactor() const
     {
         const TokenCount output
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -32,6 +32,11 @@
     // A key that differs between requests, by which requests without an adapter or prompt parts are spread over the
     // targets. May be empty.
     std::string_view spreadKey;
+    // The urgency with which engines prefill the prompt.
+    Urgency urgency = UrgencyPolicy::standard;
+    // A generation that cannot begin within its objective is still worth an answer when it begins within this time.
+    // Zero where such a request is refused.
+    Duration lateObjective{0};
 };
 
 struct ChosenTarget {
@@ -42,6 +47,9 @@
     Duration predicted{0};
     // Whether the adapter has to be loaded before the request is sent.
     bool adapterMissing = false;
+    // The first event is expected after the latency objective. The request is sent with the least urgency, so that it
+    // delays none that can be in time.
+    bool late = false;
 };
 
 // No target holds the model yet, but one is expected to hold it soon enough for the request.
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -69,7 +69,7 @@
             continue;
         const std::chrono::duration<double> age = now - reportedAt;
         running += work.running * std::exp(-age / runTime);
-        total.prefillTokens += work.prefillTokens * std::exp(-age / peerQueueDecayTime);
+        total.prefill.add(work.prefill, std::exp(-age / peerQueueDecayTime));
         total.heldTokens += work.heldTokens;
     }
     if (reportedAt) {
@@ -201,7 +201,7 @@
     return reports;
 }
 
-SendId TargetRegistry::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now)
+SendId TargetRegistry::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now, Urgency urgency)
 {
     const SendId id = nextSend_;
     nextSend_ = nextSend_.next();
@@ -209,7 +209,7 @@
     if (found == targets_.end())
         return id;
     TargetState& state = *found->second;
-    Send send{target, state.record.incarnation, 0, 0, need != nullptr, std::nullopt};
+    Send send{target, state.record.incarnation, urgency, 0, 0, need != nullptr, std::nullopt};
     if (need) {
         const std::vector<std::uint64_t> hashes = promptPartHashes(*need);
         send.prefillTokens = uncachedTokens(state, *need, hashes, now);
@@ -221,7 +221,7 @@
             std::erase_if(state.promptParts, [&](const auto& part) { return now - part.second > promptPartLifetime; });
     }
     ++state.own.running;
-    state.own.prefillTokens += send.prefillTokens;
+    state.own.prefill.add(urgency, send.prefillTokens);
     state.own.heldTokens += send.heldTokens;
     sends_.emplace(id, std::move(send));
     return id;
@@ -236,8 +236,7 @@
         found->second.firstEventAt = now;
     const auto target = targets_.find(found->second.target);
     if (target != targets_.end() && target->second->record.incarnation == found->second.incarnation)
-        target->second->own.prefillTokens
-            = std::max(0.0, target->second->own.prefillTokens - found->second.prefillTokens);
+        target->second->own.prefill.remove(found->second.urgency, found->second.prefillTokens);
     found->second.prefillTokens = 0;
 }
 
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/CallerRequest.h"
+#include "fleet/PrefillQueue.h"
 #include "fleet/TargetRecord.h"
 
 #include <map>
@@ -16,7 +17,7 @@
     // Requests that were sent and whose answers are not complete.
     std::uint32_t running = 0;
     // Prompt tokens of the requests that have had no first event yet, without those that are probably cached.
-    double prefillTokens = 0;
+    PrefillQueue prefill;
     // Tokens that the running requests may occupy in the engine's memory.
     double heldTokens = 0;
 };
@@ -130,7 +131,8 @@
     std::vector<TargetWorkReport> ownWork() const;
 
     // Records that a request is sent to a target.
-    SendId beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now);
+    SendId beginSend(
+        const TargetId& target, const GenerationNeed* need, TimePoint now, Urgency urgency = UrgencyPolicy::standard);
 
     // Records that the first event or the answer has arrived, so the prefill of the prompt is complete.
     void prefillDone(SendId send, TimePoint now);
@@ -168,6 +170,7 @@
     struct Send {
         TargetId target;
         TargetIncarnation incarnation;
+        Urgency urgency = UrgencyPolicy::standard;
         double prefillTokens = 0;
         double heldTokens = 0;
         bool isGeneration = false;
--- a/src/fleet/UrgencyPolicy.cpp
+++ b/src/fleet/UrgencyPolicy.cpp
@@ -50,13 +50,13 @@
     }
 }
 
-Urgency UrgencyPolicy::urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const
+std::optional<Urgency> UrgencyPolicy::urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const
 {
     const bool customerCounts = customer && customer->priority;
     const auto ofService = routePriorities_.find(service);
     const std::size_t levels = ofService == routePriorities_.end() ? 1 : ofService->second.size();
     if (!customerCounts && levels < 2)
-        return standard;
+        return std::nullopt;
     const int routeRank = levels < 2 ? 0 : rankOf(ofService->second, route.priority);
     const int customerRank = customerCounts ? rankOf(customerPriorities_, *customer->priority) : 0;
     return std::min(least, Urgency(customerRank * static_cast<int>(levels) + routeRank));
--- a/src/fleet/UrgencyPolicy.h
+++ b/src/fleet/UrgencyPolicy.h
@@ -25,8 +25,9 @@
     // latency objective than a less urgent one. Elsewhere requests that can wait would pass those that cannot.
     UrgencyPolicy(const std::vector<Route>& routes, const CustomerDirectory& customers);
 
-    // `customer` may be null. The priority of the customer goes before that of the route.
-    Urgency urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const;
+    // Returns nothing where all requests are equally urgent. `customer` may be null; its priority goes before that of
+    // the route.
+    std::optional<Urgency> urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const;
 
 private:
     // Distinct priorities of the customers, and of the routes of each service whose priorities count.
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -125,8 +125,14 @@
 {
     std::vector<MeshWork> work;
     work.reserve(shares.size());
-    for (const fleet::TargetWorkReport& share : shares)
-        work.push_back({share.target, share.work.running, share.work.prefillTokens, share.work.heldTokens});
+    for (const fleet::TargetWorkReport& share : shares) {
+        MeshWork entry{share.target, share.work.running, {}, share.work.heldTokens};
+        for (int level = 0; level <= fleet::UrgencyPolicy::least.value(); ++level) {
+            if (const double tokens = share.work.prefill.ofUrgency(fleet::Urgency(level)); tokens > 0)
+                entry.prefill.push_back({static_cast<std::uint32_t>(level), tokens});
+        }
+        work.push_back(std::move(entry));
+    }
     return work;
 }
 
@@ -134,8 +140,16 @@
 {
     std::vector<fleet::TargetWorkReport> shares;
     shares.reserve(work.size());
-    for (const MeshWork& entry : work)
-        shares.push_back({entry.target, {entry.running, entry.prefillTokens, entry.heldTokens}});
+    for (const MeshWork& entry : work) {
+        fleet::TargetWork reported{entry.running, {}, entry.heldTokens};
+        for (const MeshPrefill& prefill : entry.prefill) {
+            // The cap keeps a malformed message from an overflow of the conversion.
+            const auto level
+                = std::min(prefill.urgency, static_cast<std::uint32_t>(fleet::UrgencyPolicy::least.value()));
+            reported.prefill.add(fleet::Urgency(static_cast<int>(level)), prefill.tokens);
+        }
+        shares.push_back({entry.target, reported});
+    }
     return shares;
 }
 
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -17,7 +17,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 3;
+inline constexpr std::uint64_t meshProtocolVersion = 4;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -29,14 +29,22 @@
     auto fields() { return std::tie(instance, address, port); }
 };
 
+// Prompt tokens of one urgency that wait at a target.
+struct MeshPrefill {
+    std::uint32_t urgency = 0;
+    double tokens = 0;
+
+    auto fields() { return std::tie(urgency, tokens); }
+};
+
 // Requests in progress that the sender has forwarded to one target.
 struct MeshWork {
     TargetId target;
     std::uint32_t running = 0;
-    double prefillTokens = 0;
+    std::vector<MeshPrefill> prefill;
     double heldTokens = 0;
 
-    auto fields() { return std::tie(target, running, prefillTokens, heldTokens); }
+    auto fields() { return std::tie(target, running, prefill, heldTokens); }
 };
 
 // Recent demand for one model at the sender.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -237,7 +237,7 @@
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
             now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_, modelWait_,
-            caller_.attempt.value()};
+            caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard), lateObjective()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
@@ -252,6 +252,13 @@
         return isInterrupted() ? std::max(route_->latencyObjective, timeToResume()) : route_->latencyObjective;
     }
 
+    // The time within which the callers of a route still wait for the first event, where requests are ordered by their
+    // urgency: a late one then delays none that is in time.
+    Duration lateObjective() const
+    {
+        return urgency_ ? startedAt_ + fleet::resumeWindow(*route_) - currentTime() : Duration(0);
+    }
+
     // Whether a request whose target is silent can be sent to another one. If not, giving it up would only lose an
     // answer that may still come. The retry budget has to allow a further send too, because the other target may
     // decline.
@@ -385,9 +392,11 @@
         Attempt attempt{target, {}, nullptr, nullptr, {}};
         const TimePoint now = currentTime();
         attempt.startedAt = now;
-        attempt.send
-            = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
-        ForwardParameters parameters{target.target, deadline_ - now, urgency_, resumeAfter(), customerId()};
+        const fleet::Urgency urgency
+            = target.late ? fleet::UrgencyPolicy::least : urgency_.value_or(fleet::UrgencyPolicy::standard);
+        attempt.send = context_.registry.beginSend(
+            target.target, caller_.generation ? &*caller_.generation : nullptr, now, urgency);
+        ForwardParameters parameters{target.target, deadline_ - now, urgency, resumeAfter(), customerId()};
         attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
         limits.deadline = deadline_;
@@ -816,7 +825,8 @@
     // The configuration that knows `customer_`, which is null when the request needs none.
     std::shared_ptr<const fleet::RouteTable> authorizedBy_;
     const fleet::Customer* customer_ = nullptr;
-    fleet::Urgency urgency_ = fleet::UrgencyPolicy::standard;
+    // Absent where all requests are equally urgent.
+    std::optional<fleet::Urgency> urgency_;
     TimePoint startedAt_;
     TimePoint deadline_;
     // Computed when first needed, because it hashes the body.
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -124,7 +124,9 @@
     TargetRegistry registry = registryOf(2);
     const GenerationNeed generation = need(1, 2, 3);
     const std::string preferred = chosen(registry, &generation);
-    const std::vector<TargetWorkReport> shares{{TargetId(preferred), {20, 90000, 180000}}};
+    TargetWork work{20, {}, 180000};
+    work.prefill.add(UrgencyPolicy::standard, 90000);
+    const std::vector<TargetWorkReport> shares{{TargetId(preferred), work}};
     registry.recordPeerWork(InstanceId("peer"), shares, now_);
     EXPECT_NE(chosen(registry, &generation), preferred);
     now_ += 5s;
@@ -337,7 +339,7 @@
     registry.endSend(before, SendOutcome::Failed, at(1s));
     EXPECT_EQ(registry.find(TargetId("t0"))->own.running, 1u);
     registry.prefillDone(after, at(1s));
-    EXPECT_EQ(registry.find(TargetId("t0"))->own.prefillTokens, 0);
+    EXPECT_EQ(registry.find(TargetId("t0"))->own.prefill.total(), 0);
     registry.endSend(after, SendOutcome::Answered, at(1s));
     registry.endSend(after, SendOutcome::Answered, at(1s));
     EXPECT_EQ(registry.find(TargetId("t0"))->own.running, 0u);
--- a/tests/unit/UrgencyPolicyTest.cpp
+++ b/tests/unit/UrgencyPolicyTest.cpp
@@ -28,7 +28,7 @@
     EXPECT_EQ(policy.urgencyOf(routes[0], hall, nullptr), Urgency(0));
     EXPECT_EQ(policy.urgencyOf(routes[1], hall, nullptr), Urgency(1));
     EXPECT_EQ(policy.urgencyOf(routes[2], hall, nullptr), Urgency(2));
-    EXPECT_EQ(policy.urgencyOf(routes[3], ServiceId("desk"), nullptr), UrgencyPolicy::standard);
+    EXPECT_EQ(policy.urgencyOf(routes[3], ServiceId("desk"), nullptr), std::nullopt);
 }
 
 // Guards against requests that can wait for seconds and pass those that cannot because their priority says so.
@@ -36,8 +36,8 @@
 {
     const std::vector<Route> routes{routeWith("reply", 0, 2s), routeWith("check", 1, 1s)};
     const UrgencyPolicy policy(routes, {});
-    EXPECT_EQ(policy.urgencyOf(routes[0], hall, nullptr), UrgencyPolicy::standard);
-    EXPECT_EQ(policy.urgencyOf(routes[1], hall, nullptr), UrgencyPolicy::standard);
+    EXPECT_EQ(policy.urgencyOf(routes[0], hall, nullptr), std::nullopt);
+    EXPECT_EQ(policy.urgencyOf(routes[1], hall, nullptr), std::nullopt);
 }
 
 // Guards against the priority of a customer that does not go before the priority of the route.
