Take the pace of targets into account

Targets may report a fourth number with their load: how long work currently takes on their machine. It was ignored, so a target on a busy machine got as many requests as the others and was given up like a dead one.

TargetPace estimates the pace of one target. The weight of a report falls linearly over the 600 ms in which the figure changes, towards the mean of the target's reports over 30 s. Measured times (first event, decoding per token, plain answer) are compared with the expected ones, less what all targets of the service have in common; where they contradict the reports by more than 1.5 times on average, the measured pace is used. Instances pass on recent reports and measured contradictions with their status messages (mesh protocol version 4). The choice multiplies the estimate and the load penalty of a target by its pace; timeouts of silent targets grow with it, up to 3/4 of the gap that callers accept. Requests that may not run twice have no such timeout, as before. Targets that never report have exactly 1.

--- a/src/fleet/StreamTimeouts.cpp
+++ b/src/fleet/StreamTimeouts.cpp
@@ -25,9 +25,15 @@
         acceptedGapObjectives * route.eventGapObjective});
 }
 
-Duration maxTargetSilence(const Route& route)
+Duration maxTargetSilence(const Route& route, double pace)
 {
-    return std::clamp(maxAcceptedGap(route) / 2, maxSoundSilence, maxSilence);
+    const Duration usual = std::clamp(maxAcceptedGap(route) / 2, maxSoundSilence, maxSilence);
+    return std::max(usual, std::min(scaledByPace(usual, pace), maxAcceptedGap(route) / 4 * 3));
+}
+
+Duration scaledByPace(Duration time, double pace)
+{
+    return std::chrono::duration_cast<Duration>(time * std::max(pace, 1.0));
 }
 
 Duration resumeWindow(const Route& route) { return maxAcceptedGap(route) - resumeMargin; }
--- a/src/fleet/StreamTimeouts.h
+++ b/src/fleet/StreamTimeouts.h
@@ -15,8 +15,12 @@
 // The longest gap before or between events that callers of the route accept; they abandon a stream after it.
 Duration maxAcceptedGap(const Route& route);
 
-// Silence of a target in the middle of a stream after which another target may continue the stream.
-Duration maxTargetSilence(const Route& route);
+// Silence of a target in the middle of a stream after which another target may continue the stream. A target of a pace
+// above 1 is awaited for longer, as far as callers leave time to continue elsewhere.
+Duration maxTargetSilence(const Route& route, double pace = 1);
+
+// Returns a time for which sound targets are awaited, lengthened by the pace of a target that is slower than usual.
+Duration scaledByPace(Duration time, double pace);
 
 // Time after the last event within which an interrupted stream has to continue before most callers abandon it.
 Duration resumeWindow(const Route& route);
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -252,10 +252,14 @@
             candidate.milliseconds += memoryWait(work);
             penalty = static_cast<double>(work.running) * batchSlowdownMilliseconds;
             penalty += queued * prefillDelayFactor();
-            evaluateAdapter(state, candidate, penalty);
         } else {
             penalty *= slotOccupancyMilliseconds;
         }
+        // A target without reports of its pace has exactly 1.
+        const double pace = state.pace.meanOver(toDuration(candidate.milliseconds), input_.now);
+        candidate.milliseconds *= pace;
+        penalty *= pace;
+        evaluateAdapter(state, candidate, penalty);
         if (state.record.dataCentre != input_.local)
             penalty += crossDataCentreMilliseconds;
         penalty += state.decayedFailureShare(input_.now) * failurePenaltyMilliseconds;
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -54,6 +54,16 @@
 // use, or its queue is long; a place is given away after an adapter was not used for 400 ms.
 constexpr Duration adapterRefusalAvoidance = std::chrono::milliseconds(400);
 
+// Part of the time to the first event or the answer that the prediction leaves out. Below it, the network and the
+// caller's machine decide the measured time. The work of a plain request takes 60 ms; an engine needs a few decoding
+// steps.
+constexpr Duration unpredictedPlainTime = std::chrono::milliseconds(60);
+constexpr Duration unpredictedEngineTime = std::chrono::milliseconds(30);
+
+// Least time of a decoding step for one token of an answer: an event of 5 tokens takes 5.23 ms. The usual time is
+// longer; ExpectationBias measures by how much.
+constexpr Duration leastTokenTime = std::chrono::microseconds(1046);
+
 // How long a target is avoided after it has reported that it is full.
 constexpr Duration fullAvoidance = std::chrono::milliseconds(150);
 
@@ -133,8 +143,13 @@
     for (const auto& [id, state] : targets_)
         state->peers.erase(peer);
     for (const TargetWorkReport& report : reports) {
-        if (const auto found = targets_.find(report.target); found != targets_.end())
+        const auto found = targets_.find(report.target);
+        if (found == targets_.end())
+            continue;
+        if (report.work.running > 0)
             found->second->peers[peer] = {report.work, now};
+        if (report.pace)
+            found->second->pace.recordPeer(*report.pace, now);
     }
 }
 
@@ -147,6 +162,8 @@
     state.reportedOthers
         = std::max(0.0, static_cast<double>(load.running) + load.waiting - static_cast<double>(state.own.running));
     state.reportedAt = now;
+    if (load.pace)
+        state.pace.recordReport(*load.pace, now);
 }
 
 TargetRegistry::Notice& TargetRegistry::noticeOf(const TargetId& id, TargetIncarnation incarnation)
@@ -191,17 +208,18 @@
     target->second->declinesUntil = notice->second.declinesUntil;
 }
 
-std::vector<TargetWorkReport> TargetRegistry::ownWork() const
+std::vector<TargetWorkReport> TargetRegistry::ownWork(TimePoint now) const
 {
     std::vector<TargetWorkReport> reports;
     for (const auto& [id, state] : targets_) {
-        if (state->own.running > 0)
-            reports.push_back({id, state->own});
+        const std::optional<PaceNews> pace = state->pace.news(now);
+        if (state->own.running > 0 || pace)
+            reports.push_back({id, state->own, pace});
     }
     return reports;
 }
 
-SendId TargetRegistry::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now)
+SendId TargetRegistry::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now, Duration predicted)
 {
     const SendId id = nextSend_;
     nextSend_ = nextSend_.next();
@@ -209,7 +227,13 @@
     if (found == targets_.end())
         return id;
     TargetState& state = *found->second;
-    Send send{target, state.record.incarnation, 0, 0, need != nullptr, std::nullopt};
+    Send send{target, state.record.incarnation, 0, 0, need != nullptr, std::nullopt, now};
+    // The prediction includes the pace.
+    send.expected = std::chrono::duration_cast<Duration>(predicted / state.pace.meanOver(predicted, now))
+        + (need ? unpredictedEngineTime : unpredictedPlainTime);
+    send.reportedPace = state.pace.reportedOver(send.expected, now);
+    if (need && need->outputHint)
+        send.outputTokens = static_cast<double>(std::min(*need->outputHint, need->maxOutputTokens).value());
     if (need) {
         const std::vector<std::uint64_t> hashes = promptPartHashes(*need);
         send.prefillTokens = uncachedTokens(state, *need, hashes, now);
@@ -257,6 +281,8 @@
     state.own.heldTokens = std::max(0.0, state.own.heldTokens - ended.heldTokens);
     if (outcome == SendOutcome::Answered && ended.isGeneration)
         recordOccupancy(state.record.service, now - *ended.firstEventAt);
+    if (outcome == SendOutcome::Answered)
+        recordTimes(state, ended, now);
     recordHealth(state, outcome, now);
 }
 
@@ -266,6 +292,35 @@
     average->second += occupancyWeight * (std::chrono::duration<double>(occupancy).count() - average->second);
 }
 
+void TargetRegistry::recordTimes(TargetState& state, const Send& send, TimePoint now)
+{
+    // Times of targets that report no pace are not used.
+    if (!state.pace.age(now))
+        return;
+    auto& [first, rest] = biases_[state.record.service];
+    const TimePoint answeredAt = send.isGeneration ? *send.firstEventAt : now;
+    recordMeasured(first, state.pace, answeredAt - send.startedAt, send.expected, send.reportedPace);
+    if (!send.isGeneration || send.outputTokens <= 0)
+        return;
+    const auto decoding = std::chrono::duration_cast<Duration>(send.outputTokens * leastTokenTime);
+    const double reported = state.pace.reportedOver(now - answeredAt, answeredAt);
+    recordMeasured(rest, state.pace, now - answeredAt, decoding, reported);
+}
+
+void TargetRegistry::recordMeasured(
+    ExpectationBias& bias, TargetPace& pace, Duration measured, Duration expected, double reported)
+{
+    using Seconds = std::chrono::duration<double>;
+    if (const auto multiple = bias.correct(Seconds(measured) / Seconds(expected), reported))
+        pace.recordMeasured(*multiple, reported);
+}
+
+double TargetRegistry::paceOver(const TargetId& target, Duration time, TimePoint now) const
+{
+    const TargetState* state = find(target);
+    return state ? state->pace.meanOver(time, now) : 1;
+}
+
 Duration TargetRegistry::slotOccupancy(const ServiceId& service) const
 {
     const auto found = occupancySeconds_.find(service);
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/CallerRequest.h"
+#include "fleet/TargetPace.h"
 #include "fleet/TargetRecord.h"
 
 #include <map>
@@ -25,12 +26,16 @@
 struct TargetWorkReport {
     TargetId target;
     TargetWork work;
+    // Set only for targets that report their pace.
+    std::optional<PaceNews> pace;
 };
 
 // The load of a target as the target itself reports it with an answer.
 struct ReportedLoad {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    // How long work takes on the machine relative to the usual time, if the target says so.
+    std::optional<double> pace;
 };
 
 // How one send to a target ended.
@@ -63,6 +68,7 @@
     // Requests of other instances according to the last load that the target reported.
     double reportedOthers = 0;
     std::optional<TimePoint> reportedAt;
+    TargetPace pace;
     // Whether the holdings come from the placement owner, which take precedence over a list entry of the same sequence.
     bool holdingsFromOwner = false;
     // Share of recent sends that failed, 0 to 1.
@@ -111,7 +117,7 @@
     // sequence are ignored.
     void updateHoldings(const TargetId& id, TargetIncarnation incarnation, const Holdings& holdings);
 
-    // Records the work that another instance has reported, in place of its previous report.
+    // Records the work that another instance has reported, in place of its previous report, and its news of paces.
     void recordPeerWork(const InstanceId& peer, std::span<const TargetWorkReport> reports, TimePoint now);
 
     // Records the load that a target reported with an answer to this instance.
@@ -126,11 +132,13 @@
     // Records that a target has declined a request and wants no further one for a time.
     void recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until);
 
-    // Returns the work of this instance, as a report for its peers.
-    std::vector<TargetWorkReport> ownWork() const;
+    // Returns the work of this instance and what it knows of paces at first hand, as a report for its peers.
+    std::vector<TargetWorkReport> ownWork(TimePoint now) const;
 
-    // Records that a request is sent to a target.
-    SendId beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now);
+    // Records that a request is sent to a target. `predicted` is the time to the first event that was expected when the
+    // target was chosen.
+    SendId beginSend(
+        const TargetId& target, const GenerationNeed* need, TimePoint now, Duration predicted = Duration(0));
 
     // Records that the first event or the answer has arrived, so the prefill of the prompt is complete.
     void prefillDone(SendId send, TimePoint now);
@@ -139,6 +147,9 @@
     // ended.
     void endSend(SendId send, SendOutcome outcome, TimePoint now);
 
+    // Returns the mean pace that is expected of a target over a time that begins at `now`; 1 when it is not listed.
+    double paceOver(const TargetId& target, Duration time, TimePoint now) const;
+
     // How long a request of this service occupies a slot on average, from its first event to its end.
     Duration slotOccupancy(const ServiceId& service) const;
 
@@ -172,6 +183,12 @@
         double heldTokens = 0;
         bool isGeneration = false;
         std::optional<TimePoint> firstEventAt;
+        TimePoint startedAt;
+        // Tokens that the answer probably has; 0 when unknown.
+        double outputTokens = 0;
+        // The expected time to the first event or the answer at pace 1, and the reported pace for this time.
+        Duration expected{0};
+        double reportedPace = 1;
     };
 
     // The targets of a data centre that could not be reached, with the time, since one of its targets was last reached.
@@ -193,6 +210,9 @@
     void recordReachability(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
     void recordOccupancy(const ServiceId& service, Duration occupancy);
+    void recordTimes(TargetState& state, const Send& send, TimePoint now);
+    static void recordMeasured(
+        ExpectationBias& bias, TargetPace& pace, Duration measured, Duration expected, double reported);
 
     std::unordered_map<TargetId, std::unique_ptr<TargetState>> targets_;
     std::unordered_map<ServiceId, std::vector<TargetState*>> byService_;
@@ -201,6 +221,8 @@
     std::map<TargetId, Notice> notices_;
     // Moving average of the time from the first event to the end of a stream, in seconds.
     std::unordered_map<ServiceId, double> occupancySeconds_;
+    // Of the time to the first event or to a plain answer, and of the time from there to the end of a stream.
+    std::unordered_map<ServiceId, std::pair<ExpectationBias, ExpectationBias>> biases_;
     SendId nextSend_{1};
 };
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -228,7 +228,7 @@
     MeshStatus readRelayStatus()
     {
         MeshStatus status;
-        status.work = toMessage(context_.registry.ownWork());
+        status.work = toMessage(context_.registry.ownWork(currentTime()));
         status.demand = toMessage(context_.demand.read(currentTime()));
         auto used = std::exchange(context_.recentlyUsedAdapters, {});
         for (const auto& [entry, count] : context_.adaptersInUse)
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -2,10 +2,14 @@
 
 #include "protocol/MessageCodec.h"
 
+#include <cmath>
+
 namespace lychee::gateway {
 
 namespace {
 
+constexpr double percent = 100;
+
 // Longest duration that is taken from a message.
 constexpr std::chrono::milliseconds maxDuration = std::chrono::hours(1);
 
@@ -125,8 +129,16 @@
 {
     std::vector<MeshWork> work;
     work.reserve(shares.size());
-    for (const fleet::TargetWorkReport& share : shares)
-        work.push_back({share.target, share.work.running, share.work.prefillTokens, share.work.heldTokens});
+    for (const fleet::TargetWorkReport& share : shares) {
+        MeshWork& entry = work.emplace_back(
+            MeshWork{share.target, share.work.running, share.work.prefillTokens, share.work.heldTokens});
+        if (!share.pace)
+            continue;
+        entry.pacePercent = static_cast<std::uint32_t>(std::lround(share.pace->pace * percent));
+        entry.paceAgeMs = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(share.pace->age).count());
+        entry.paceIsMeasured = share.pace->isMeasured;
+    }
     return work;
 }
 
@@ -134,8 +146,13 @@
 {
     std::vector<fleet::TargetWorkReport> shares;
     shares.reserve(work.size());
-    for (const MeshWork& entry : work)
-        shares.push_back({entry.target, {entry.running, entry.prefillTokens, entry.heldTokens}});
+    for (const MeshWork& entry : work) {
+        fleet::TargetWorkReport& share = shares.emplace_back(fleet::TargetWorkReport{
+            entry.target, {entry.running, entry.prefillTokens, entry.heldTokens}, std::nullopt});
+        if (entry.pacePercent > 0)
+            share.pace = fleet::PaceNews{
+                entry.pacePercent / percent, std::chrono::milliseconds(entry.paceAgeMs), entry.paceIsMeasured};
+    }
     return shares;
 }
 
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -17,7 +17,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 3;
+inline constexpr std::uint64_t meshProtocolVersion = 4;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -29,14 +29,21 @@
     auto fields() { return std::tie(instance, address, port); }
 };
 
-// Requests in progress that the sender has forwarded to one target.
+// Requests in progress that the sender has forwarded to one target, and what it knows of the target's pace.
 struct MeshWork {
     TargetId target;
     std::uint32_t running = 0;
     double prefillTokens = 0;
     double heldTokens = 0;
+    // The pace in percent, 0 when the sender has no recent one, and its age.
+    std::uint32_t pacePercent = 0;
+    std::uint32_t paceAgeMs = 0;
+    bool paceIsMeasured = false;
 
-    auto fields() { return std::tie(target, running, prefillTokens, heldTokens); }
+    auto fields()
+    {
+        return std::tie(target, running, prefillTokens, heldTokens, pacePercent, paceAgeMs, paceIsMeasured);
+    }
 };
 
 // Recent demand for one model at the sender.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -385,8 +385,8 @@
         Attempt attempt{target, {}, nullptr, nullptr, {}};
         const TimePoint now = currentTime();
         attempt.startedAt = now;
-        attempt.send
-            = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr, now);
+        attempt.send = context_.registry.beginSend(
+            target.target, caller_.generation ? &*caller_.generation : nullptr, now, target.predicted);
         ForwardParameters parameters{target.target, deadline_ - now, urgency_, resumeAfter(), customerId()};
         attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
@@ -404,7 +404,7 @@
         if (fleet::mayRetryAfterUnknown(*route_, history_)) {
             limits.headerTimeout = answerTimeoutFor(target);
             if (route_->kind == fleet::RequestKind::Streaming) {
-                const Duration silence = std::min(fleet::maxTargetSilence(*route_), (deadline_ - now) / 2);
+                const Duration silence = std::min(maxTargetSilence(target), (deadline_ - now) / 2);
                 limits.headerTimeout = std::max(limits.headerTimeout, silence);
                 limits.interByteTimeout = limits.headerTimeout;
                 attempt.maxSilence = limits.interByteTimeout;
@@ -433,10 +433,22 @@
     {
         const Duration remaining = deadline_ - currentTime();
         const Duration expected = 3 * target.predicted + route_->latencyObjective;
-        const Duration pause = std::min(fleet::maxSoundSilence, remaining - route_->latencyObjective);
+        const Duration soundSilence = fleet::scaledByPace(fleet::maxSoundSilence, paceOf(target));
+        const Duration pause = std::min(soundSilence, remaining - route_->latencyObjective);
         return std::max({std::min(expected, remaining / 2), pause, RelayLimits::minAnswerTimeout});
     }
 
+    Duration maxTargetSilence(const fleet::ChosenTarget& target) const
+    {
+        return fleet::maxTargetSilence(*route_, paceOf(target));
+    }
+
+    // The pace over the time for which a silent target is awaited.
+    double paceOf(const fleet::ChosenTarget& target) const
+    {
+        return context_.registry.paceOver(target.target, fleet::maxSoundSilence, currentTime());
+    }
+
     void afterFailedSend(Attempt& attempt)
     {
         const bool timedOut = errorOf<TransportError>(attempt.status) == TransportError::TimedOut;
@@ -690,7 +702,7 @@
         if (std::exchange(attempt.forwarded, true)) {
             attempt.begun = true;
         } else if (attempt.maxSilence != Duration::max()) {
-            attempt.maxSilence = fleet::maxTargetSilence(*route_);
+            attempt.maxSilence = maxTargetSilence(attempt.target);
             attempt.stream->setInterByteTimeout(attempt.maxSilence);
         }
         if (status.ok())
--- /dev/null
+++ b/tests/gateway/MeshMessagesTest.cpp
@@ -0,0 +1,30 @@
+#include "gateway/MeshMessages.h"
+
+#include <gtest/gtest.h>
+
+namespace lychee::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against news of a pace that gets lost between instances, and against a pace of targets that have none.
+TEST(MeshMessages, CarryPacesOnlyOfTargetsThatHaveOne)
+{
+    const std::vector<fleet::TargetWorkReport> reports{{TargetId("a"), {1, 2, 3}, std::nullopt},
+        {TargetId("b"), {}, fleet::PaceNews{2.5, 150ms, false}},
+        {TargetId("c"), {4, 5, 6}, fleet::PaceNews{0.1, 0ms, true}}};
+    MeshStatus status;
+    status.work = toMessage(reports);
+    const auto decoded = decodeMeshMessage(encodeMeshMessage(status));
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    const auto received = fromMessage(std::get<MeshStatus>(*decoded).work);
+    ASSERT_EQ(received.size(), reports.size());
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+        EXPECT_EQ(received[i].target, reports[i].target);
+        EXPECT_EQ(received[i].work.running, reports[i].work.running);
+        EXPECT_EQ(received[i].pace, reports[i].pace) << i;
+    }
+}
+
+} // namespace
+} // namespace lychee::gateway
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -147,7 +147,8 @@
     EXPECT_EQ(caller.generation->adapter, AdapterId("a3"));
     EXPECT_EQ(caller.generation->parts.size(), 2u);
     EXPECT_EQ(caller.generation->maxOutputTokens, TokenCount(80));
-    const HttpRequest sent = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
+    const HttpRequest sent
+        = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
     EXPECT_EQ(sent.headers.find("X-Target-Instance"), "i-1");
     EXPECT_EQ(sent.headers.find("X-Deadline-Ms"), "1500");
     EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
@@ -210,6 +211,23 @@
         EXPECT_NE(all.find(part), std::string::npos) << part << "\n" << all;
 }
 
+// Guards against a load that is rejected because of its fourth number, and against a pace that is no pace.
+TEST(PlatformDocuments, ReadsTheLoadAndPaceOfATarget)
+{
+    const auto paceIn = [](std::string_view text) {
+        const auto answer = CallerDialect::readAnswer(200, {{"X-Server-Load", std::string(text)}});
+        EXPECT_TRUE(answer.load && answer.load->running == 3 && answer.load->waiting == 1) << text;
+        return answer.load ? answer.load->pace : std::nullopt;
+    };
+    EXPECT_EQ(paceIn("3,1,6,250"), 2.5);
+    EXPECT_EQ(paceIn("3,1,6,100"), 1);
+    EXPECT_EQ(paceIn("3,1,6,10,9"), 0.1);
+    EXPECT_EQ(paceIn("3,1,6,10000"), 100);
+    for (const std::string_view text : {"3,1", "3,1,6", "3,1,6,", "3,1,6,x", "3,1,6,9.9", "3,1,6,10001", "3,1,6,0",
+             "3,1,6,-250", "3,1,6,nan", "3,1,6,inf", "3,1,6,250x", "3,1,6,,250"})
+        EXPECT_FALSE(paceIn(text)) << text;
+}
+
 // Guards against keys, priorities and limits of customers that are lost or given to another one.
 TEST(PlatformDocuments, ReadsCustomers)
 {
--- a/tests/unit/PlainRoutingSimulation.h
+++ b/tests/unit/PlainRoutingSimulation.h
@@ -18,6 +18,9 @@
     // Interval at which an instance reports its work to its peers.
     Duration statusInterval = std::chrono::seconds(1);
     Duration length = std::chrono::seconds(60);
+    SimulatedPace pace;
+    // Whether answers carry the load of the target.
+    bool reportsLoad = false;
     std::uint64_t seed = 1;
 };
 
@@ -96,7 +99,7 @@
         const auto* chosen = std::get_if<ChosenTarget>(&decision);
         if (!chosen || request->tried.size() == maxSends)
             return;
-        request->send = registry.beginSend(chosen->target, nullptr, now_);
+        request->send = registry.beginSend(chosen->target, nullptr, now_, chosen->predicted);
         request->tried.push_back(chosen->target);
         const std::size_t index = std::stoul(chosen->target.value().substr(1));
         schedule(oneWayLatency, [this, request, index] { arriveAt(index, request); });
@@ -112,7 +115,8 @@
             return;
         }
         ++outcome_.rejected;
-        schedule(oneWayLatency, [this, request] {
+        schedule(oneWayLatency, [this, request, index, load = loadOf(index)] {
+            recordLoad(*request, index, load);
             registries_[request->instance].endSend(request->send, SendOutcome::Full, now_);
             send(request);
         });
@@ -123,14 +127,15 @@
         ++targets_[index].running;
         std::lognormal_distribution<double> spread(0, 0.5);
         const auto work = std::chrono::duration_cast<Duration>(scenario_.work * spread(random_));
-        schedule(work, [this, index, request] { finish(index, request); });
+        schedule(scenario_.pace.endOf(index, now_, work) - now_, [this, index, request] { finish(index, request); });
     }
 
     void finish(std::size_t index, const std::shared_ptr<Request>& request)
     {
         SimulatedTarget& target = targets_[index];
         --target.running;
-        schedule(oneWayLatency, [this, request] {
+        schedule(oneWayLatency, [this, request, index, load = loadOf(index)] {
+            recordLoad(*request, index, load);
             registries_[request->instance].endSend(request->send, SendOutcome::Answered, now_);
             outcome_.answeredMilliseconds.push_back(
                 std::chrono::duration<double, std::milli>(now_ - request->arrivedAt).count());
@@ -142,6 +147,19 @@
         begin(index, next);
     }
 
+    ReportedLoad loadOf(std::size_t index) const
+    {
+        const SimulatedTarget& target = targets_[index];
+        return {static_cast<std::uint32_t>(target.running), static_cast<std::uint32_t>(target.waiting.size()),
+            scenario_.pace.reported(index, now_)};
+    }
+
+    void recordLoad(const Request& request, std::size_t index, const ReportedLoad& load)
+    {
+        if (scenario_.reportsLoad)
+            registries_[request.instance].recordLoad(TargetId(fmt::format("t{}", index)), load, now_);
+    }
+
     PlainRoutingScenario scenario_;
     std::vector<SimulatedTarget> targets_;
     PlainRoutingOutcome outcome_;
--- a/tests/unit/RoutingSimulation.h
+++ b/tests/unit/RoutingSimulation.h
@@ -17,6 +17,8 @@
     std::size_t prompts = 38;
     // Prefill time per token relative to the data sheets, assigned to the engines in turn.
     std::vector<double> enginePaces{1};
+    // Paces that change with time, in addition.
+    SimulatedPace pace;
     // Interval at which an instance reports its work to its peers.
     Duration statusInterval = std::chrono::seconds(1);
     Duration length = std::chrono::seconds(60);
@@ -82,6 +84,7 @@
     // Prefills prompts one after another and caches the most recently used prompt parts.
     struct SimulatedEngine {
         TimePoint freeAt;
+        std::uint32_t running = 0;
         std::map<std::uint64_t, std::pair<TimePoint, double>> cache;
         double cached = 0;
     };
@@ -124,20 +127,27 @@
             outcome_.refused += counted ? 1 : 0;
             return;
         }
-        const SendId send = registries_[instance].beginSend(chosen->target, need.get(), now_);
-        const Duration wait = read(chosen->target, *need, counted);
+        const SendId send = registries_[instance].beginSend(chosen->target, need.get(), now_, chosen->predicted);
+        const std::size_t index = std::stoul(chosen->target.value().substr(chosen->target.value().find('-') + 1));
+        const Duration wait = read(index, *need, counted);
+        ++engines_[index].running;
         if (counted)
             outcome_.firstEventMilliseconds.push_back(asSeconds(wait) * 1000);
-        schedule(wait, [this, instance, send] { registries_[instance].prefillDone(send, now_); });
-        const double decode = 0.6;
-        schedule(wait + seconds(decode),
-            [this, instance, send] { registries_[instance].endSend(send, SendOutcome::Answered, now_); });
+        schedule(wait, [this, instance, send, index, target = chosen->target] {
+            if (const auto pace = scenario_.pace.reported(index, now_))
+                registries_[instance].recordLoad(target, {engines_[index].running, 0, pace}, now_);
+            registries_[instance].prefillDone(send, now_);
+        });
+        const Duration decode = seconds(0.6);
+        schedule(scenario_.pace.endOf(index, now_ + wait, decode) - now_, [this, instance, send, index] {
+            --engines_[index].running;
+            registries_[instance].endSend(send, SendOutcome::Answered, now_);
+        });
     }
 
     // Returns the time to the first event.
-    Duration read(const TargetId& target, const GenerationNeed& need, bool counted)
+    Duration read(std::size_t index, const GenerationNeed& need, bool counted)
     {
-        const std::size_t index = std::stoul(target.value().substr(target.value().find('-') + 1));
         SimulatedEngine& engine = engines_[index];
         const double tokens = uncached(engine, need);
         if (counted) {
@@ -145,7 +155,8 @@
             outcome_.prefilledTokens += tokens;
         }
         const double pace = scenario_.enginePaces[index % scenario_.enginePaces.size()];
-        engine.freeAt = std::max(engine.freeAt, now_) + seconds(tokens * pace / tokensPerMillisecond / 1000);
+        engine.freeAt = scenario_.pace.endOf(
+            index, std::max(engine.freeAt, now_), seconds(tokens * pace / tokensPerMillisecond / 1000));
         return engine.freeAt - now_ + seconds(overheadMilliseconds / 1000);
     }
 
--- a/tests/unit/SimulatedInstances.h
+++ b/tests/unit/SimulatedInstances.h
@@ -16,6 +16,47 @@
     return requests == 0 ? 0 : static_cast<double>(count) / static_cast<double>(requests);
 }
 
+// Targets on machines that are shared with other work: a share of them is slower, and which ones changes all the time.
+struct SimulatedPace {
+    double slowShare = 0;
+    double slowPace = 2.5;
+    Duration interval = std::chrono::milliseconds(600);
+    // Whether targets report their pace with their answers.
+    bool isReported = false;
+    // Targets with an index below this number always have the slow pace and report that they have none.
+    std::size_t misreporting = 0;
+
+    double at(std::size_t target, TimePoint now) const
+    {
+        if (target < misreporting)
+            return slowPace;
+        std::mt19937_64 random((now.time_since_epoch() / interval) * 1000 + static_cast<std::int64_t>(target));
+        random.discard(2);
+        return std::uniform_real_distribution<double>()(random) < slowShare ? slowPace : 1;
+    }
+
+    std::optional<double> reported(std::size_t target, TimePoint now) const
+    {
+        if (!isReported)
+            return std::nullopt;
+        return target < misreporting ? 1 : at(target, now);
+    }
+
+    // Returns when work that takes a time at pace 1 ends.
+    TimePoint endOf(std::size_t target, TimePoint start, Duration work) const
+    {
+        while (true) {
+            const double pace = at(target, start);
+            const Duration untilChange = interval - start.time_since_epoch() % interval;
+            const auto needed = std::chrono::duration_cast<Duration>(work * pace);
+            if (needed <= untilChange)
+                return start + needed;
+            work -= std::chrono::duration_cast<Duration>(untilChange / pace);
+            start += untilChange;
+        }
+    }
+};
+
 class SimulatedInstances {
 protected:
     SimulatedInstances(std::size_t instances, Duration statusInterval, std::uint64_t seed)
@@ -62,7 +103,7 @@
 
     void reportToPeers(std::size_t reporter)
     {
-        const std::vector<TargetWorkReport> work = registries_[reporter].ownWork();
+        const std::vector<TargetWorkReport> work = registries_[reporter].ownWork(now_);
         for (std::size_t i = 0; i < registries_.size(); ++i) {
             if (i != reporter)
                 registries_[i].recordPeerWork(InstanceId(fmt::format("i{}", reporter)), work, now_);
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -341,7 +341,7 @@
     registry.endSend(after, SendOutcome::Answered, at(1s));
     registry.endSend(after, SendOutcome::Answered, at(1s));
     EXPECT_EQ(registry.find(TargetId("t0"))->own.running, 0u);
-    EXPECT_TRUE(registry.ownWork().empty());
+    EXPECT_TRUE(registry.ownWork(TimePoint()).empty());
     const SendId gone = registry.beginSend(TargetId("t0"), &generation, at(1s));
     registry.remove(TargetId("t0"));
     registry.endSend(gone, SendOutcome::Answered, at(1s));
