--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -263,19 +263,26 @@
         const double occupancy = input_.need ? occupancyMilliseconds_ : slotOccupancyMilliseconds;
         candidate.milliseconds = excess / slots * occupancy;
         double penalty = static_cast<double>(work.running) / slots;
+        // Time that the least urgent request waits in addition.
+        double behind = 0;
         if (input_.need) {
             const double queued = work.prefill.total() / prefillTokensPerMillisecond;
             const double ahead = tokensAhead(work.prefill) / prefillTokensPerMillisecond;
             candidate.milliseconds += ahead;
+            behind = queued - ahead;
             candidate.milliseconds += promptTokensToPrefill(state) / prefillTokensPerMillisecond;
             candidate.milliseconds += memoryWait(work);
             penalty = static_cast<double>(work.running) * batchSlowdownMilliseconds;
             penalty += queued * prefillDelayFactor();
-            evaluateAdapter(state, candidate, penalty);
-            candidate.lateMilliseconds = candidate.milliseconds + queued - ahead;
         } else {
             penalty *= slotOccupancyMilliseconds;
         }
+        // A target without reports of its pace has exactly 1.
+        const double pace = state.pace.meanOver(toDuration(candidate.milliseconds), input_.now);
+        candidate.milliseconds *= pace;
+        penalty *= pace;
+        evaluateAdapter(state, candidate, penalty);
+        candidate.lateMilliseconds = candidate.milliseconds + behind * pace;
         if (state.record.dataCentre != input_.local)
             penalty += crossDataCentreMilliseconds;
         penalty += state.decayedFailureShare(input_.now) * failurePenaltyMilliseconds;
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -2,10 +2,14 @@
 
 #include "protocol/MessageCodec.h"
 
+#include <cmath>
+
 namespace lychee::gateway {
 
 namespace {
 
+constexpr double percent = 100;
+
 // Longest duration that is taken from a message.
 constexpr std::chrono::milliseconds maxDuration = std::chrono::hours(1);
 
@@ -126,12 +130,17 @@
     std::vector<MeshWork> work;
     work.reserve(shares.size());
     for (const fleet::TargetWorkReport& share : shares) {
-        MeshWork entry{share.target, share.work.running, {}, share.work.heldTokens};
+        MeshWork& entry = work.emplace_back(MeshWork{share.target, share.work.running, {}, share.work.heldTokens});
         for (int level = 0; level <= fleet::UrgencyPolicy::least.value(); ++level) {
             if (const double tokens = share.work.prefill.ofUrgency(fleet::Urgency(level)); tokens > 0)
                 entry.prefill.push_back({static_cast<std::uint32_t>(level), tokens});
         }
-        work.push_back(std::move(entry));
+        if (!share.pace)
+            continue;
+        entry.pacePercent = static_cast<std::uint32_t>(std::lround(share.pace->pace * percent));
+        entry.paceAgeMs = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(share.pace->age).count());
+        entry.paceIsMeasured = share.pace->isMeasured;
     }
     return work;
 }
@@ -148,7 +157,11 @@
                 = std::min(prefill.urgency, static_cast<std::uint32_t>(fleet::UrgencyPolicy::least.value()));
             reported.prefill.add(fleet::Urgency(static_cast<int>(level)), prefill.tokens);
         }
-        shares.push_back({entry.target, reported});
+        fleet::TargetWorkReport& share
+            = shares.emplace_back(fleet::TargetWorkReport{entry.target, reported, std::nullopt});
+        if (entry.pacePercent > 0)
+            share.pace = fleet::PaceNews{
+                entry.pacePercent / percent, std::chrono::milliseconds(entry.paceAgeMs), entry.paceIsMeasured};
     }
     return shares;
 }
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -37,14 +37,18 @@
     auto fields() { return std::tie(urgency, tokens); }
 };
 
-// Requests in progress that the sender has forwarded to one target.
+// Requests in progress that the sender has forwarded to one target, and what it knows of the target's pace.
 struct MeshWork {
     TargetId target;
     std::uint32_t running = 0;
     std::vector<MeshPrefill> prefill;
     double heldTokens = 0;
+    // The pace in percent, 0 when the sender has no recent one, and its age.
+    std::uint32_t pacePercent = 0;
+    std::uint32_t paceAgeMs = 0;
+    bool paceIsMeasured = false;
 
-    auto fields() { return std::tie(target, running, prefill, heldTokens); }
+    auto fields() { return std::tie(target, running, prefill, heldTokens, pacePercent, paceAgeMs, paceIsMeasured); }
 };
 
 // Recent demand for one model at the sender.
