Ask whether the configuration is confirmed before reading it

Cause: a request took the configuration in force and then asked whether it is confirmed. When a newer configuration came into force and was confirmed in between, the answer held for the newer one, and a key that it had removed was accepted with the older one. Change: the question comes first, so that the configuration is at least as recent as the answer. Measured: not reproduced; the window is the time between two statements on the relay duty.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -110,9 +110,11 @@
     // taken away while a request waits.
     bool authorize()
     {
+        // Asked first: a configuration that is confirmed in between may be newer than one that was read before.
+        const bool isConfirmed = context_.configurationIsConfirmed();
         authorizedBy_ = context_.routes->read();
         const fleet::Authorization authorization
-            = fleet::authorize(*authorizedBy_, *route_, caller_.credential, context_.configurationIsConfirmed());
+            = fleet::authorize(*authorizedBy_, *route_, caller_.credential, isConfirmed);
         customer_ = authorization.customer;
         switch (authorization.outcome) {
         case fleet::AuthorizationOutcome::Anonymous:
