Refuse keys while the configuration is not known to be recent

Cause: an instance that is cut off, frozen or fed by a stale reader goes on accepting keys that a newer configuration has removed. Change: each instance knows as of when its configuration is confirmed: by a read of the store as of its sending, or by a peer's response as of the sending of the query less the age that the peer states, and only with the row of the peer. Where [revocation] strict is true, requests with keys are refused once the age exceeds limit_ms less 250 ms. An empty value in the settings counts as absent, as the template renders it where a deployment lacks the bound.

--- a/src/daemon/SettingTree.cpp
+++ b/src/daemon/SettingTree.cpp
@@ -65,6 +65,9 @@
                 fmt::format("unknown key, must be one of {}", fmt::join(keys, ", ")));
             return;
         }
+        // A template leaves the value empty where the deployment has none.
+        if (entry.value.empty() && setting->declaration().fallback)
+            return;
         if (!setting->assign(entry.value, file_.parent_path()))
             addError(entry.line, section.name(), entry.key, fmt::format("must be {}", setting->allowed()));
     }
--- a/src/daemon/SettingTree.h
+++ b/src/daemon/SettingTree.h
@@ -79,6 +79,7 @@
 using PortSetting = Setting<NumberValueType<std::uint16_t>>;
 using DurationSetting = Setting<NumberValueType<std::chrono::milliseconds>>;
 using NameSetting = Setting<NameValueType>;
+using SwitchSetting = Setting<SwitchValueType>;
 using RealSetting = Setting<RealValueType>;
 using EndpointSetting = Setting<EndpointValueType>;
 using AddressSetting = Setting<AddressValueType>;
--- a/src/daemon/SettingValueTypes.cpp
+++ b/src/daemon/SettingValueTypes.cpp
@@ -32,6 +32,15 @@
 
 std::string RealValueType::allowed() const { return fmt::format("a number from {} to {}", lowest, highest); }
 
+std::optional<bool> SwitchValueType::parse(std::string_view text, const std::filesystem::path&) const
+{
+    if (text != "true" && text != "false")
+        return std::nullopt;
+    return text == "true";
+}
+
+std::string SwitchValueType::allowed() const { return "true or false"; }
+
 std::optional<Endpoint> EndpointValueType::parse(std::string_view text, const std::filesystem::path&) const
 {
     return Endpoint::parse(text);
--- a/src/daemon/SettingValueTypes.h
+++ b/src/daemon/SettingValueTypes.h
@@ -61,6 +61,14 @@
     std::string allowed() const;
 };
 
+// true or false.
+struct SwitchValueType {
+    using Value = bool;
+
+    std::optional<bool> parse(std::string_view text, const std::filesystem::path& directory) const;
+    std::string allowed() const;
+};
+
 // A numeric IP address with a port.
 struct EndpointValueType {
     using Value = Endpoint;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/AnnouncedHoldings.h"
+#include "gateway/ConfigurationConfirmation.h"
 #include "gateway/ControlLimits.h"
 #include "gateway/CrashWatch.h"
 #include "gateway/LeaseManager.h"
@@ -73,18 +74,21 @@
 
 template <GatewayPlatform Platform> class ControlPlane {
 public:
-    ControlPlane(
-        Duty& duty, ControlOptions options, std::shared_ptr<Published<fleet::RouteTable>> routes, RelayCallbacks relay)
+    ControlPlane(Duty& duty, ControlOptions options, std::shared_ptr<Published<fleet::RouteTable>> routes,
+        RelayCallbacks relay, ConfigurationConfirmation& confirmation)
         : duty_(duty)
         , options_(std::move(options))
         , routes_(std::move(routes))
         , relay_(std::move(relay))
+        , confirmation_(confirmation)
         , store_(options_.store)
         , configurationWatch_(
               store_, availability_,
               {Platform::configurationTable, ControlLimits::configurationWait, Duration(0),
                   ControlLimits::configurationForwardedWait, Duration(0)},
-              [this] { return ownerForwardsChanges() && !peerHasNewerConfiguration(); },
+              [this] {
+                  return ownerForwardsChanges() && !peerHasNewerConfiguration() && !confirmation_.needsOwnRead();
+              },
               [this](const std::vector<StoredRow>& rows) { applyConfiguration(rows); })
         , targetWatch_(
               store_, availability_,
@@ -101,6 +105,7 @@
     // Runs on the control duty. Fails when the port for peers cannot be bound.
     absl::Status start()
     {
+        confirmation_.setHandlers(confirmationHandlers());
         MeshHandlers handlers{[this](const InstanceId& peer) { joined(peer); },
             [this](const InstanceId& peer, const MeshMessage& message) { received(peer, message); },
             [this](const InstanceId& peer) { lost(peer); }};
@@ -114,12 +119,15 @@
         targetWatch_.forwardChanges = [this](RowVersion since, const std::vector<StoredRow>& rows) {
             forwardChanges(Platform::targetTable, targetWatch_.replica().version(), since, rows);
         };
+        configurationWatch_.readAnswered = [this](TimePoint sentAt) { confirmation_.readAnswered(sentAt); };
+        configurationWatch_.maxWait = [this] { return confirmation_.maxReadWait(); };
         duty_.spawn([this] { configurationWatch_.run(); });
         duty_.spawn([this] { targetWatch_.run(); });
         duty_.spawn([this] { lease_.run([this] { reportConnectivity(); }); });
         duty_.spawn([this] { registrationLoop(); });
         duty_.spawn([this] { statusLoop(); });
         duty_.spawn([this] { placementLoop(); });
+        duty_.spawn([this] { confirmation_.run(); });
         return absl::OkStatus();
     }
 
@@ -208,6 +216,29 @@
             }};
     }
 
+    ConfigurationConfirmation::Handlers confirmationHandlers()
+    {
+        return {[this] { return configurationWatch_.replica().versionOf(Platform::configurationKey); },
+            [this] {
+                const InstanceId& holder = lease_.lease().holder();
+                return mesh_->isConnected(holder) ? holder : InstanceId();
+            },
+            [this] { return confirmingPeers(); },
+            [this](const InstanceId& peer, const MeshMessage& message) { mesh_->send(peer, message).IgnoreError(); }};
+    }
+
+    // Peers other than the lease holder that may confirm the configuration.
+    std::vector<InstanceId> confirmingPeers() const
+    {
+        std::vector<InstanceId> reading;
+        std::vector<InstanceId> others;
+        for (const auto& [peer, state] : peers_) {
+            if (peer != lease_.lease().holder())
+                (state.status.readsPlatform ? reading : others).push_back(peer);
+        }
+        return reading.empty() ? others : reading;
+    }
+
     absl::Status callUnanswered(const InstanceId& holder)
     {
         const bool wasSilent = ownerContact_.isSilent(holder);
@@ -600,6 +631,10 @@
 
     void handle(const InstanceId&, const MeshTraitBlocked& message) { relay_.traitBlocked(fromMessage(message)); }
 
+    void handle(const InstanceId& peer, const MeshConfirmationQuery& message) { confirmation_.handle(peer, message); }
+
+    void handle(const InstanceId& peer, const MeshConfirmation& message) { confirmation_.handle(peer, message); }
+
     void handle(const InstanceId& peer, const MeshLeaving&)
     {
         controlLog.info("peer={} state=leaving", peer);
@@ -613,6 +648,7 @@
     ControlOptions options_;
     std::shared_ptr<Published<fleet::RouteTable>> routes_;
     RelayCallbacks relay_;
+    ConfigurationConfirmation& confirmation_;
     typename Platform::Store store_;
     StoreAvailability availability_;
     TableWatch<typename Platform::Store> configurationWatch_;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -74,6 +74,7 @@
         : settings_(std::move(settings))
         , file_(file)
         , clock_(RuntimeClock::createRunning())
+        , confirmation_(clock_, {settings_->revocation.strict(), settings_->revocation.limit()})
         , self_(fmt::format("{}~{}", settings_->instance.id(), randomHex128().substr(0, GatewayLimits::idSuffixLength)))
     {
     }
@@ -99,6 +100,7 @@
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
                                      TimePoint deadline) { return ensureAdapter(target, model, adapter, deadline); };
+        context_.configurationIsConfirmed = [this] { return confirmation_.acceptsKeys(); };
         context_.crashes.setOutputs({[this](const std::vector<fleet::CrashSuspect>& suspects) {
                                          postToControl([this, suspects] { control_->announce(suspects); });
                                      },
@@ -123,7 +125,8 @@
         // Signals must be handled before the first connection is accepted: from then on, a stop has to let requests
         // finish first.
         controlDuty_->run([this] { watchSignals(); });
-        control_ = std::make_unique<ControlPlane<Platform>>(*controlDuty_, controlOptions(), routes_, relayCallbacks());
+        control_ = std::make_unique<ControlPlane<Platform>>(
+            *controlDuty_, controlOptions(), routes_, relayCallbacks(), confirmation_);
         auto callers = HttpServer::listen(*relayDuty_, settings_->callers.endpoint(), serverOptions({}),
             [this](HttpExchange& exchange) { RelayedRequest<typename Platform::Dialect>(context_, exchange).run(); });
         if (!callers.ok())
@@ -315,9 +318,11 @@
 
     void answerMetrics(HttpExchange& exchange)
     {
-        const std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
+        std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
             {"instances", static_cast<double>(instances_)},
             {"log_lines_dropped", static_cast<double>(droppedLogLines())}};
+        if (const std::optional<Duration> age = confirmation_.age())
+            gauges.push_back({"configuration_age_seconds", std::chrono::duration<double>(*age).count()});
         HttpResponse response;
         response.headers.set("Content-Type", "text/plain; version=0.0.4");
         response.body = metricsSink_->prometheusText(gauges);
@@ -397,6 +402,7 @@
     std::shared_ptr<const GatewaySettings> settings_;
     std::filesystem::path file_;
     std::shared_ptr<RuntimeClock> clock_;
+    ConfigurationConfirmation confirmation_;
     InstanceId self_;
     std::shared_ptr<Published<fleet::RouteTable>> routes_ = std::make_shared<Published<fleet::RouteTable>>(nullptr);
     std::unique_ptr<Duty> relayDuty_;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -86,6 +86,19 @@
 {
 }
 
+GatewaySettings::RevocationSection::RevocationSection(std::vector<SettingSection*>& sections)
+    : SettingSection(sections, "revocation", "Keys of customers that a new configuration removes.")
+    , strict(*this,
+          {"strict", "false", "",
+              "Whether requests with keys are refused while it is not known whether the configuration is recent."})
+    , limit(*this,
+          {"limit_ms", "5000", "ms",
+              "No request runs that was sent later than this after the acknowledgement of a configuration that removed "
+              "its key. Intervals of reads and queries are fractions of it."},
+          {1000, minuteMs})
+{
+}
+
 GatewaySettings::StopSection::StopSection(std::vector<SettingSection*>& sections)
     : SettingSection(sections, "stop", "Graceful shutdown.")
     , graceSeconds(
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -71,6 +71,13 @@
         DurationSetting lease;
     } placement{sections_};
 
+    struct RevocationSection : SettingSection {
+        explicit RevocationSection(std::vector<SettingSection*>& sections);
+
+        SwitchSetting strict;
+        DurationSetting limit;
+    } revocation{sections_};
+
     struct StopSection : SettingSection {
         explicit StopSection(std::vector<SettingSection*>& sections);
 
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -103,6 +103,17 @@
     return {message.trait, std::chrono::milliseconds(std::min(message.remainingMs, maxRemainingMs))};
 }
 
+MeshConfirmation toMessage(std::uint64_t call, const fleet::ConfigurationStatement& statement)
+{
+    const auto age = std::min(std::chrono::ceil<std::chrono::milliseconds>(statement.age), maxDuration);
+    return {call, static_cast<std::uint64_t>(age.count()), statement.row};
+}
+
+fleet::ConfigurationStatement fromMessage(const MeshConfirmation& message)
+{
+    return {fromMilliseconds(message.ageMs), message.row};
+}
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows)
 {
     std::vector<MeshRow> message;
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -1,6 +1,7 @@
 // Messages between the instances of one deployment.
 #pragma once
 
+#include "fleet/ConfigurationAge.h"
 #include "fleet/CrashAttribution.h"
 #include "fleet/DemandMeter.h"
 #include "fleet/TargetRegistry.h"
@@ -191,9 +192,28 @@
     auto fields() { return std::tie(trait, remainingMs); }
 };
 
+// Asks how old the knowledge of the configuration is at the receiver.
+struct MeshConfirmationQuery {
+    // Number by which the sender matches the response to this query.
+    std::uint64_t call = 0;
+
+    auto fields() { return std::tie(call); }
+};
+
+// Response to a MeshConfirmationQuery.
+struct MeshConfirmation {
+    std::uint64_t call = 0;
+    // Rounded up.
+    std::uint64_t ageMs = 0;
+    // Version of the row of the configuration that the sender has.
+    RowVersion row;
+
+    auto fields() { return std::tie(call, ageMs, row); }
+};
+
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
 using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
-    MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked>;
+    MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked, MeshConfirmationQuery, MeshConfirmation>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
@@ -215,6 +235,10 @@
 
 fleet::BlockedTrait fromMessage(const MeshTraitBlocked& message);
 
+MeshConfirmation toMessage(std::uint64_t call, const fleet::ConfigurationStatement& statement);
+
+fleet::ConfigurationStatement fromMessage(const MeshConfirmation& message);
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows);
 
 std::vector<StoredRow> fromMessage(const std::vector<MeshRow>& rows);
--- a/src/gateway/RowReplica.cpp
+++ b/src/gateway/RowReplica.cpp
@@ -62,6 +62,12 @@
     return newest;
 }
 
+RowVersion RowReplica::versionOf(const std::string& key) const
+{
+    const auto found = rows_.find(key);
+    return found == rows_.end() ? RowVersion() : found->second.version;
+}
+
 const StoredRow* RowReplica::find(const std::string& key) const
 {
     const auto found = rows_.find(key);
--- a/src/gateway/RowReplica.h
+++ b/src/gateway/RowReplica.h
@@ -25,6 +25,9 @@
     // Null when the row is absent or removed.
     const StoredRow* find(const std::string& key) const;
 
+    // The version of a row, also of a removed one; zero when the row is unknown.
+    RowVersion versionOf(const std::string& key) const;
+
     const std::map<std::string, StoredRow>& rows() const { return rows_; }
 
     // The replica is complete up to this version; zero when the table was never read.
--- a/src/gateway/RowStore.h
+++ b/src/gateway/RowStore.h
@@ -26,6 +26,8 @@
 struct RowPage {
     std::vector<StoredRow> rows;
     RowVersion version;
+    // More rows had changed when the read was answered.
+    bool isPartial = false;
 };
 
 // The outcome of a conditional write.
--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -43,9 +43,10 @@
     {
         while (!Duty::current()->isStopping()) {
             const bool first = replica_.version() == RowVersion() || historyLost_;
-            const Duration wait = mayReadRarely() ? options_.forwardedWait : options_.wait;
+            const Duration wait = mayReadRarely() ? options_.forwardedWait : shortWait();
             const RowVersion since = replica_.version();
             const TimePoint begin = currentTime();
+            const TimePoint sentAt = Duty::current()->clock()->nowWithSuspension();
             const auto cancellation = std::make_shared<HttpCancellation>();
             if (!first && wait > options_.wait)
                 cancelWhenItMustBeShort(cancellation);
@@ -66,6 +67,8 @@
             answeredAt_ = currentTime();
             if (!changed.empty())
                 handler_(changed);
+            if (readAnswered && !page->isPartial)
+                readAnswered(sentAt);
             if (forwardChanges)
                 forwardChanges(since, knowsNewerRows ? replica_.changedSince(since) : changed);
             pause();
@@ -92,6 +95,13 @@
     // peers. May be empty.
     std::function<void(RowVersion since, const std::vector<StoredRow>&)> forwardChanges;
 
+    // Called after each answer of the platform, when its rows have been handled, with the time at which the read was
+    // sent. The time includes suspension of the machine. May be empty.
+    std::function<void(TimePoint sentAt)> readAnswered;
+
+    // Limits how long the platform may hold a read while no changes are forwarded. May be empty.
+    std::function<Duration()> maxWait;
+
     const RowReplica& replica() const { return replica_; }
 
     // Whether the whole table has been received once.
@@ -110,6 +120,8 @@
     // outage.
     bool mayReadRarely() const { return receivesForwardedChanges_() && !availability_.isFailing(); }
 
+    Duration shortWait() const { return maxWait ? std::min(options_.wait, maxWait()) : options_.wait; }
+
     // Ends early when the other instance stops forwarding changes, or a call fails.
     void pause()
     {
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -147,7 +147,8 @@
     EXPECT_EQ(caller.generation->adapter, AdapterId("a3"));
     EXPECT_EQ(caller.generation->parts.size(), 2u);
     EXPECT_EQ(caller.generation->maxOutputTokens, TokenCount(80));
-    const HttpRequest sent = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
+    const HttpRequest sent
+        = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
     EXPECT_EQ(sent.headers.find("X-Target-Instance"), "i-1");
     EXPECT_EQ(sent.headers.find("X-Deadline-Ms"), "1500");
     EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
@@ -195,6 +196,11 @@
     EXPECT_EQ(loaded.settings->retries.slack(), 52);
     EXPECT_EQ(loaded.settings->process.processorShare(), 0.12);
     EXPECT_EQ(loaded.settings->placement.lease(), 3s);
+    EXPECT_FALSE(loaded.settings->revocation.strict());
+    const auto strict = gateway::GatewaySettings::parse(text + "\n[revocation]\nstrict = true\nlimit_ms = \n", "");
+    ASSERT_TRUE(strict.ok()) << strict.errors.front();
+    EXPECT_TRUE(strict.settings->revocation.strict());
+    EXPECT_EQ(strict.settings->revocation.limit(), 5s) << "a value that the deployment does not have";
 }
 
 // Guards against a start with invalid settings, and against error messages that name only the first of several errors.
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -104,12 +104,12 @@
                     : prefix == "/unsafe/" ? "non_idempotent"
                                            : "idempotent"},
             {"timeoutMs", 5000}, {"targetLatencyMs", 500}, {"priority", 1}, {"service", stream ? "hall" : "desk"},
-            {"attempts", 2}, {"resumable", stream}, {"gapTargetMs", 600}});
+            {"attempts", 2}, {"resumable", stream}, {"gapTargetMs", 600}, {"authExempt", prefix == "/open/"}});
     }
     json models = json::array();
     for (const char* model : {"m0", "m1", "m2"})
         models.push_back({{"name", model}, {"weightsMb", 90}, {"loadS", 0.2}, {"adapters", 3}, {"adapterMb", 1}});
-    const json document{{"version", version}, {"routes", routes}, {"limits", callerLimits_},
+    const json document{{"version", version}, {"routes", routes}, {"limits", callerLimits_}, {"tenants", customers_},
         {"services",
             {{{"name", "hall"},
                  {"engine",
@@ -138,6 +138,10 @@
         "[retries]\nwindow_s = {6}\n[placement]\nlease_ms = 500\n[stop]\ngrace_s = 8\n",
         index, instance.callers.toString(), instance.readiness.toString(), freePort(), instance.metrics.port,
         store.toString(), options_.retryWindow.count());
+    if (options_.revocationLimit) {
+        std::ofstream(settings, std::ios::app)
+            << fmt::format("[revocation]\nstrict = true\nlimit_ms = {}\n", options_.revocationLimit->count());
+    }
     instances_.push_back(std::move(instance));
     launchInstance(instances_.size() - 1);
 }
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds eventPause{20};
     // Window of the retry budget. An instance has its share of the fixed number of retries one window after its start.
     std::chrono::seconds retryWindow{10};
+    // Limit of strict key revocation; without it, old configurations stay in force.
+    std::optional<std::chrono::milliseconds> revocationLimit;
 };
 
 // Member functions throw std::runtime_error when a part of the deployment cannot be started or configured.
@@ -37,7 +39,7 @@
     explicit GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options = {});
 
     // Writes a configuration with these route prefixes to the store, as the operator does. "/stream/" leads to the
-    // engines, all others to the plain workers; "/unsafe/" is not idempotent.
+    // engines, all others to the plain workers; "/unsafe/" is not idempotent and "/open/" needs no key.
     void writeConfiguration(int version, const std::vector<std::string>& prefixes);
 
     // Writes a row to the table of the workers, as another writer may.
@@ -52,6 +54,9 @@
     // Sets the `limits` object of the configurations that are written from now on.
     void setCallerLimits(nlohmann::json limits) { callerLimits_ = std::move(limits); }
 
+    // Sets the `tenants` list of the configurations that are written from now on.
+    void setCustomers(nlohmann::json customers) { customers_ = std::move(customers); }
+
     // Sends a request to an instance and returns the answer, with status 0 when there is none.
     HttpResponse send(
         std::size_t instance, const std::string& target, const std::string& attempt, const std::string& model = "m0");
@@ -108,6 +113,7 @@
     std::map<std::string, std::unique_ptr<FaultProxy>> workerProxies_;
     std::vector<GatewayInstance> instances_;
     nlohmann::json callerLimits_ = nlohmann::json::object();
+    nlohmann::json customers_ = nlohmann::json::array();
 };
 
 } // namespace lychee::test
