Test when an answered read confirms

Cause: nothing failed when a read counted from its answer instead of its sending, or when a partial answer confirmed. Change: TableWatchTest checks both, and the shortened wait. Measured: TableWatchTest passes (9 tests).

--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -201,6 +201,27 @@
     EXPECT_EQ(forwarded[1].keys, std::vector<std::string>{"early"});
 }
 
+// Guards against knowledge that looks as recent as the answer of a read that the platform has held open, and against an
+// answer without all changes that counts as one with them.
+TEST_F(TableWatchTest, ReportsWhenAReadWasSentThatHasShownAllChanges)
+{
+    std::vector<std::pair<TimePoint, TimePoint>> reads;
+    store_.nextChanges.emplace_back(RowPage{{{"key", RowVersion(2), false, "x"}}, RowVersion(2), true});
+    watch_.emplace(
+        store_, availability_, TableWatchOptions{"table", 1s, 0ms, 1s, 0ms}, [] { return false; },
+        [](const std::vector<StoredRow>&) {});
+    watch_->readAnswered = [&](TimePoint sentAt) { reads.emplace_back(sentAt, currentTime()); };
+    watch_->maxWait = [] { return Duration(500ms); };
+    duty_->spawn([this] { watch_->run(); });
+    duty_->run([] {});
+    callsDuring(2s);
+    duty_->run([this] { watch_->readAnswered = nullptr; });
+    EXPECT_EQ(static_cast<int>(reads.size()), store_.calls - 2) << "one is partial and one has no answer yet";
+    for (std::size_t i = 1; i < reads.size(); ++i)
+        EXPECT_GE(reads[i].second - reads[i].first, Duration(500ms));
+    EXPECT_EQ(store_.lastWait, Duration(500ms));
+}
+
 // Guards against a store that counts as lost long after it has recovered. An instance that received forwarded changes
 // and whose only call was reset treated a removed target as one whose entry had expired in an outage, and sent it
 // requests for longer than the two seconds allowed.
