Refuse requests of customers beyond their limit

Cause: customers and their limits are decoded, but nothing applies them. Change: CallerLimits takes the cost of a request right after its authorization, answers 429 with Retry-After beyond the limit and gives the cost back when the request ends without a possible run. Status messages carry the use of each customer (mesh protocol 4). The tokens that a request declares are read for all services. Section [limits] has what the deployment tolerates; values left empty count as absent.

--- a/src/daemon/SettingTree.h
+++ b/src/daemon/SettingTree.h
@@ -80,6 +80,7 @@
 using DurationSetting = Setting<NumberValueType<std::chrono::milliseconds>>;
 using NameSetting = Setting<NameValueType>;
 using RealSetting = Setting<RealValueType>;
+using OptionalRealSetting = Setting<OptionalRealValueType>;
 using EndpointSetting = Setting<EndpointValueType>;
 using AddressSetting = Setting<AddressValueType>;
 using EndpointListSetting = Setting<EndpointListValueType>;
--- a/src/daemon/SettingValueTypes.cpp
+++ b/src/daemon/SettingValueTypes.cpp
@@ -32,6 +32,20 @@
 
 std::string RealValueType::allowed() const { return fmt::format("a number from {} to {}", lowest, highest); }
 
+std::optional<std::optional<double>> OptionalRealValueType::parse(
+    std::string_view text, const std::filesystem::path& directory) const
+{
+    if (text.empty())
+        return std::make_optional<Value>(std::nullopt);
+    const std::optional<double> number = RealValueType{lowest, highest}.parse(text, directory);
+    return number ? std::make_optional<Value>(number) : std::nullopt;
+}
+
+std::string OptionalRealValueType::allowed() const
+{
+    return fmt::format("a number from {} to {}, or empty", lowest, highest);
+}
+
 std::optional<Endpoint> EndpointValueType::parse(std::string_view text, const std::filesystem::path&) const
 {
     return Endpoint::parse(text);
--- a/src/daemon/SettingValueTypes.h
+++ b/src/daemon/SettingValueTypes.h
@@ -61,6 +61,17 @@
     std::string allowed() const;
 };
 
+// Like RealValueType, or empty, which counts as absent.
+struct OptionalRealValueType {
+    using Value = std::optional<double>;
+
+    double lowest = 0;
+    double highest = 0;
+
+    std::optional<Value> parse(std::string_view text, const std::filesystem::path& directory) const;
+    std::string allowed() const;
+};
+
 // A numeric IP address with a port.
 struct EndpointValueType {
     using Value = Endpoint;
--- a/src/fleet/CallerRequest.h
+++ b/src/fleet/CallerRequest.h
@@ -47,6 +47,8 @@
     // How long the caller waits for the answer, counted from the arrival of the request.
     std::optional<Duration> patience;
     std::optional<GenerationNeed> generation;
+    // Prompt tokens plus the largest number of output tokens, also of requests that are no text generation.
+    std::optional<TokenCount> declaredTokens;
     CallerCredential credential;
     // Set when the caller resumes a broken stream: the last event that it has received.
     std::optional<std::uint64_t> resumeAfter;
--- a/src/fleet/Customer.cpp
+++ b/src/fleet/Customer.cpp
@@ -14,13 +14,11 @@
 
 } // namespace
 
-double costOf(const CustomerLimit& limit, const std::optional<GenerationNeed>& declared)
+double costOf(const CustomerLimit& limit, const std::optional<TokenCount>& declaredTokens)
 {
     if (limit.unit == LimitUnit::Requests)
         return 1;
-    if (!declared)
-        return limit.plainTokens;
-    return static_cast<double>(declared->promptTokens.value()) + static_cast<double>(declared->maxOutputTokens.value());
+    return declaredTokens ? static_cast<double>(declaredTokens->value()) : limit.plainTokens;
 }
 
 CustomerDirectory::CustomerDirectory(std::vector<Customer> customers)
--- a/src/fleet/Customer.h
+++ b/src/fleet/Customer.h
@@ -39,7 +39,7 @@
 };
 
 // What a request takes from the limit of its customer.
-double costOf(const CustomerLimit& limit, const std::optional<GenerationNeed>& declared);
+double costOf(const CustomerLimit& limit, const std::optional<TokenCount>& declaredTokens);
 
 // The customers of one configuration. Immutable once created.
 class CustomerDirectory {
--- a/src/fleet/SharedRateLimit.cpp
+++ b/src/fleet/SharedRateLimit.cpp
@@ -275,6 +275,7 @@
             bucket->part.level -= cost;
             bucket->level -= cost;
             bucket->admitted += cost;
+            bucket->isUsed = true;
             return {};
         }
     }
@@ -293,6 +294,9 @@
     // A limit may have been replaced by one of another unit since the request was admitted.
     const double returned = std::min(cost, bucket->admitted);
     bucket->admitted -= returned;
+    // The caller will ask again.
+    bucket->recentDemand = std::max(bucket->recentDemand - returned, 0.0);
+    bucket->part.level += returned;
     bucket->level = std::min(bucket->level + returned, capacity(*bucket));
 }
 
@@ -308,7 +312,7 @@
             continue;
         advance(bucket, now);
         const double demand = ownDemand(bucket, now);
-        if (bucket.admitted > 0 || demand > negligibleDemand)
+        if (bucket.isUsed || demand > negligibleDemand)
             uses.push_back({customer, bucket.admitted, demand > negligibleDemand ? demand : 0});
     }
     return uses;
--- a/src/fleet/SharedRateLimit.h
+++ b/src/fleet/SharedRateLimit.h
@@ -108,6 +108,8 @@
         TimePoint demandAt;
         PartLevel part;
         TimePoint usedAt;
+        // A request was admitted. From then on the use is reported, also when all of it was given back.
+        bool isUsed = false;
         // Sum of the demand of the peers that are heard.
         double peerDemand = 0;
         // The fraction of demand that instances admit, and its integral over time in seconds.
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -25,7 +25,11 @@
     std::function<void(const fleet::TargetRecord&)> targetUpdated;
     std::function<void(const TargetId&)> targetRemoved;
     std::function<void(const TargetId&, fleet::TargetIncarnation, const fleet::Holdings&)> holdingsChanged;
-    std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>)> peerWorkUpdated;
+    std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>, std::vector<fleet::CustomerUse>)>
+        peerUpdated;
+    std::function<void(const InstanceId&)> peerLost;
+    // The number of instances in the table of instances, this one included.
+    std::function<void(std::size_t)> instancesListed;
     // Whether the placement owner is connected and available, and how many instances share the retry budget.
     std::function<void(bool placementReached, std::size_t instances)> connectivityUpdated;
     // A configuration has come into force.
@@ -36,7 +40,7 @@
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
     std::function<CrashKnowledge()> readCrashKnowledge;
-    // Fills in the work, the demand and the used adapters of this instance. Suspends the fiber.
+    // Fills in the work, the demand, the used adapters and the use of customers of this instance. Suspends the fiber.
     std::function<void(MeshStatus&)> readStatus;
 };
 
@@ -306,6 +310,7 @@
                     known.insert(*endpoint);
                 }
             }
+            relay_.instancesListed(known.size() + 1);
             mesh_->setPeerAddresses(std::move(known));
             if (ownValue != value) {
                 // The result is not checked: the next read shows a conflicting entry, or one whose answer was lost.
@@ -414,7 +419,7 @@
     {
         peers_.erase(peer);
         ownerContact_.lost(peer);
-        relay_.peerWorkUpdated(peer, {});
+        relay_.peerLost(peer);
         if (lease_.lease().holder() == peer) {
             lease_.lease().holderDisconnected();
             reportConnectivity();
@@ -441,7 +446,7 @@
         PeerState& state = peers_[peer];
         state.status = status;
         state.heardAt = currentTime();
-        relay_.peerWorkUpdated(peer, fromMessage(status.work));
+        relay_.peerUpdated(peer, fromMessage(status.work), fromMessage(status.customerUse));
         if (peer == lease_.lease().holder())
             lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
         for (const MeshAdapterUse& use : status.uses)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -112,6 +112,7 @@
         context_.retryBudget.setOptions(withoutShare);
         setRetryBudget(*settings_, assumedInstances);
         setAnswerMemory(*settings_);
+        context_.limits = CallerLimits(customerLimitOptions(*settings_), limitPhase(self_));
         return absl::OkStatus();
     }
 
@@ -188,11 +189,21 @@
                       context_.registry.updateHoldings(target, incarnation, holdings);
                   });
               };
-        port.peerWorkUpdated = [this](const InstanceId& peer, std::vector<fleet::TargetWorkReport> shares) {
-            postToRelay([this, peer, shares = std::move(shares)] {
+        port.peerUpdated = [this](const InstanceId& peer, std::vector<fleet::TargetWorkReport> shares,
+                               std::vector<fleet::CustomerUse> uses) {
+            postToRelay([this, peer, shares = std::move(shares), uses = std::move(uses)] {
                 context_.registry.recordPeerWork(peer, shares, currentTime());
+                context_.limits.peerReported(peer, uses);
             });
         };
+        port.peerLost = [this](const InstanceId& peer) {
+            postToRelay([this, peer] {
+                context_.registry.recordPeerWork(peer, {}, currentTime());
+                context_.limits.peerLost(peer);
+            });
+        };
+        port.instancesListed
+            = [this](std::size_t listed) { postToRelay([this, listed] { context_.limits.listedUpdated(listed); }); };
         port.connectivityUpdated = [this](bool placementReached, std::size_t instances) {
             if (placementReached != placementReached_ || instances != instances_)
                 gatewayLog.info("placement_reached={} instances={}", placementReached, instances);
@@ -201,9 +212,13 @@
             postToRelay([this, placementReached, instances, settings = settings_] {
                 context_.placementReached = placementReached;
                 setRetryBudget(*settings, std::max(instances, assumedInstances));
+                context_.limits.reachedUpdated(instances);
             });
         };
-        port.configurationChanged = [this](const fleet::RouteTable& table) { applyLimits(table.limits()); };
+        port.configurationChanged = [this](const fleet::RouteTable& table) {
+            applyLimits(table.limits());
+            postToRelay([this] { context_.limits.configurationChanged(*routes_->read()); });
+        };
         port.crashSuspectsReported = [this](const std::vector<fleet::CrashSuspect>& suspects) {
             postToRelay([this, suspects] { context_.crashes.suspectsReported(suspects); });
         };
@@ -230,6 +245,7 @@
         MeshStatus status;
         status.work = toMessage(context_.registry.ownWork());
         status.demand = toMessage(context_.demand.read(currentTime()));
+        status.customerUse = toMessage(context_.limits.report());
         auto used = std::exchange(context_.recentlyUsedAdapters, {});
         for (const auto& [entry, count] : context_.adaptersInUse)
             used.insert(entry);
@@ -269,6 +285,23 @@
         context_.retryBudget.updateOptions(options, clock_->now());
     }
 
+    static fleet::SharedRateLimitOptions customerLimitOptions(const GatewaySettings& settings)
+    {
+        fleet::SharedRateLimitOptions options;
+        if (const auto seconds = settings.limits.windowSeconds())
+            options.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
+        options.overshoot = settings.limits.overshoot().value_or(0);
+        options.slack = settings.limits.slack().value_or(0);
+        return options;
+    }
+
+    // A number in [0, 1) that differs between processes.
+    static double limitPhase(const InstanceId& instance)
+    {
+        constexpr std::size_t steps = 4096;
+        return static_cast<double>(std::hash<InstanceId>()(instance) % steps) / steps;
+    }
+
     void setAnswerMemory(const GatewaySettings& settings)
     {
         constexpr std::size_t megabyte = std::size_t{1} << 20;
@@ -356,6 +389,7 @@
         postToRelay([this, settings = settings_] {
             setRetryBudget(*settings, std::max(instances_.load(), assumedInstances));
             setAnswerMemory(*settings);
+            context_.limits.setOptions(customerLimitOptions(*settings));
         });
     }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -77,6 +77,23 @@
 {
 }
 
+GatewaySettings::LimitsSection::LimitsSection(std::vector<SettingSection*>& sections)
+    : SettingSection(sections, "limits",
+        "What the limits of customers tolerate over all instances. The limits themselves are in the configuration.")
+    , windowSeconds(*this,
+          {"window_s", "", "s", "Length of the window over which the use of a customer is bounded. 8 s when empty."},
+          {1, 3600})
+    , overshoot(*this,
+          {"overshoot", "", "",
+              "Part of the limit that may be used beyond it in a window. Nothing when empty; estimates then refuse "
+              "more "
+              "requests below the limit."},
+          {0, 1})
+    , slack(*this, {"slack", "", "", "Use beyond the limit that is tolerated in a window in addition. 0 when empty."},
+          {0, 1e12})
+{
+}
+
 GatewaySettings::PlacementSection::PlacementSection(std::vector<SettingSection*>& sections)
     : SettingSection(sections, "placement", "The lease of the placement owner.")
     , lease(*this,
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -65,6 +65,14 @@
         RealSetting windowSeconds;
     } retries{sections_};
 
+    struct LimitsSection : SettingSection {
+        explicit LimitsSection(std::vector<SettingSection*>& sections);
+
+        OptionalRealSetting windowSeconds;
+        OptionalRealSetting overshoot;
+        OptionalRealSetting slack;
+    } limits{sections_};
+
     struct PlacementSection : SettingSection {
         explicit PlacementSection(std::vector<SettingSection*>& sections);
 
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -157,4 +157,22 @@
     return result;
 }
 
+std::vector<MeshCustomerUse> toMessage(const std::vector<fleet::CustomerUse>& uses)
+{
+    std::vector<MeshCustomerUse> message;
+    message.reserve(uses.size());
+    for (const fleet::CustomerUse& use : uses)
+        message.push_back({use.customer, use.admitted, use.demand});
+    return message;
+}
+
+std::vector<fleet::CustomerUse> fromMessage(const std::vector<MeshCustomerUse>& uses)
+{
+    std::vector<fleet::CustomerUse> result;
+    result.reserve(uses.size());
+    for (const MeshCustomerUse& use : uses)
+        result.push_back({use.customer, use.admitted, use.demand});
+    return result;
+}
+
 } // namespace lychee::gateway
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -3,6 +3,7 @@
 
 #include "fleet/CrashAttribution.h"
 #include "fleet/DemandMeter.h"
+#include "fleet/SharedRateLimit.h"
 #include "fleet/TargetRegistry.h"
 #include "gateway/RowStore.h"
 #include "protocol/Ids.h"
@@ -17,7 +18,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 3;
+inline constexpr std::uint64_t meshProtocolVersion = 4;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -60,12 +61,22 @@
     }
 };
 
+// What the sender has admitted of a customer with a limit since its start, and the customer's demand at the sender.
+struct MeshCustomerUse {
+    fleet::CustomerId customer;
+    double admitted = 0;
+    double demand = 0;
+
+    auto fields() { return std::tie(customer, admitted, demand); }
+};
+
 // State of the sender, sent several times a second and in large deployments at least once a second. Serves as the
 // heartbeat too.
 struct MeshStatus {
     std::vector<MeshWork> work;
     std::vector<MeshDemand> demand;
     std::vector<MeshAdapterUse> uses;
+    std::vector<MeshCustomerUse> customerUse;
     // Whether the sender can read the platform's tables.
     bool readsPlatform = false;
     // The version of the newest row of the configuration that the sender has.
@@ -76,7 +87,10 @@
     // to send orders yet.
     bool holdsLease = false;
 
-    auto fields() { return std::tie(work, demand, uses, readsPlatform, configurationRow, targetRows, holdsLease); }
+    auto fields()
+    {
+        return std::tie(work, demand, uses, customerUse, readsPlatform, configurationRow, targetRows, holdsLease);
+    }
 };
 
 // A row of one of the platform's tables.
@@ -227,4 +241,8 @@
 
 std::vector<fleet::ModelDemand> fromMessage(const std::vector<MeshDemand>& demand);
 
+std::vector<MeshCustomerUse> toMessage(const std::vector<fleet::CustomerUse>& uses);
+
+std::vector<fleet::CustomerUse> fromMessage(const std::vector<MeshCustomerUse>& uses);
+
 } // namespace lychee::gateway
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -6,6 +6,7 @@
 #include "fleet/ServiceRetryBudget.h"
 #include "fleet/TargetChoice.h"
 #include "fleet/TargetRegistry.h"
+#include "gateway/CallerLimits.h"
 #include "gateway/CrashWatch.h"
 #include "gateway/RelayLimits.h"
 #include "transport/HttpClient.h"
@@ -27,6 +28,7 @@
     fleet::DemandMeter demand;
     fleet::ServiceRetryBudget retryBudget;
     CrashWatch crashes;
+    CallerLimits limits;
     HttpClient http;
     // Bounds the answers of targets that are held until they are complete.
     MemoryBudget answerMemory{RelayLimits::answerMemory, RelayLimits::freeAnswerMemory};
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -78,7 +78,7 @@
             reject(404, "no route matches the host and path of the request");
             return false;
         }
-        if (!authorize())
+        if (!authorize() || !takeFromLimit())
             return false;
         const ServiceId* picked = fleet::pickService(*route_, splitFraction(caller_.attempt));
         service_ = picked ? table_->service(*picked) : nullptr;
@@ -131,6 +131,19 @@
         return false;
     }
 
+    // Takes the cost of the request from the limit of its customer, once for all its sends.
+    bool takeFromLimit()
+    {
+        auto admission = context_.limits.admit(customer_, caller_.declaredTokens, context_.metrics);
+        if (const Duration* retryAfter = std::get_if<Duration>(&admission)) {
+            lastProblem_ = "the customer has used up its limit";
+            answer({429, lastProblem_, *retryAfter}, RelayOutcome::Refused);
+            return false;
+        }
+        limitTicket_ = std::get<LimitTicket>(std::move(admission));
+        return true;
+    }
+
     fleet::CustomerId customerId() const { return customer_ ? customer_->id : fleet::CustomerId(); }
 
     const fleet::RequestTraits& traits()
@@ -416,8 +429,10 @@
         attempt.stream = std::move(outcome.answer);
         attempt.status = outcome.status;
         attempt.sent = outcome.sent;
-        if (attempt.sent)
+        if (attempt.sent) {
             usedEndpoints_.push_back(target.endpoint);
+            limitTicket_.sent();
+        }
         return attempt;
     }
 
@@ -498,6 +513,7 @@
     void afterNotRun(Attempt& attempt, const TargetAnswer& answer)
     {
         const int status = attempt.stream->status();
+        limitTicket_.notRun();
         attempt.stream->drain(RelayLimits::maxRefusalBytes, RelayLimits::maxRefusalTime);
         const bool adapterStillLoading
             = adapterLoadedAt_ && adapterRetries_ < RelayLimits::maxAdapterRetries && status != 429;
@@ -816,6 +832,7 @@
     // The configuration that knows `customer_`, which is null when the request needs none.
     std::shared_ptr<const fleet::RouteTable> authorizedBy_;
     const fleet::Customer* customer_ = nullptr;
+    LimitTicket limitTicket_;
     fleet::Urgency urgency_ = fleet::UrgencyPolicy::standard;
     TimePoint startedAt_;
     TimePoint deadline_;
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -147,7 +147,8 @@
     EXPECT_EQ(caller.generation->adapter, AdapterId("a3"));
     EXPECT_EQ(caller.generation->parts.size(), 2u);
     EXPECT_EQ(caller.generation->maxOutputTokens, TokenCount(80));
-    const HttpRequest sent = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
+    const HttpRequest sent
+        = CallerDialect::targetRequest(callerRequest(), {TargetId("i-1"), 1500ms, fleet::Urgency(2), {}});
     EXPECT_EQ(sent.headers.find("X-Target-Instance"), "i-1");
     EXPECT_EQ(sent.headers.find("X-Deadline-Ms"), "1500");
     EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
@@ -188,6 +189,7 @@
                              "[peers]\naddress = 10.1.0.38\nport = 7380\n[metrics]\nport = 7395\n"
                              "[platform]\nendpoint = 10.200.1.7:8142\n"
                              "[retries]\npart = 0.2\nslack = 52\nwindow_s = 10\n"
+                             "[limits]\nwindow_s = 8\novershoot = 0.1\nslack =\n"
                              "[placement]\nlease_ms = 3000\n[stop]\ngrace_s = 8\n";
     const auto loaded = gateway::GatewaySettings::parse(text, "settings");
     ASSERT_TRUE(loaded.ok()) << loaded.errors.front();
@@ -195,6 +197,8 @@
     EXPECT_EQ(loaded.settings->retries.slack(), 52);
     EXPECT_EQ(loaded.settings->process.processorShare(), 0.12);
     EXPECT_EQ(loaded.settings->placement.lease(), 3s);
+    EXPECT_EQ(loaded.settings->limits.overshoot(), 0.1);
+    EXPECT_EQ(loaded.settings->limits.slack(), std::nullopt);
 }
 
 // Guards against a start with invalid settings, and against error messages that name only the first of several errors.
@@ -210,6 +214,20 @@
         EXPECT_NE(all.find(part), std::string::npos) << part << "\n" << all;
 }
 
+// Guards against requests of plain services that count other tokens than they declare.
+TEST(CallerDialect, ReadsDeclaredTokensOfAllRequests)
+{
+    const auto declared = [](const HttpHeaders& headers) {
+        return CallerDialect::readRequest({"POST", "/", headers, ""}).declaredTokens;
+    };
+    EXPECT_EQ(declared({{"X-Token-Count", "100,40"}}), TokenCount(140));
+    EXPECT_EQ(declared({{"X-Model", "m"}, {"X-Token-Count", "100,40"}}), TokenCount(140));
+    EXPECT_EQ(declared({{"X-Token-Count", "100"}}), TokenCount(100));
+    EXPECT_EQ(declared({{"X-Token-Count", "many"}}), std::nullopt);
+    EXPECT_EQ(declared({}), std::nullopt);
+    EXPECT_GT(declared({{"X-Token-Count", "18446744073709551615,18446744073709551615"}}), TokenCount(1'000'000));
+}
+
 // Guards against keys, priorities and limits of customers that are lost or given to another one.
 TEST(PlatformDocuments, ReadsCustomers)
 {
--- a/tests/unit/CustomerTest.cpp
+++ b/tests/unit/CustomerTest.cpp
@@ -68,13 +68,10 @@
 TEST(CustomerLimit, CountsDeclaredTokens)
 {
     CustomerLimit limit{1000, 1000, LimitUnit::Tokens, 200};
-    GenerationNeed need;
-    need.promptTokens = TokenCount(1460);
-    need.maxOutputTokens = TokenCount(80);
-    EXPECT_EQ(costOf(limit, need), 1540);
+    EXPECT_EQ(costOf(limit, TokenCount(1540)), 1540);
     EXPECT_EQ(costOf(limit, std::nullopt), 200);
     limit.unit = LimitUnit::Requests;
-    EXPECT_EQ(costOf(limit, need), 1);
+    EXPECT_EQ(costOf(limit, TokenCount(1540)), 1);
 }
 
 } // namespace
