--- a/src/daemon/SettingTree.h
+++ b/src/daemon/SettingTree.h
@@ -81,6 +81,7 @@
 using NameSetting = Setting<NameValueType>;
 using SwitchSetting = Setting<SwitchValueType>;
 using RealSetting = Setting<RealValueType>;
+using OptionalRealSetting = Setting<OptionalRealValueType>;
 using EndpointSetting = Setting<EndpointValueType>;
 using AddressSetting = Setting<AddressValueType>;
 using EndpointListSetting = Setting<EndpointListValueType>;
--- a/tests/gateway/PlatformDocumentsTest.cpp
+++ b/tests/gateway/PlatformDocumentsTest.cpp
@@ -189,6 +189,7 @@
                              "[peers]\naddress = 10.1.0.38\nport = 7380\n[metrics]\nport = 7395\n"
                              "[platform]\nendpoint = 10.200.1.7:8142\n"
                              "[retries]\npart = 0.2\nslack = 52\nwindow_s = 10\n"
+                             "[limits]\nwindow_s = 8\novershoot = 0.1\nslack =\n"
                              "[placement]\nlease_ms = 3000\n[stop]\ngrace_s = 8\n";
     const auto loaded = gateway::GatewaySettings::parse(text, "settings");
     ASSERT_TRUE(loaded.ok()) << loaded.errors.front();
@@ -201,6 +202,8 @@
     ASSERT_TRUE(strict.ok()) << strict.errors.front();
     EXPECT_TRUE(strict.settings->revocation.strict());
     EXPECT_EQ(strict.settings->revocation.limit(), 5s) << "a value that the deployment does not have";
+    EXPECT_EQ(loaded.settings->limits.overshoot(), 0.1);
+    EXPECT_EQ(loaded.settings->limits.slack(), std::nullopt);
 }
 
 // Guards against a start with invalid settings, and against error messages that name only the first of several errors.
@@ -233,6 +236,20 @@
         EXPECT_FALSE(paceIn(text)) << text;
 }
 
+// Guards against requests of plain services that count other tokens than they declare.
+TEST(CallerDialect, ReadsDeclaredTokensOfAllRequests)
+{
+    const auto declared = [](const HttpHeaders& headers) {
+        return CallerDialect::readRequest({"POST", "/", headers, ""}).declaredTokens;
+    };
+    EXPECT_EQ(declared({{"X-Token-Count", "100,40"}}), TokenCount(140));
+    EXPECT_EQ(declared({{"X-Model", "m"}, {"X-Token-Count", "100,40"}}), TokenCount(140));
+    EXPECT_EQ(declared({{"X-Token-Count", "100"}}), TokenCount(100));
+    EXPECT_EQ(declared({{"X-Token-Count", "many"}}), std::nullopt);
+    EXPECT_EQ(declared({}), std::nullopt);
+    EXPECT_GT(declared({{"X-Token-Count", "18446744073709551615,18446744073709551615"}}), TokenCount(1'000'000));
+}
+
 // Guards against keys, priorities and limits of customers that are lost or given to another one.
 TEST(PlatformDocuments, ReadsCustomers)
 {
