Encode queued and held tokens in status messages as whole numbers

Cause: real numbers take 9 bytes each in every entry of every status message, and bytes between data centres are priced. Change: counts of tokens are rounded and sent as integers.

--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -24,6 +24,13 @@
     return std::chrono::milliseconds(std::min(count, static_cast<std::uint64_t>(maxDuration.count())));
 }
 
+// Whole numbers take half of the bytes of a real number, and a token more or less does not matter.
+std::uint32_t toCount(double tokens)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp(std::round(tokens), 0.0, static_cast<double>(std::numeric_limits<std::uint32_t>::max())));
+}
+
 } // namespace
 
 std::string encodeMeshMessage(const MeshMessage& message) { return MessageCodec::encode(meshProtocolVersion, message); }
@@ -141,9 +148,10 @@
     std::vector<MeshWork> work;
     work.reserve(shares.size());
     for (const fleet::TargetWorkReport& share : shares) {
-        MeshWork& entry = work.emplace_back(MeshWork{share.target, share.work.running, {}, share.work.heldTokens});
+        MeshWork& entry
+            = work.emplace_back(MeshWork{share.target, share.work.running, {}, toCount(share.work.heldTokens)});
         for (int level = 0; level <= fleet::UrgencyPolicy::least.value(); ++level) {
-            if (const double tokens = share.work.prefill.ofUrgency(fleet::Urgency(level)); tokens > 0)
+            if (const std::uint32_t tokens = toCount(share.work.prefill.ofUrgency(fleet::Urgency(level))); tokens > 0)
                 entry.prefill.push_back({static_cast<std::uint32_t>(level), tokens});
         }
         if (!share.pace)
@@ -161,12 +169,12 @@
     std::vector<fleet::TargetWorkReport> shares;
     shares.reserve(work.size());
     for (const MeshWork& entry : work) {
-        fleet::TargetWork reported{entry.running, {}, entry.heldTokens};
+        fleet::TargetWork reported{entry.running, {}, static_cast<double>(entry.heldTokens)};
         for (const MeshPrefill& prefill : entry.prefill) {
             // The cap keeps a malformed message from an overflow of the conversion.
             const auto level
                 = std::min(prefill.urgency, static_cast<std::uint32_t>(fleet::UrgencyPolicy::least.value()));
-            reported.prefill.add(fleet::Urgency(static_cast<int>(level)), prefill.tokens);
+            reported.prefill.add(fleet::Urgency(static_cast<int>(level)), static_cast<double>(prefill.tokens));
         }
         fleet::TargetWorkReport& share
             = shares.emplace_back(fleet::TargetWorkReport{entry.target, reported, std::nullopt});
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -34,7 +34,7 @@
 // Prompt tokens of one urgency that wait at a target.
 struct MeshPrefill {
     std::uint32_t urgency = 0;
-    double tokens = 0;
+    std::uint32_t tokens = 0;
 
     auto fields() { return std::tie(urgency, tokens); }
 };
@@ -44,7 +44,7 @@
     TargetId target;
     std::uint32_t running = 0;
     std::vector<MeshPrefill> prefill;
-    double heldTokens = 0;
+    std::uint32_t heldTokens = 0;
     // The pace in percent, 0 when the sender has no recent one, and its age.
     std::uint32_t pacePercent = 0;
     std::uint32_t paceAgeMs = 0;
