--- a/src/fleet/RouteTable.cpp
+++ b/src/fleet/RouteTable.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+std::optional<Duration> Engine::cacheTransferTime(double tokens) const
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabit = 1e6;
+    if (cacheTokenBytes <= 0 || linkMegabitsPerSecond <= 0)
+        return std::nullopt;
+    const double seconds = tokens * cacheTokenBytes * bitsPerByte / (linkMegabitsPerSecond * bitsPerMegabit);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 const Model* Engine::find(const ModelId& id) const
 {
     const auto found = std::find_if(models.begin(), models.end(), [&](const Model& model) { return model.id == id; });
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -81,12 +81,18 @@
     int slots = 1;
     // Tokens of running requests and cached prompts that fit into the engine's memory.
     double cacheTokens = 0;
+    // Memory of one token, and the rate of transfers between engines. 0 where engines cannot exchange cached prompts.
+    double cacheTokenBytes = 0;
+    double linkMegabitsPerSecond = 0;
     double weightMegabytes = 0;
     int adapterSlots = 0;
     // Limit of loads from the weight store per second, over all targets.
     double loadsPerSecond = 0;
     std::vector<Model> models;
 
+    // How long the transfer of cached prompt tokens from another engine takes; nothing where there are no transfers.
+    std::optional<Duration> cacheTransferTime(double tokens) const;
+
     // Returns null when the model is not declared.
     const Model* find(const ModelId& id) const;
 };
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -11,13 +11,12 @@
 // Prompt tokens that an engine prefills in a millisecond, according to the deployments' data sheets.
 constexpr double prefillTokensPerMillisecond = 38.7;
 
+// Time to begin a transfer between engines, in milliseconds.
+constexpr double cacheFetchSetupMilliseconds = 5;
+
 // Longest piece of a prompt that an engine prefills between two decoding steps, according to the data sheets.
 constexpr double prefillChunkTokens = 4096;
 
-// Fraction of the shared prompt that is expected in the cache of the target that all instances prefer for it. Below 1,
-// because the first request after a move or an eviction has to prefill it again.
-constexpr double preferredCacheShare = 0.8;
-
 // Cost of sending to another data centre, in milliseconds: the round trip and the price of the traffic.
 constexpr double crossDataCentreMilliseconds = 6;
 
@@ -85,6 +84,9 @@
 // overload worse.
 constexpr int objectivesBeforeWidening = 2;
 
+// The same where a target outside the group fetches the shared prompt in a few milliseconds.
+constexpr double objectivesBeforeWideningWithFetch = 0.4;
+
 // Shortest time after which a refused caller is told to retry.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(200);
 
@@ -97,6 +99,8 @@
     // The estimate plus all penalties of the target.
     double cost = 0;
     bool adapterMissing = false;
+    // The engine from which the shared parts of the prompt are fetched.
+    std::optional<Endpoint> cacheSource;
     // The adapter is missing, and none could be loaded on the target a moment ago.
     bool adapterRefused = false;
 };
@@ -135,7 +139,7 @@
     static ChosenTarget chosen(const Candidate& best, Duration predicted, bool late)
     {
         const TargetRecord& record = best.state->record;
-        return {record.id, record.endpoint, record.incarnation, predicted, best.adapterMissing, late};
+        return {record.id, record.endpoint, record.incarnation, predicted, best.adapterMissing, late, best.cacheSource};
     }
 
     bool isWorthALateAnswer(const Candidate& best) const
@@ -217,8 +221,8 @@
     // the best one, targets outside the group that hold it are considered too: it would take a second place there.
     std::optional<Candidate> bestOf(std::span<const TargetState* const> targets, std::size_t groupSize) const
     {
-        const double limit
-            = std::chrono::duration<double, std::milli>(input_.latencyObjective).count() * objectivesBeforeWidening;
+        const double limit = std::chrono::duration<double, std::milli>(input_.latencyObjective).count()
+            * (input_.fetchesCache ? objectivesBeforeWideningWithFetch : objectivesBeforeWidening);
         std::optional<Candidate> best;
         std::size_t inGroup = 0;
         bool holdersOnly = false;
@@ -247,11 +251,34 @@
     {
         const GenerationNeed& need = *input_.need;
         const double tokens = uncachedTokens(state, need, partHashes_, input_.now);
-        if (&state != preferred_)
-            return tokens;
-        const double own = static_cast<double>(need.parts.back().tokens.value());
-        const double total = static_cast<double>(need.promptTokens.value());
-        return std::min(tokens, total - preferredCacheShare * std::max(total - own, 0.0));
+        return &state == preferred_ ? std::min(tokens, tokensWithSharedPartsCached(need)) : tokens;
+    }
+
+    // Returns the time to prefill the prompt in milliseconds, with cached parts from another engine where that is
+    // faster.
+    double prefillTime(const TargetState& state, Candidate& candidate) const
+    {
+        const double tokens = promptTokensToPrefill(state);
+        const double milliseconds = tokens / prefillTokensPerMillisecond;
+        if (!input_.fetchesCache || !preferred_ || preferred_ == &state || !isCacheSource(*preferred_))
+            return milliseconds;
+        const double remaining = tokensWithSharedPartsCached(*input_.need);
+        const auto transfer = input_.service.engine->cacheTransferTime(tokens - remaining);
+        if (tokens <= remaining || !transfer)
+            return milliseconds;
+        const double fetched = remaining / prefillTokensPerMillisecond
+            + std::chrono::duration<double, std::milli>(*transfer).count() + cacheFetchSetupMilliseconds;
+        if (fetched >= milliseconds)
+            return milliseconds;
+        candidate.cacheSource = preferred_->record.endpoint;
+        return fetched;
+    }
+
+    // Whether a transfer from this target will probably succeed.
+    bool isCacheSource(const TargetState& state) const
+    {
+        return state.isInService() && state.ejectedUntil <= input_.now
+            && !registry_.isCutOff(state.record.dataCentre, input_.now);
     }
 
     Candidate evaluate(const TargetState& state) const
@@ -270,7 +297,7 @@
             const double ahead = tokensAhead(work.prefill) / prefillTokensPerMillisecond;
             candidate.milliseconds += ahead;
             behind = queued - ahead;
-            candidate.milliseconds += promptTokensToPrefill(state) / prefillTokensPerMillisecond;
+            candidate.milliseconds += prefillTime(state, candidate);
             candidate.milliseconds += memoryWait(work);
             penalty = static_cast<double>(work.running) * batchSlowdownMilliseconds;
             penalty += queued * prefillDelayFactor();
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -37,6 +37,8 @@
     // A generation that cannot begin within its objective is still worth an answer when it begins within this time.
     // Zero where such a request is refused.
     Duration lateObjective{0};
+    // Whether engines fetch the shared parts of a prompt from each other.
+    bool fetchesCache = false;
 };
 
 struct ChosenTarget {
@@ -50,6 +52,8 @@
     // The first event is expected after the latency objective. The request is sent with the least urgency, so that it
     // delays none that can be in time.
     bool late = false;
+    // The engine from which the target fetches the shared parts of the prompt, in less time than it prefills them.
+    std::optional<Endpoint> cacheSource;
 };
 
 // No target holds the model yet, but one is expected to hold it soon enough for the request.
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -25,6 +25,10 @@
 // Prompt parts recorded for each target. Above this number, those older than the cache lifetime are dropped.
 constexpr std::size_t maxPromptParts = 2048;
 
+// Fraction of the shared prompt that is expected in the cache of the target that all instances prefer for it. Below 1,
+// because the first request after a move or an eviction has to prefill it again.
+constexpr double preferredCacheShare = 0.8;
+
 // Weight of the latest send in the failure share, which is a moving average.
 constexpr double failureWeight = 0.2;
 
@@ -219,8 +223,8 @@
     return reports;
 }
 
-SendId TargetRegistry::beginSend(
-    const TargetId& target, const GenerationNeed* need, TimePoint now, Duration predicted, Urgency urgency)
+SendId TargetRegistry::beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now, Duration predicted,
+    Urgency urgency, bool fetchesCache)
 {
     const SendId id = nextSend_;
     nextSend_ = nextSend_.next();
@@ -238,6 +242,8 @@
     if (need) {
         const std::vector<std::uint64_t> hashes = promptPartHashes(*need);
         send.prefillTokens = uncachedTokens(state, *need, hashes, now);
+        if (fetchesCache)
+            send.prefillTokens = std::min(send.prefillTokens, tokensWithSharedPartsCached(*need));
         const TokenCount output = std::min(need->outputHint.value_or(need->maxOutputTokens), need->maxOutputTokens);
         send.heldTokens = static_cast<double>(need->promptTokens.value() + output.value());
         for (const std::uint64_t hash : hashes)
@@ -440,6 +446,15 @@
     return hashes;
 }
 
+double tokensWithSharedPartsCached(const GenerationNeed& need)
+{
+    const double total = static_cast<double>(need.promptTokens.value());
+    if (need.parts.empty())
+        return total;
+    const double own = static_cast<double>(need.parts.back().tokens.value());
+    return total - preferredCacheShare * std::max(total - own, 0.0);
+}
+
 double uncachedTokens(
     const TargetState& state, const GenerationNeed& need, std::span<const std::uint64_t> partHashes, TimePoint now)
 {
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -137,9 +137,9 @@
     std::vector<TargetWorkReport> ownWork(TimePoint now) const;
 
     // Records that a request is sent to a target. `predicted` is the time to the first event that was expected when the
-    // target was chosen.
+    // target was chosen; `fetchesCache` is whether the target gets the shared parts of the prompt from another engine.
     SendId beginSend(const TargetId& target, const GenerationNeed* need, TimePoint now,
-        Duration predicted = Duration(0), Urgency urgency = UrgencyPolicy::standard);
+        Duration predicted = Duration(0), Urgency urgency = UrgencyPolicy::standard, bool fetchesCache = false);
 
     // Records that the first event or the answer has arrived, so the prefill of the prompt is complete.
     void prefillDone(SendId send, TimePoint now);
@@ -232,6 +232,9 @@
 // reuses a cached part only if all of these are equal.
 std::vector<std::uint64_t> promptPartHashes(const GenerationNeed& need);
 
+// Estimates the prompt tokens that are left to prefill where the shared parts are probably cached or fetched.
+double tokensWithSharedPartsCached(const GenerationNeed& need);
+
 // Estimates the prompt tokens that a target has to prefill: those of the parts that were not sent there recently.
 double uncachedTokens(
     const TargetState& state, const GenerationNeed& need, std::span<const std::uint64_t> partHashes, TimePoint now);
--- a/src/fleet/UrgencyPolicy.cpp
+++ b/src/fleet/UrgencyPolicy.cpp
@@ -50,7 +50,8 @@
     }
 }
 
-std::optional<Urgency> UrgencyPolicy::urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const
+std::optional<Urgency> UrgencyPolicy::urgencyOf(
+    const Route& route, const ServiceId& service, const Customer* customer) const
 {
     const bool customerCounts = customer && customer->priority;
     const auto ofService = routePriorities_.find(service);
--- a/src/gateway/CallerLimits.cpp
+++ b/src/gateway/CallerLimits.cpp
@@ -22,6 +22,14 @@
     const TimePoint now = currentTime();
     limit_.setInstances(std::max(listed_, reached_), reached_, now);
     limit_.setCustomers(table.customers(), now);
+    for (const fleet::Customer& customer : table.customers().customers()) {
+        std::optional<fleet::CustomerLimit>& known = knownLimits_[customer.id];
+        if (known == customer.limit)
+            continue;
+        known = customer.limit;
+        logChannel.info("customer={} config={} limit_per_s={:.0f} burst={:.0f}", customer.id, table.version(),
+            known ? known->perSecond : 0, known ? known->burst : 0);
+    }
 }
 
 void CallerLimits::listedUpdated(std::size_t listed)
--- a/src/gateway/CallerLimits.h
+++ b/src/gateway/CallerLimits.h
@@ -116,6 +116,8 @@
     std::size_t reached_ = 1;
     std::map<fleet::CustomerId, Limited> limited_;
     std::set<fleet::CustomerId> counted_;
+    // The limits in force, to log changes.
+    std::map<fleet::CustomerId, std::optional<fleet::CustomerLimit>> knownLimits_;
 };
 
 } // namespace lychee::gateway
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -17,6 +17,8 @@
     fleet::Urgency urgency = fleet::UrgencyPolicy::standard;
     // Id of the last event that the caller has received, when a stream is resumed.
     std::optional<std::uint64_t> resumeAfter;
+    // The engine from which the target fetches cached parts of the prompt.
+    std::optional<Endpoint> cacheSource;
     // The customer that sent the request; empty when it needs none.
     fleet::CustomerId customer;
 };
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -252,7 +252,8 @@
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
             now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_, modelWait_,
-            caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard), lateObjective()};
+            caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard), lateObjective(),
+            urgency_.has_value()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
@@ -409,9 +410,10 @@
         attempt.startedAt = now;
         const fleet::Urgency urgency
             = target.late ? fleet::UrgencyPolicy::least : urgency_.value_or(fleet::UrgencyPolicy::standard);
-        attempt.send = context_.registry.beginSend(
-            target.target, caller_.generation ? &*caller_.generation : nullptr, now, target.predicted, urgency);
-        ForwardParameters parameters{target.target, deadline_ - now, urgency, resumeAfter(), customerId()};
+        attempt.send = context_.registry.beginSend(target.target, caller_.generation ? &*caller_.generation : nullptr,
+            now, target.predicted, urgency, target.cacheSource.has_value());
+        ForwardParameters parameters{
+            target.target, deadline_ - now, urgency, resumeAfter(), target.cacheSource, customerId()};
         attempt.isWhole = !parameters.resumeAfter;
         HttpCallLimits limits;
         limits.deadline = deadline_;
