Spread the burst of a customer's limit over the window

The bucket filled at the rate alone, so a steady demand could use the burst once and not in each window. Change: the bucket fills at rate + burst / window, and its depth is a quarter of the tolerated overshoot. Without a tolerated overshoot it stays a plain bucket.

--- a/src/fleet/SharedRateLimit.cpp
+++ b/src/fleet/SharedRateLimit.cpp
@@ -14,6 +14,10 @@
 // would let all instances spend the same tokens before they hear of each other.
 constexpr double drainSeconds = 1;
 
+// Part of the tolerated overshoot that is the depth of a bucket. Together with the headroom it is a half, and the rest
+// covers the errors of the estimates.
+constexpr double depthPart = 0.25;
+
 // Part of the tolerated overshoot that may be used before requests are refused, and its bound in seconds of the limit.
 // It covers the noise of the estimated demand, which would otherwise refuse requests of small customers.
 constexpr double headroomPart = 0.25;
@@ -59,6 +63,21 @@
 }
 
 // Use above the limit that all instances together may make in one window.
+// A limit allows `perSecond` for the length of the window and `burst` besides in each window. A bucket that fills at
+// that rate only would refuse a steady demand which stays within it, so the burst is spread over the window. What is
+// left as the depth of the bucket is covered by the tolerated overshoot.
+CustomerLimit SharedRateLimit::spread(const CustomerLimit& limit) const
+{
+    const double window = secondsOf(options_.window);
+    const double tolerated = options_.overshoot * (limit.perSecond * window + limit.burst) + options_.slack;
+    if (tolerated <= 0)
+        return limit;
+    CustomerLimit result = limit;
+    result.perSecond += limit.burst / window;
+    result.burst = std::min(limit.burst, depthPart * tolerated);
+    return result;
+}
+
 double SharedRateLimit::tolerance(const Bucket& bucket) const
 {
     return options_.overshoot * (bucket.limit->perSecond * secondsOf(options_.window) + bucket.limit->burst)
@@ -156,7 +175,7 @@
     for (const auto& [customer, limit] : limits) {
         Bucket& bucket = buckets_[customer];
         const bool continues = bucket.limit && bucket.limit->unit == limit->unit;
-        bucket.limit = limit;
+        bucket.limit = spread(*limit);
         if (continues) {
             bucket.level = std::min(bucket.level, capacity(bucket));
             continue;
--- a/src/fleet/SharedRateLimit.h
+++ b/src/fleet/SharedRateLimit.h
@@ -138,6 +138,7 @@
     Bucket* find(const CustomerId& customer);
     double rate(const Bucket& bucket) const { return bucket.limit->perSecond * share_; }
     double capacity(const Bucket& bucket) const { return bucket.limit->burst * share_; }
+    CustomerLimit spread(const CustomerLimit& limit) const;
     double tolerance(const Bucket& bucket) const;
     double headroom(const Bucket& bucket) const;
     double spendableRate(const Bucket& bucket) const;
