Confirm the configuration earlier when its reader fails

Change: reads are held for a fifth of the limit, long reads end at 0.7 of it, and reads are answered at once from there.

--- a/src/fleet/ConfigurationAge.cpp
+++ b/src/fleet/ConfigurationAge.cpp
@@ -31,10 +31,7 @@
 {
     if (!options_.isStrict)
         return Duration::max();
-    const std::optional<Duration> current = age(now);
-    if (!current)
-        return Duration(0);
-    return std::clamp(options_.limit - margin - readReserve() - *current, Duration(0), readWait());
+    return needsOwnRead(now) ? Duration(0) : readWait();
 }
 
 bool ConfigurationAge::needsOwnRead(TimePoint now) const
--- a/src/fleet/ConfigurationAge.h
+++ b/src/fleet/ConfigurationAge.h
@@ -49,8 +49,8 @@
     void readAnswered(TimePoint sentAt);
 
     // Longest time for which the store may hold the next read of an instance that receives no forwarded changes. A read
-    // confirms only as of when it was sent, so the age reaches twice this time. Shorter when the knowledge would
-    // become too old before the answer.
+    // confirms only as of when it was sent, so the age reaches twice this time. Zero when the knowledge is so old that
+    // others may soon need this instance, or it may soon refuse keys.
     Duration maxReadWait(TimePoint now) const;
 
     // Whether the knowledge is older than responses of peers keep it, so that this instance has to read the store
@@ -81,17 +81,15 @@
 
     static constexpr Duration::rep never = std::numeric_limits<Duration::rep>::min();
 
-    // The intervals are fractions of the limit. With a limit of 5 s: reads are held for 1.25 s, so an instance that
-    // reads knows the configuration as of at most 2.5 s ago. An instance that queries it once a second has an age of at
-    // most 3.5 s. When the responses fail, it reads the store itself from 3.75 s on; ending its long read takes up to
-    // 0.6 s, so that the answer comes before 4.75 s.
-    Duration readWait() const { return options_.limit / 4; }
-    Duration maxReaderAge() const { return options_.limit * 3 / 5; }
-    Duration maxForwardedAge() const { return options_.limit * 3 / 4; }
+    // The intervals are fractions of the limit. With a limit of 5 s: reads are held for 1 s, so an instance that reads
+    // knows the configuration as of at most 2 s ago. An instance that queries it once a second has an age of at most
+    // 3 s. When the responses fail, it reads the store itself from 3.5 s on; ending its long read takes up to 0.6 s.
+    // An owner that has just lost the store then still has 0.65 s to query it before it refuses keys.
+    Duration readWait() const { return options_.limit / 5; }
+    Duration maxReaderAge() const { return options_.limit / 2; }
+    Duration maxForwardedAge() const { return options_.limit * 7 / 10; }
     Duration queryInterval() const { return options_.limit / 5; }
     Duration responseTimeout() const { return options_.limit / 16; }
-    // Time for the answer of a read besides its wait; the store usually answers within 4 ms.
-    Duration readReserve() const { return options_.limit / 50; }
 
     void confirm(TimePoint asOf);
 
