Keep the rate of calls to a store that does not answer

Cause: a read that is not held because the configuration is old ended 0.9 s after its beginning, so each instance called a hanging store every 0.9 s instead of every 2.4 s. Change: such a read may take as long as one that is held. Measured: TableWatchTest (9) passes.

--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -52,7 +52,7 @@
                 cancelWhenItMustBeShort(cancellation);
             absl::StatusOr<RowPage> page = first
                 ? store_.list(options_.table, begin + answerTimeout)
-                : store_.changes(options_.table, since, wait, begin + wait + answerTimeout, cancellation);
+                : store_.changes(options_.table, since, wait, deadlineOf(begin, wait), cancellation);
             if (!page.ok()) {
                 if (!cancellation->isRequested())
                     handleFailure(page.status(), begin);
@@ -122,6 +122,13 @@
 
     Duration shortWait() const { return maxWait ? std::min(options_.wait, maxWait()) : options_.wait; }
 
+    // A read that is held for less than usual may take as long as any other, so that a store that does not answer gets
+    // no more calls.
+    TimePoint deadlineOf(TimePoint begin, Duration wait) const
+    {
+        return begin + std::max(wait, options_.wait) + answerTimeout;
+    }
+
     // Ends early when the other instance stops forwarding changes, or a call fails.
     void pause()
     {
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -22,11 +22,12 @@
         return RowPage{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
     }
 
-    absl::StatusOr<RowPage> changes(
-        const std::string&, RowVersion, Duration wait, TimePoint, const std::shared_ptr<HttpCancellation>& cancellation)
+    absl::StatusOr<RowPage> changes(const std::string&, RowVersion, Duration wait, TimePoint deadline,
+        const std::shared_ptr<HttpCancellation>& cancellation)
     {
         ++calls;
         lastWait = wait;
+        lastTimeLimit = deadline - currentTime();
         if (failing > 0) {
             --failing;
             return makeError(CoordinationError::PlatformUnreachable, "connection reset");
@@ -49,6 +50,7 @@
 
     int calls = 0;
     Duration lastWait{0};
+    Duration lastTimeLimit{0};
     // Number of further calls of changes() that fail.
     int failing = 0;
     // The first answers of changes(), and that of list() after the first call.
@@ -220,6 +222,7 @@
     for (std::size_t i = 1; i < reads.size(); ++i)
         EXPECT_GE(reads[i].second - reads[i].first, Duration(500ms));
     EXPECT_EQ(store_.lastWait, Duration(500ms));
+    EXPECT_EQ(store_.lastTimeLimit, Duration(1900ms)) << "a store that does not answer would get more calls";
 }
 
 // Guards against a store that counts as lost long after it has recovered. An instance that received forwarded changes
