--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -268,11 +268,12 @@
         return isInterrupted() ? std::max(route_->latencyObjective, timeToResume()) : route_->latencyObjective;
     }
 
-    // The time within which the callers of a route still wait for the first event, where requests are ordered by their
-    // urgency: a late one then delays none that is in time.
+    // The time within which a first event is expected of a request that is sent although it will be late. Only where
+    // requests are ordered by their urgency, so that it delays none that is in time. Half of the time for which callers
+    // wait, because the prompts that arrive later go first.
     Duration lateObjective() const
     {
-        return urgency_ ? startedAt_ + fleet::resumeWindow(*route_) - currentTime() : Duration(0);
+        return urgency_ ? startedAt_ + fleet::resumeWindow(*route_) / 2 - currentTime() : Duration(0);
     }
 
     // Whether a request whose target is silent can be sent to another one. If not, giving it up would only lose an
