Share the slots of plain services among many instances

Cause: 133 instances send to 3 targets with 18 slots and know of each other's requests up to a second late. Above capacity they fill the queues of the targets, so nearly all answers are late and one send in two is rejected. Change: an instance that hears from more instances than a plain service has slots admits a fraction of its own requests (SlotShare). The fraction follows the load that targets report, which instances pass on with its age in their status messages. A request that exceeds it is held for an eighth of its objective and then refused. The choice between targets stays as it was: going by the passed-on loads turned all instances to the same target.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -85,6 +85,9 @@
 // Shortest time after which a refused caller is told to retry.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(200);
 
+// A plain request that exceeds the share of its instance is held for this part of its objective.
+constexpr int partsOfObjectiveHeld = 8;
+
 struct Candidate {
     const TargetState* state = nullptr;
     // Estimated time to the first event.
@@ -114,6 +117,8 @@
         if (input_.need && input_.service.engine
             && static_cast<double>(input_.need->promptTokens.value()) > input_.service.engine->cacheTokens)
             return NoTarget{NoTargetReason::TooLarge, minRetryAfter};
+        if (const auto held = holdForSlot())
+            return *held;
         const std::optional<Candidate> best = findBest();
         const Duration admitted = admittedWait();
         if (!best)
@@ -126,6 +131,26 @@
     }
 
 private:
+    // Returns what to do with a request that exceeds the instance's share of a plain service.
+    std::optional<TargetDecision> holdForSlot() const
+    {
+        const SlotShare* share = input_.need ? nullptr : registry_.slotShare(input_.service.id);
+        if (!share || share->admits(drawOf(input_.spreadKey), input_.now))
+            return std::nullopt;
+        if (input_.waited < input_.latencyObjective / partsOfObjectiveHeld)
+            return AwaitedSlot{};
+        return NoTarget{NoTargetReason::TooBusy, share->retryAfter(input_.now)};
+    }
+
+    // A number in [0, 1) that is evenly distributed over requests.
+    static double drawOf(std::string_view key)
+    {
+        // Those bits that a double holds exactly, so that the result stays below 1.
+        constexpr int mantissaBits = 53;
+        constexpr int unusedBits = 64 - mantissaBits;
+        return std::ldexp(static_cast<double>(rendezvousWeight(key, "slot") >> unusedBits), -mantissaBits);
+    }
+
     // The longest time to the first event with which a request is admitted. A generation that would start later than
     // its objective is refused, although its caller would wait longer: if those are queued, all that follow are late
     // too.
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -27,7 +27,7 @@
     std::span<const TargetId> excluded;
     // Whether the placement owner can be reached, so that missing models and adapters can be loaded.
     bool placementReached = true;
-    // How long the request has waited for a model that is not being loaded yet.
+    // How long the request has waited for a model that is not being loaded yet, or for a slot.
     Duration waited{0};
     // A key that differs between requests, by which requests without an adapter or prompt parts are spread over the
     // targets. May be empty.
@@ -44,6 +44,9 @@
     bool adapterMissing = false;
 };
 
+// The slots of a plain service are in use. The request is held for a short time.
+struct AwaitedSlot { };
+
 // No target holds the model yet, but one is expected to hold it soon enough for the request.
 struct AwaitedModel {
     TimePoint expectedAt;
@@ -70,7 +73,7 @@
 
 std::string_view nameOf(NoTargetReason reason);
 
-using TargetDecision = std::variant<ChosenTarget, AwaitedModel, NoTarget>;
+using TargetDecision = std::variant<ChosenTarget, AwaitedModel, AwaitedSlot, NoTarget>;
 
 TargetDecision chooseTarget(const TargetRegistry& registry, const ChoiceInput& input);
 
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -64,6 +64,9 @@
 // longer; ExpectationBias measures by how much.
 constexpr Duration leastTokenTime = std::chrono::microseconds(1046);
 
+// Reports of a target's load that are older than this time are not passed on and do not count for the share of slots.
+constexpr Duration maxForwardedLoadAge = std::chrono::seconds(1);
+
 // How long a target is avoided after it has reported that it is full.
 constexpr Duration fullAvoidance = std::chrono::milliseconds(150);
 
@@ -150,6 +153,13 @@
             found->second->peers[peer] = {report.work, now};
         if (report.pace)
             found->second->pace.recordPeer(*report.pace, now);
+        if (report.load)
+            recordRequests(*found->second, report.load->requests, now - report.load->age, now);
+    }
+    peers_[peer] = now;
+    if (now - peersPrunedAt_ > maxPeerWorkAge) {
+        std::erase_if(peers_, [&](const auto& entry) { return now - entry.second > maxPeerWorkAge; });
+        peersPrunedAt_ = now;
     }
 }
 
@@ -162,10 +172,45 @@
     state.reportedOthers
         = std::max(0.0, static_cast<double>(load.running) + load.waiting - static_cast<double>(state.own.running));
     state.reportedAt = now;
+    recordRequests(state, load.running + load.waiting, now, now);
+    state.ownReport = {load.running + load.waiting, now};
     if (load.pace)
         state.pace.recordReport(*load.pace, now);
 }
 
+void TargetRegistry::recordRequests(TargetState& state, std::uint32_t requests, TimePoint at, TimePoint now)
+{
+    if (state.newestReport && state.newestReport->second > at)
+        return;
+    state.newestReport = {requests, at};
+    if (!isScarce(state.record.service))
+        return;
+    double load = 0;
+    double slots = 0;
+    for (const TargetState* target : ofService(state.record.service)) {
+        if (!target->newestReport || now - target->newestReport->second > maxForwardedLoadAge)
+            continue;
+        load += target->newestReport->first;
+        slots += target->record.slots;
+    }
+    if (slots > 0)
+        slotShares_[state.record.service].recordLoad(load / slots, now);
+}
+
+bool TargetRegistry::isScarce(const ServiceId& service) const
+{
+    double slots = 0;
+    for (const TargetState* target : ofService(service))
+        slots += std::max(target->record.slots, 1);
+    return static_cast<double>(peers_.size()) + 1 > slots;
+}
+
+const SlotShare* TargetRegistry::slotShare(const ServiceId& service) const
+{
+    const auto found = slotShares_.find(service);
+    return found != slotShares_.end() && isScarce(service) ? &found->second : nullptr;
+}
+
 TargetRegistry::Notice& TargetRegistry::noticeOf(const TargetId& id, TargetIncarnation incarnation)
 {
     if (notices_.size() >= maxNotices)
@@ -213,8 +258,11 @@
     std::vector<TargetWorkReport> reports;
     for (const auto& [id, state] : targets_) {
         const std::optional<PaceNews> pace = state->pace.news(now);
-        if (state->own.running > 0 || pace)
-            reports.push_back({id, state->own, pace});
+        std::optional<AgedLoad> load;
+        if (state->ownReport && now - state->ownReport->second < maxForwardedLoadAge && isScarce(state->record.service))
+            load = AgedLoad{state->ownReport->first, now - state->ownReport->second};
+        if (state->own.running > 0 || pace || load)
+            reports.push_back({id, state->own, pace, load});
     }
     return reports;
 }
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/CallerRequest.h"
+#include "fleet/SlotShare.h"
 #include "fleet/TargetPace.h"
 #include "fleet/TargetRecord.h"
 
@@ -22,12 +23,22 @@
     double heldTokens = 0;
 };
 
+// The requests that a target had in progress and in its queue some time ago, according to itself.
+struct AgedLoad {
+    std::uint32_t requests = 0;
+    Duration age{0};
+
+    bool operator==(const AgedLoad&) const = default;
+};
+
 // The work of one instance on one target, as instances report it to each other.
 struct TargetWorkReport {
     TargetId target;
     TargetWork work;
     // Set only for targets that report their pace.
     std::optional<PaceNews> pace;
+    // Set only for targets of services with fewer slots than instances.
+    std::optional<AgedLoad> load;
 };
 
 // The load of a target as the target itself reports it with an answer.
@@ -68,6 +79,9 @@
     // Requests of other instances according to the last load that the target reported.
     double reportedOthers = 0;
     std::optional<TimePoint> reportedAt;
+    // Running and waiting requests according to the newest report of the target to this instance, and to any.
+    std::optional<std::pair<std::uint32_t, TimePoint>> ownReport;
+    std::optional<std::pair<std::uint32_t, TimePoint>> newestReport;
     TargetPace pace;
     // Whether the holdings come from the placement owner, which take precedence over a list entry of the same sequence.
     bool holdingsFromOwner = false;
@@ -147,6 +161,9 @@
     // ended.
     void endSend(SendId send, SendOutcome outcome, TimePoint now);
 
+    // Returns the share of a plain service that has fewer slots than instances; null for other services.
+    const SlotShare* slotShare(const ServiceId& service) const;
+
     // Returns the mean pace that is expected of a target over a time that begins at `now`; 1 when it is not listed.
     double paceOver(const TargetId& target, Duration time, TimePoint now) const;
 
@@ -210,6 +227,9 @@
     void recordReachability(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
     void recordOccupancy(const ServiceId& service, Duration occupancy);
+    // Whether there are fewer slots of the service than instances that report to this one, with itself.
+    bool isScarce(const ServiceId& service) const;
+    void recordRequests(TargetState& state, std::uint32_t requests, TimePoint at, TimePoint now);
     void recordTimes(TargetState& state, const Send& send, TimePoint now);
     static void recordMeasured(
         ExpectationBias& bias, TargetPace& pace, Duration measured, Duration expected, double reported);
@@ -218,6 +238,10 @@
     std::unordered_map<ServiceId, std::vector<TargetState*>> byService_;
     std::map<DataCentreId, Reachability> reachability_;
     std::unordered_map<SendId, Send> sends_;
+    // Instances that have reported their work, with the time of the last report, and when old ones were last removed.
+    std::unordered_map<InstanceId, TimePoint> peers_;
+    TimePoint peersPrunedAt_;
+    std::unordered_map<ServiceId, SlotShare> slotShares_;
     std::map<TargetId, Notice> notices_;
     // Moving average of the time from the first event to the end of a stream, in seconds.
     std::unordered_map<ServiceId, double> occupancySeconds_;
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -132,12 +132,16 @@
     for (const fleet::TargetWorkReport& share : shares) {
         MeshWork& entry = work.emplace_back(
             MeshWork{share.target, share.work.running, share.work.prefillTokens, share.work.heldTokens});
-        if (!share.pace)
-            continue;
-        entry.pacePercent = static_cast<std::uint32_t>(std::lround(share.pace->pace * percent));
-        entry.paceAgeMs = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(share.pace->age).count());
-        entry.paceIsMeasured = share.pace->isMeasured;
+        if (share.pace) {
+            entry.pacePercent = static_cast<std::uint32_t>(std::lround(share.pace->pace * percent));
+            entry.paceAgeMs = static_cast<std::uint32_t>(toMilliseconds(share.pace->age));
+            entry.paceIsMeasured = share.pace->isMeasured;
+        }
+        if (share.load) {
+            entry.hasLoad = true;
+            entry.requests = share.load->requests;
+            entry.loadAgeMs = static_cast<std::uint32_t>(toMilliseconds(share.load->age));
+        }
     }
     return work;
 }
@@ -150,8 +154,10 @@
         fleet::TargetWorkReport& share = shares.emplace_back(fleet::TargetWorkReport{
             entry.target, {entry.running, entry.prefillTokens, entry.heldTokens}, std::nullopt});
         if (entry.pacePercent > 0)
-            share.pace = fleet::PaceNews{
-                entry.pacePercent / percent, std::chrono::milliseconds(entry.paceAgeMs), entry.paceIsMeasured};
+            share.pace
+                = fleet::PaceNews{entry.pacePercent / percent, fromMilliseconds(entry.paceAgeMs), entry.paceIsMeasured};
+        if (entry.hasLoad)
+            share.load = fleet::AgedLoad{entry.requests, fromMilliseconds(entry.loadAgeMs)};
     }
     return shares;
 }
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -39,10 +39,15 @@
     std::uint32_t pacePercent = 0;
     std::uint32_t paceAgeMs = 0;
     bool paceIsMeasured = false;
+    // The requests in the target as it last told the sender, if that is of use to others, and the age of this figure.
+    bool hasLoad = false;
+    std::uint32_t requests = 0;
+    std::uint32_t loadAgeMs = 0;
 
     auto fields()
     {
-        return std::tie(target, running, prefillTokens, heldTokens, pacePercent, paceAgeMs, paceIsMeasured);
+        return std::tie(target, running, prefillTokens, heldTokens, pacePercent, paceAgeMs, paceIsMeasured, hasLoad,
+            requests, loadAgeMs);
     }
 };
 
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -26,6 +26,8 @@
     static constexpr int maxAdapterRetries = 3;
     // How often a request that waits for a model checks whether it is loaded.
     static constexpr Duration modelPollInterval = std::chrono::milliseconds(50);
+    // How often a plain request that is held for a slot checks whether it may be sent.
+    static constexpr Duration slotPollInterval = std::chrono::milliseconds(10);
     // Time between the first two attempts to resume an interrupted stream; it doubles up to the limit.
     static constexpr Duration resumeRetryDelay = std::chrono::milliseconds(100);
     static constexpr Duration maxResumeRetryDelay = std::chrono::milliseconds(800);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -212,6 +212,11 @@
                 awaitModel(*awaited);
                 continue;
             }
+            if (std::holds_alternative<fleet::AwaitedSlot>(choice)) {
+                sleepFor(std::min(RelayLimits::slotPollInterval, deadline_ - currentTime()));
+                slotWait_ += RelayLimits::slotPollInterval;
+                continue;
+            }
             if (pauseIsDue_) {
                 pauseInterruptedRequest();
                 continue;
@@ -236,8 +241,8 @@
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
-            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_, modelWait_,
-            caller_.attempt.value()};
+            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_,
+            modelWait_ + slotWait_, caller_.attempt.value()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
@@ -860,6 +865,7 @@
     Duration adapterWait_{0};
     int adapterRefusals_ = 0;
     Duration modelWait_{0};
+    Duration slotWait_{0};
     // A failure that a target reported, forwarded to the caller when no other target answers.
     std::optional<HttpResponse> targetFailure_;
     std::unique_ptr<MemoryBudget::Share> failureMemory_;
--- a/tests/gateway/MeshMessagesTest.cpp
+++ b/tests/gateway/MeshMessagesTest.cpp
@@ -7,11 +7,11 @@
 
 using namespace std::chrono_literals;
 
-// Guards against news of a pace that gets lost between instances, and against a pace of targets that have none.
-TEST(MeshMessages, CarryPacesOnlyOfTargetsThatHaveOne)
+// Guards against news of a pace or a load that gets lost between instances, and against those of targets without any.
+TEST(MeshMessages, CarryPacesAndLoadsOnlyOfTargetsThatHaveThem)
 {
     const std::vector<fleet::TargetWorkReport> reports{{TargetId("a"), {1, 2, 3}, std::nullopt},
-        {TargetId("b"), {}, fleet::PaceNews{2.5, 150ms, false}},
+        {TargetId("b"), {}, fleet::PaceNews{2.5, 150ms, false}, fleet::AgedLoad{0, 20ms}},
         {TargetId("c"), {4, 5, 6}, fleet::PaceNews{0.1, 0ms, true}}};
     MeshStatus status;
     status.work = toMessage(reports);
@@ -23,6 +23,7 @@
         EXPECT_EQ(received[i].target, reports[i].target);
         EXPECT_EQ(received[i].work.running, reports[i].work.running);
         EXPECT_EQ(received[i].pace, reports[i].pace) << i;
+        EXPECT_EQ(received[i].load, reports[i].load) << i;
     }
 }
 
--- a/tests/unit/PlainRoutingSimulation.h
+++ b/tests/unit/PlainRoutingSimulation.h
@@ -28,6 +28,8 @@
     std::size_t requests = 0;
     // Number of sends that a full target rejected.
     std::size_t rejected = 0;
+    // Requests that were refused without being sent.
+    std::size_t refused = 0;
     std::vector<double> answeredMilliseconds;
 
     double shareWithin(double milliseconds) const
@@ -61,6 +63,7 @@
 private:
     // Latency from an instance to a target or back, including the time to connect.
     static constexpr Duration oneWayLatency = std::chrono::milliseconds(2);
+    static constexpr Duration pollInterval = std::chrono::milliseconds(10);
     static constexpr std::size_t maxSends = 5;
 
     struct Request {
@@ -68,6 +71,7 @@
         std::string id;
         TimePoint arrivedAt;
         std::vector<TargetId> tried;
+        Duration waited{0};
         SendId send;
     };
 
@@ -95,10 +99,17 @@
         input.latencyObjective = std::chrono::milliseconds(300);
         input.excluded = request->tried;
         input.spreadKey = request->id;
+        input.waited = request->waited;
         const TargetDecision decision = chooseTarget(registry, input);
+        if (std::holds_alternative<AwaitedSlot>(decision)) {
+            request->waited += pollInterval;
+            return schedule(pollInterval, [this, request] { send(request); });
+        }
         const auto* chosen = std::get_if<ChosenTarget>(&decision);
-        if (!chosen || request->tried.size() == maxSends)
+        if (!chosen || request->tried.size() == maxSends) {
+            outcome_.refused += request->tried.empty() ? 1 : 0;
             return;
+        }
         request->send = registry.beginSend(chosen->target, nullptr, now_, chosen->predicted);
         request->tried.push_back(chosen->target);
         const std::size_t index = std::stoul(chosen->target.value().substr(1));
