Show the paces of targets and the shares of plain services

Cause: neither a metric nor a log line says which targets are slow, where that is known from, or that a plain service is overloaded. Change: gauges of the pace and its age for at most 64 targets, those that differ most from 1 first, with the source of the pace; a gauge of the admitted fraction of each plain service with fewer slots than instances; every 10 s one line with the 8 targets that differ most. Nothing is shown for targets that report no pace.

--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -369,6 +369,32 @@
     return state ? state->pace.meanOver(time, now) : 1;
 }
 
+std::vector<PaceState> TargetRegistry::paces(TimePoint now, std::size_t limit) const
+{
+    std::vector<PaceState> states;
+    for (const auto& [id, state] : targets_) {
+        if (const auto age = state->pace.age(now))
+            states.push_back({id, state->pace.at(now), state->pace.sourceAt(now), *age});
+    }
+    std::sort(states.begin(), states.end(), [](const PaceState& left, const PaceState& right) {
+        const double leftDistance = std::abs(std::log(left.pace));
+        const double rightDistance = std::abs(std::log(right.pace));
+        return std::tie(rightDistance, left.target) < std::tie(leftDistance, right.target);
+    });
+    states.resize(std::min(states.size(), limit));
+    return states;
+}
+
+std::map<ServiceId, double> TargetRegistry::admittedFractions(TimePoint now) const
+{
+    std::map<ServiceId, double> fractions;
+    for (const auto& [service, share] : slotShares_) {
+        if (isScarce(service))
+            fractions[service] = share.fraction(now);
+    }
+    return fractions;
+}
+
 Duration TargetRegistry::slotOccupancy(const ServiceId& service) const
 {
     const auto found = occupancySeconds_.find(service);
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -49,6 +49,15 @@
     std::optional<double> pace;
 };
 
+// The present pace of a target that reports one, and where it comes from.
+struct PaceState {
+    TargetId target;
+    double pace = 1;
+    PaceSource source = PaceSource::None;
+    // Time since the newest report.
+    Duration age{0};
+};
+
 // How one send to a target ended.
 enum class SendOutcome {
     // A complete answer arrived, or a stream ended.
@@ -167,6 +176,12 @@
     // Returns the mean pace that is expected of a target over a time that begins at `now`; 1 when it is not listed.
     double paceOver(const TargetId& target, Duration time, TimePoint now) const;
 
+    // Returns the targets that have reported a pace, those that differ most from 1 first, at most `limit` of them.
+    std::vector<PaceState> paces(TimePoint now, std::size_t limit) const;
+
+    // Returns the fraction of their requests that is admitted, for plain services with fewer slots than instances.
+    std::map<ServiceId, double> admittedFractions(TimePoint now) const;
+
     // How long a request of this service occupies a slot on average, from its first event to its end.
     Duration slotOccupancy(const ServiceId& service) const;
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "daemon/MetricsSink.h"
 #include "gateway/ControlPlane.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/PaceReview.h"
 #include "gateway/RequestRelay.h"
 #include "protocol/Digest.h"
 #include "transport/HttpServer.h"
@@ -228,6 +229,7 @@
     MeshStatus readRelayStatus()
     {
         MeshStatus status;
+        paceReview_.log(context_.registry, currentTime());
         status.work = toMessage(context_.registry.ownWork(currentTime()));
         status.demand = toMessage(context_.demand.read(currentTime()));
         auto used = std::exchange(context_.recentlyUsedAdapters, {});
@@ -315,9 +317,13 @@
 
     void answerMetrics(HttpExchange& exchange)
     {
-        const std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
+        std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
             {"instances", static_cast<double>(instances_)},
             {"log_lines_dropped", static_cast<double>(droppedLogLines())}};
+        const auto paces
+            = callOn(*relayInbox_, [this] { return PaceReview::gauges(context_.registry, currentTime()); });
+        if (paces.ok())
+            gauges.insert(gauges.end(), paces->begin(), paces->end());
         HttpResponse response;
         response.headers.set("Content-Type", "text/plain; version=0.0.4");
         response.body = metricsSink_->prometheusText(gauges);
@@ -406,6 +412,7 @@
     std::shared_ptr<Inbox> controlInbox_;
     std::unique_ptr<MetricsSink> metricsSink_;
     RelayContext context_;
+    PaceReview paceReview_;
     std::unique_ptr<ControlPlane<Platform>> control_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> readiness_;
--- a/src/state/Metrics.cpp
+++ b/src/state/Metrics.cpp
@@ -129,7 +129,10 @@
     for (const Gauge& gauge : gauges) {
         const std::string name = "lychee_" + gauge.name;
         writeType(name, "gauge");
-        text += fmt::format("{} {}\n", name, gauge.value);
+        if (gauge.labels.empty())
+            text += fmt::format("{} {}\n", name, gauge.value);
+        else
+            text += fmt::format("{}{{{}}} {}\n", name, gauge.labels, gauge.value);
     }
     return text;
 }
--- a/src/state/Metrics.h
+++ b/src/state/Metrics.h
@@ -54,6 +54,8 @@
 struct Gauge {
     std::string name;
     double value = 0;
+    // For example `target="a"`; empty for a gauge with a single value. Gauges of one name must follow one another.
+    std::string labels;
 };
 
 // Collects samples. Not thread-safe; used on the thread of the metrics only.
