Wait for a slow stream no longer than its callers do

Cause: the time until the first answer was scaled by the pace up to the deadline also for streams, whose callers leave after the accepted gap: with a lasting pace of 2.5 the wait of 3.75 s exceeds the 2.4 s of call-tag. Change: maxSilenceBeforeAnswer() limits it to three quarters of the accepted gap for streams, as in the middle of a stream, and never below the usual time. Plain requests are still awaited until their objective is all that is left before the deadline. Measured: TargetPaceTest, RelayTest, SilentTargetTest and InterruptedStreamTest pass.

--- a/src/fleet/StreamTimeouts.cpp
+++ b/src/fleet/StreamTimeouts.cpp
@@ -17,6 +17,18 @@
 // The time that a continued stream needs to reach its caller.
 constexpr Duration resumeMargin = std::chrono::milliseconds(200);
 
+// Lengthens a time by the pace of a target that is slower than usual.
+Duration scaledByPace(Duration time, double pace)
+{
+    return std::chrono::duration_cast<Duration>(time * std::max(pace, 1.0));
+}
+
+// The same for a stream: a quarter of what its callers accept is left to continue it elsewhere.
+Duration scaledByPace(Duration time, double pace, const Route& route)
+{
+    return std::max(time, std::min(scaledByPace(time, pace), maxAcceptedGap(route) / 4 * 3));
+}
+
 } // namespace
 
 Duration maxAcceptedGap(const Route& route)
@@ -27,13 +39,13 @@
 
 Duration maxTargetSilence(const Route& route, double pace)
 {
-    const Duration usual = std::clamp(maxAcceptedGap(route) / 2, maxSoundSilence, maxSilence);
-    return std::max(usual, std::min(scaledByPace(usual, pace), maxAcceptedGap(route) / 4 * 3));
+    return scaledByPace(std::clamp(maxAcceptedGap(route) / 2, maxSoundSilence, maxSilence), pace, route);
 }
 
-Duration scaledByPace(Duration time, double pace)
+Duration maxSilenceBeforeAnswer(const Route& route, double pace)
 {
-    return std::chrono::duration_cast<Duration>(time * std::max(pace, 1.0));
+    return route.kind == RequestKind::Streaming ? scaledByPace(maxSoundSilence, pace, route)
+                                                : scaledByPace(maxSoundSilence, pace);
 }
 
 Duration resumeWindow(const Route& route) { return maxAcceptedGap(route) - resumeMargin; }
--- a/src/fleet/StreamTimeouts.h
+++ b/src/fleet/StreamTimeouts.h
@@ -19,8 +19,9 @@
 // above 1 is awaited for longer, as far as callers leave time to continue elsewhere.
 Duration maxTargetSilence(const Route& route, double pace = 1);
 
-// Returns a time for which sound targets are awaited, lengthened by the pace of a target that is slower than usual.
-Duration scaledByPace(Duration time, double pace);
+// The longest silence of a sound target of this pace before its answer. Callers of streams accept less than callers of
+// plain services, whose answer counts until the deadline.
+Duration maxSilenceBeforeAnswer(const Route& route, double pace);
 
 // Time after the last event within which an interrupted stream has to continue before most callers abandon it.
 Duration resumeWindow(const Route& route);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -438,7 +438,7 @@
     {
         const Duration remaining = deadline_ - currentTime();
         const Duration expected = 3 * target.predicted + route_->latencyObjective;
-        const Duration soundSilence = fleet::scaledByPace(fleet::maxSoundSilence, paceOf(target));
+        const Duration soundSilence = fleet::maxSilenceBeforeAnswer(*route_, paceOf(target));
         const Duration pause = std::min(soundSilence, remaining - route_->latencyObjective);
         return std::max({std::min(expected, remaining / 2), pause, RelayLimits::minAnswerTimeout});
     }
--- a/tests/unit/TargetPaceTest.cpp
+++ b/tests/unit/TargetPaceTest.cpp
@@ -93,6 +93,12 @@
     EXPECT_EQ(maxTargetSilence(route, 0.5), maxTargetSilence(route));
     EXPECT_GT(maxTargetSilence(route, 2.5), maxTargetSilence(route));
     EXPECT_LE(maxTargetSilence(route, 100), maxAcceptedGap(route) * 3 / 4);
+    route.kind = RequestKind::Idempotent;
+    EXPECT_EQ(maxSilenceBeforeAnswer(route, 1), maxSoundSilence);
+    EXPECT_EQ(maxSilenceBeforeAnswer(route, 2), 2 * maxSoundSilence);
+    route.kind = RequestKind::Streaming;
+    EXPECT_EQ(maxSilenceBeforeAnswer(route, 1), maxSoundSilence);
+    EXPECT_LE(maxSilenceBeforeAnswer(route, 100), maxAcceptedGap(route) * 3 / 4);
     TargetPace pace;
     pace.recordReport(1, at(1s));
     pace.recordReport(2.5, at(2s));
