--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -4,6 +4,7 @@
 
 #include "fleet/CallerRequest.h"
 #include "fleet/PrefillQueue.h"
+#include "fleet/SlotShare.h"
 #include "fleet/TargetPace.h"
 #include "fleet/TargetRecord.h"
 
@@ -23,12 +24,22 @@
     double heldTokens = 0;
 };
 
+// The requests that a target had in progress and in its queue some time ago, according to itself.
+struct AgedLoad {
+    std::uint32_t requests = 0;
+    Duration age{0};
+
+    bool operator==(const AgedLoad&) const = default;
+};
+
 // The work of one instance on one target, as instances report it to each other.
 struct TargetWorkReport {
     TargetId target;
     TargetWork work;
     // Set only for targets that report their pace.
     std::optional<PaceNews> pace;
+    // Set only for targets of services with fewer slots than instances.
+    std::optional<AgedLoad> load;
 };
 
 // The load of a target as the target itself reports it with an answer.
@@ -39,6 +50,15 @@
     std::optional<double> pace;
 };
 
+// The present pace of a target that reports one, and where it comes from.
+struct PaceState {
+    TargetId target;
+    double pace = 1;
+    PaceSource source = PaceSource::None;
+    // Time since the newest report.
+    Duration age{0};
+};
+
 // How one send to a target ended.
 enum class SendOutcome {
     // A complete answer arrived, or a stream ended.
@@ -69,6 +89,9 @@
     // Requests of other instances according to the last load that the target reported.
     double reportedOthers = 0;
     std::optional<TimePoint> reportedAt;
+    // Running and waiting requests according to the newest report of the target to this instance, and to any.
+    std::optional<std::pair<std::uint32_t, TimePoint>> ownReport;
+    std::optional<std::pair<std::uint32_t, TimePoint>> newestReport;
     TargetPace pace;
     // Whether the holdings come from the placement owner, which take precedence over a list entry of the same sequence.
     bool holdingsFromOwner = false;
@@ -148,9 +171,18 @@
     // ended.
     void endSend(SendId send, SendOutcome outcome, TimePoint now);
 
+    // Returns the share of a plain service that has fewer slots than instances; null for other services.
+    const SlotShare* slotShare(const ServiceId& service) const;
+
     // Returns the mean pace that is expected of a target over a time that begins at `now`; 1 when it is not listed.
     double paceOver(const TargetId& target, Duration time, TimePoint now) const;
 
+    // Returns the targets that have reported a pace, those that differ most from 1 first, at most `limit` of them.
+    std::vector<PaceState> paces(TimePoint now, std::size_t limit) const;
+
+    // Returns the fraction of their requests that is admitted, for plain services with fewer slots than instances.
+    std::map<ServiceId, double> admittedFractions(TimePoint now) const;
+
     // How long a request of this service occupies a slot on average, from its first event to its end.
     Duration slotOccupancy(const ServiceId& service) const;
 
@@ -212,6 +244,9 @@
     void recordReachability(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
     void recordOccupancy(const ServiceId& service, Duration occupancy);
+    // Whether there are fewer slots of the service than instances that report to this one, with itself.
+    bool isScarce(const ServiceId& service) const;
+    void recordRequests(TargetState& state, std::uint32_t requests, TimePoint at, TimePoint now);
     void recordTimes(TargetState& state, const Send& send, TimePoint now);
     static void recordMeasured(
         ExpectationBias& bias, TargetPace& pace, Duration measured, Duration expected, double reported);
@@ -220,6 +255,10 @@
     std::unordered_map<ServiceId, std::vector<TargetState*>> byService_;
     std::map<DataCentreId, Reachability> reachability_;
     std::unordered_map<SendId, Send> sends_;
+    // Instances that have reported their work, with the time of the last report, and when old ones were last removed.
+    std::unordered_map<InstanceId, TimePoint> peers_;
+    TimePoint peersPrunedAt_;
+    std::unordered_map<ServiceId, SlotShare> slotShares_;
     std::map<TargetId, Notice> notices_;
     // Moving average of the time from the first event to the end of a stream, in seconds.
     std::unordered_map<ServiceId, double> occupancySeconds_;
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -154,12 +154,12 @@
             if (const std::uint32_t tokens = toCount(share.work.prefill.ofUrgency(fleet::Urgency(level))); tokens > 0)
                 entry.prefill.push_back({static_cast<std::uint32_t>(level), tokens});
         }
-        if (!share.pace)
-            continue;
-        entry.pacePercent = static_cast<std::uint32_t>(std::lround(share.pace->pace * percent));
-        entry.paceAgeMs = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(share.pace->age).count());
-        entry.paceIsMeasured = share.pace->isMeasured;
+        if (share.pace) {
+            entry.pace.push_back({static_cast<std::uint32_t>(std::lround(share.pace->pace * percent)),
+                static_cast<std::uint32_t>(toMilliseconds(share.pace->age)), share.pace->isMeasured});
+        }
+        if (share.load)
+            entry.load.push_back({share.load->requests, static_cast<std::uint32_t>(toMilliseconds(share.load->age))});
     }
     return work;
 }
@@ -178,9 +178,12 @@
         }
         fleet::TargetWorkReport& share
             = shares.emplace_back(fleet::TargetWorkReport{entry.target, reported, std::nullopt});
-        if (entry.pacePercent > 0)
-            share.pace = fleet::PaceNews{
-                entry.pacePercent / percent, std::chrono::milliseconds(entry.paceAgeMs), entry.paceIsMeasured};
+        if (!entry.pace.empty()) {
+            const MeshPace& pace = entry.pace.front();
+            share.pace = fleet::PaceNews{pace.percent / percent, fromMilliseconds(pace.ageMs), pace.isMeasured};
+        }
+        if (!entry.load.empty())
+            share.load = fleet::AgedLoad{entry.load.front().requests, fromMilliseconds(entry.load.front().ageMs)};
     }
     return shares;
 }
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -39,18 +39,34 @@
     auto fields() { return std::tie(urgency, tokens); }
 };
 
+// What the sender knows of the pace of a target.
+struct MeshPace {
+    std::uint32_t percent = 0;
+    std::uint32_t ageMs = 0;
+    bool isMeasured = false;
+
+    auto fields() { return std::tie(percent, ageMs, isMeasured); }
+};
+
+// The requests in a target as it last told the sender.
+struct MeshLoad {
+    std::uint32_t requests = 0;
+    std::uint32_t ageMs = 0;
+
+    auto fields() { return std::tie(requests, ageMs); }
+};
+
 // Requests in progress that the sender has forwarded to one target, and what it knows of the target's pace.
 struct MeshWork {
     TargetId target;
     std::uint32_t running = 0;
     std::vector<MeshPrefill> prefill;
     std::uint32_t heldTokens = 0;
-    // The pace in percent, 0 when the sender has no recent one, and its age.
-    std::uint32_t pacePercent = 0;
-    std::uint32_t paceAgeMs = 0;
-    bool paceIsMeasured = false;
+    // At most one of each.
+    std::vector<MeshPace> pace;
+    std::vector<MeshLoad> load;
 
-    auto fields() { return std::tie(target, running, prefill, heldTokens, pacePercent, paceAgeMs, paceIsMeasured); }
+    auto fields() { return std::tie(target, running, prefill, heldTokens, pace, load); }
 };
 
 // Recent demand for one model at the sender.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -227,6 +227,11 @@
                 awaitModel(*awaited);
                 continue;
             }
+            if (std::holds_alternative<fleet::AwaitedSlot>(choice)) {
+                sleepFor(std::min(RelayLimits::slotPollInterval, deadline_ - currentTime()));
+                slotWait_ += RelayLimits::slotPollInterval;
+                continue;
+            }
             if (pauseIsDue_) {
                 pauseInterruptedRequest();
                 continue;
@@ -251,9 +256,9 @@
     {
         const TimePoint now = currentTime();
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
-            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_, modelWait_,
-            caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard), lateObjective(),
-            urgency_.has_value()};
+            now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_,
+            modelWait_ + slotWait_, caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard),
+            lateObjective(), urgency_.has_value()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
@@ -462,7 +467,7 @@
     {
         const Duration remaining = deadline_ - currentTime();
         const Duration expected = 3 * target.predicted + route_->latencyObjective;
-        const Duration soundSilence = fleet::scaledByPace(fleet::maxSoundSilence, paceOf(target));
+        const Duration soundSilence = fleet::maxSilenceBeforeAnswer(*route_, paceOf(target));
         const Duration pause = std::min(soundSilence, remaining - route_->latencyObjective);
         return std::max({std::min(expected, remaining / 2), pause, RelayLimits::minAnswerTimeout});
     }
@@ -892,6 +897,7 @@
     Duration adapterWait_{0};
     int adapterRefusals_ = 0;
     Duration modelWait_{0};
+    Duration slotWait_{0};
     // A failure that a target reported, forwarded to the caller when no other target answers.
     std::optional<HttpResponse> targetFailure_;
     std::unique_ptr<MemoryBudget::Share> failureMemory_;
