Soak: customers with keys, priorities, pace and slow readers

Cause: the soak knew no customers, so nothing checked under faults that a request without a valid key never runs and that no key reaches a target.

The strict bound for revoked keys has its place in RunRecord::strictRevocation and is not set yet.

--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -30,6 +30,12 @@
     Millis acknowledgedAt{0};
 };
 
+// What a worker found wrong with the identity of a caller in a request.
+struct IdentityViolation {
+    std::string worker;
+    std::string text;
+};
+
 // Everything that happened in one run.
 struct RunRecord {
     std::vector<Trouble> troubles;
@@ -42,6 +48,12 @@
     std::vector<OrderRecord> orders;
     std::size_t overcommits = 0;
     std::vector<ConfigurationRecord> configurations;
+    bool hasCustomers = false;
+    std::vector<KeyRecord> keys;
+    std::vector<IdentityViolation> identityViolations;
+    // After this time from its acknowledgement, a key that was taken away runs nothing, also on instances that are out
+    // of touch. Nothing where the deployment does not ask for strict revocation.
+    std::optional<Millis> strictRevocation;
     // Planned stops that did not end in time or not with code 0, and processes that ended by themselves.
     std::vector<std::string> badEnds;
     // Instances that did not serve everything in time after the last trouble.
@@ -69,6 +81,13 @@
     void checkLosses();
     void checkIdleConnections();
     void checkConfiguration();
+    void checkIdentity();
+    void checkInvalidKey(const CallRecord& call);
+    void checkHeldKey(const CallRecord& call, const KeyRecord& key);
+    // Whether an instance was in touch with the store for the bound of a configuration before a time, which is later
+    // than `since` by more than that bound.
+    bool hasConfigurationSince(std::size_t instance, Millis since, Millis at) const;
+    bool isStoreDisturbed(Millis begin, Millis end) const;
     void checkHolders();
     void checkLeavingWorkers();
     void checkRefusingWorkers();
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -44,6 +44,8 @@
     StoreLink,
     WorkerLink,
     ConfigurationChanged,
+    // The operator takes one key of a customer away and adds another one.
+    KeyReplaced,
 };
 
 std::string_view nameOf(TroubleKind kind);
@@ -80,6 +82,9 @@
     std::string text() const;
 };
 
+// Whether a kind is a new version of the configuration.
+bool changesConfiguration(TroubleKind kind);
+
 // Whether two troubles act on the same process, or the same link.
 bool actOnSame(const Trouble& one, const Trouble& other);
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -37,6 +37,7 @@
     bool canEnd(const Trouble& trouble);
     bool holdsUpStart(const Trouble& trouble) const;
     void changeConfigurations();
+    void replaceKey(const Trouble& trouble, int version, const std::vector<std::string>& prefixes);
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
     void launchInstance(std::size_t index);
@@ -52,6 +53,8 @@
     Standin& workerOf(const Trouble& trouble) { return deployment_.worker(workers_[trouble.subject]); }
 
     SoakOptions options_;
+    RunFeatures features_;
+    KeyRing keys_;
     GatewayDeployment deployment_;
     std::vector<std::string> workers_;
     RunClock clock_;
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -28,6 +28,15 @@
     std::chrono::milliseconds eventPause{20};
     // Window of the retry budget. An instance has its share of the fixed number of retries one window after its start.
     std::chrono::seconds retryWindow{10};
+    // The `tenants` array of the first configuration, and one of its keys, which the deployment's own requests carry.
+    nlohmann::json customers = nlohmann::json::array();
+    std::string key;
+    // Routes have several priorities, and "/stream/y" one of its own.
+    bool priorities = false;
+    // Prefix of an additional route that accepts requests without a key; empty for none.
+    std::string exemptPrefix;
+    // When not 0, all workers state their load, and every other one works at a changing pace drawn from this seed.
+    std::uint64_t paceSeed = 0;
 };
 
 // Member functions throw std::runtime_error when a part of the deployment cannot be started or configured.
@@ -52,6 +61,9 @@
     // Sets the `limits` object of the configurations that are written from now on.
     void setCallerLimits(nlohmann::json limits) { callerLimits_ = std::move(limits); }
 
+    // Sets the `tenants` array of the configurations that are written from now on.
+    void setCustomers(nlohmann::json customers) { customers_ = std::move(customers); }
+
     // Sends a request to an instance and returns the answer, with status 0 when there is none.
     HttpResponse send(
         std::size_t instance, const std::string& target, const std::string& attempt, const std::string& model = "m0");
@@ -86,7 +98,7 @@
     FaultProxy& workerProxy(const std::string& id) { return *workerProxies_.at(id); }
 
     // Lines that a worker has recorded since its first start: "run ATTEMPT MILLISECONDS", "refused ATTEMPT
-    // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE" and "overcommit".
+    // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE", "overcommit" and "violation ATTEMPT TEXT".
     std::vector<std::string> readRecord(const std::string& worker) const;
 
     Standin& worker(const std::string& id) { return *workers_.at(id); }
@@ -98,6 +110,7 @@
     void writeRow(const std::string& table, const std::string& key, const std::string& value);
     void writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded);
     void startInstance(int index);
+    int priorityOf(const std::string& prefix) const;
     std::filesystem::path recordPath(const std::string& worker) const;
 
     std::filesystem::path buildDirectory_;
@@ -108,6 +121,7 @@
     std::map<std::string, std::unique_ptr<FaultProxy>> workerProxies_;
     std::vector<GatewayInstance> instances_;
     nlohmann::json callerLimits_ = nlohmann::json::object();
+    nlohmann::json customers_;
 };
 
 } // namespace lychee::test
