Bound the memory of callers that read or send slowly

Cause: bodies of requests were not counted, a whole answer kept its memory for as long as its caller did not read it, and the system held up to several megabytes in the sockets of a stream that nobody read. Slow readers were cut off after 30 s of one write.

Change: HttpServer counts bodies from their first byte until the answer in one budget, a sixteenth of the machine; the largest incomplete request gives up with 503. Answers that were not read within 1 s give up first when answers use up their memory. Sockets to callers and from targets hold 32 KB. A caller that reads nothing for 2 s is reset. HttpClient writes the body of a request in place.

--- a/src/daemon/CallerService.cpp
+++ b/src/daemon/CallerService.cpp
@@ -30,6 +30,8 @@
         return toResponse({413, "body_too_large", "the request body exceeds the size limit"});
     case HttpFault::TimedOut:
         return toResponse({408, "request_timeout", "the request was not received completely within the time limit"});
+    case HttpFault::OutOfMemory:
+        return toResponse({503, "overloaded", "the requests in progress use up the memory for them"});
     case HttpFault::Malformed:
         break;
     }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/MetricsSink.h"
+#include "gateway/CallerServer.h"
 #include "gateway/ControlPlane.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/RequestRelay.h"
@@ -36,6 +37,8 @@
     // The part of the memory of the process that answers of targets may take. An answer is copied when it grows and
     // when it is sent, so it takes up to three times its size.
     static constexpr std::size_t answerMemoryDivisor = 8;
+    // The part that bodies of requests may take. A body is copied when it is forwarded, so it takes twice its size.
+    static constexpr std::size_t requestMemoryDivisor = 16;
     // The memory of machines with one processor of which only the memory is known.
     static constexpr double megabytesOfOneProcessor = 1024;
     // Longest time to receive the body of a request.
@@ -111,7 +114,7 @@
         withoutShare.share = 0;
         context_.retryBudget.setOptions(withoutShare);
         setRetryBudget(*settings_, assumedInstances);
-        setAnswerMemory(*settings_);
+        setMemory(*settings_);
         return absl::OkStatus();
     }
 
@@ -269,42 +272,30 @@
         context_.retryBudget.updateOptions(options, clock_->now());
     }
 
-    void setAnswerMemory(const GatewaySettings& settings)
+    void setMemory(const GatewaySettings& settings)
     {
         constexpr std::size_t megabyte = std::size_t{1} << 20;
         const std::size_t configured = settings.process.memoryMegabytes() * megabyte;
-        context_.answerMemory.setCapacity(
-            (configured > 0 ? configured : machineMemory()) / GatewayLimits::answerMemoryDivisor);
+        const std::size_t memory = configured > 0 ? configured : machineMemory();
+        context_.answerMemory.setCapacity(memory / GatewayLimits::answerMemoryDivisor);
+        context_.requestMemory->setCapacity(memory / GatewayLimits::requestMemoryDivisor);
     }
 
-    static HttpServerOptions serverOptions(const fleet::CallerLimits& limits)
+    HttpServerOptions serverOptions(const fleet::CallerLimits& limits) const
     {
         HttpServerOptions options;
+        boundSlowCallers(options, context_);
         options.maxHeaderBytes = limits.headerBytes;
         options.maxBodyBytes = limits.bodyBytes;
         options.idleTimeout = limits.idleTimeout;
         options.headerTimeout = limits.headerTimeout;
         options.readTimeout = GatewayLimits::bodyTimeout;
         options.maxConnections = GatewayLimits::maxCallerConnections;
-        options.faultResponse = [](HttpFault fault) { return Platform::Dialect::localResponse(faultResponse(fault)); };
+        options.faultResponse
+            = [](HttpFault fault) { return Platform::Dialect::localResponse(gateway::faultResponse(fault)); };
         return options;
     }
 
-    static LocalResponse faultResponse(HttpFault fault)
-    {
-        switch (fault) {
-        case HttpFault::HeaderTooLarge:
-            return {431, "the request header is larger than the limit", std::nullopt};
-        case HttpFault::BodyTooLarge:
-            return {413, "the request body is larger than the limit", std::nullopt};
-        case HttpFault::TimedOut:
-            return {408, "the request was not received within the time limit", std::nullopt};
-        case HttpFault::Malformed:
-            return {400, "the request is malformed", std::nullopt};
-        }
-        return {400, "the request is malformed", std::nullopt};
-    }
-
     void applyLimits(const fleet::CallerLimits& limits) { callers_->setLimits(serverOptions(limits)); }
 
     void answerReadiness(HttpExchange& exchange)
@@ -355,7 +346,7 @@
         settings_ = loaded.settings;
         postToRelay([this, settings = settings_] {
             setRetryBudget(*settings, std::max(instances_.load(), assumedInstances));
-            setAnswerMemory(*settings);
+            setMemory(*settings);
         });
     }
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -27,9 +27,12 @@
     fleet::DemandMeter demand;
     fleet::ServiceRetryBudget retryBudget;
     CrashWatch crashes;
-    HttpClient http;
+    HttpClient http{RelayLimits::targetBuffers};
     // Bounds the answers of targets that are held until they are complete.
     MemoryBudget answerMemory{RelayLimits::answerMemory, RelayLimits::freeAnswerMemory};
+    // Bounds the bodies of requests that are being received or relayed.
+    std::shared_ptr<MemoryBudget> requestMemory
+        = std::make_shared<MemoryBudget>(RelayLimits::requestMemory, RelayLimits::freeRequestMemory);
     MetricsSink* metrics = nullptr;
     // Asks the placement owner to load an adapter on a target and suspends the fiber until it is loaded. Fails with
     // TransportError::ConnectionClosed when the owner cannot be reached, and with other errors when the adapter cannot
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -1,7 +1,7 @@
 // Timeouts and limits for relaying requests to targets.
 #pragma once
 
-#include "transport/RuntimeClock.h"
+#include "transport/SocketOperation.h"
 
 namespace lychee::gateway {
 
@@ -39,6 +39,18 @@
     // the part that each request has besides.
     static constexpr std::size_t answerMemory = std::size_t{32} * 1024 * 1024;
     static constexpr std::size_t freeAnswerMemory = 16384;
+    // The same for the bodies of requests.
+    static constexpr std::size_t requestMemory = std::size_t{16} * 1024 * 1024;
+    static constexpr std::size_t freeRequestMemory = 16384;
+    // A caller that reads nothing for this time is cut off. Targets close connections that stay unread for some
+    // seconds, and such an end must not be taken for a crash, so this is shorter.
+    static constexpr Duration slowReaderTimeout = std::chrono::seconds(2);
+    // A caller that takes longer to read a whole answer has to give up first when answers use up their memory.
+    static constexpr Duration deliveryTime = std::chrono::seconds(1);
+    // What the system holds for a caller that reads slowly, and of the answer of a target that is read as slowly for
+    // it. The system doubles the numbers. They allow about 10 MB/s on one connection at a round trip of 3 ms.
+    static constexpr SocketBuffers callerBuffers{16384, 0};
+    static constexpr SocketBuffers targetBuffers{0, 16384};
     // Longest event of a stream; an event holds a few tokens.
     static constexpr std::size_t maxEventBytes = 262144;
     // Retry-After of requests that an instance refuses because it stops; the others are ready for them.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -605,9 +605,18 @@
             return resendOrFinish(
                 attempt, fleet::SendResult::TargetFailed, fmt::format("the target answered with status {}", status));
         }
+        spareWhileDelivered(*memory);
         deliver(response, success);
     }
 
+    void spareWhileDelivered(MemoryBudget::Share& memory)
+    {
+        memory.deliverUntil(currentTime() + RelayLimits::deliveryTime, [this] {
+            lastProblem_ = "the caller reads its answer too slowly";
+            exchange_.abort();
+        });
+    }
+
     void openMemory(Attempt& attempt)
     {
         attempt.memory = context_.answerMemory.open([stream = attempt.stream.get()] { stream->cancelRead(); });
@@ -634,7 +643,11 @@
             outcome_ = success ? RelayOutcome::Delivered : RelayOutcome::Failed;
     }
 
-    void forwardTargetFailure() { deliver(*targetFailure_, false); }
+    void forwardTargetFailure()
+    {
+        spareWhileDelivered(*failureMemory_);
+        deliver(*targetFailure_, false);
+    }
 
     static bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -44,9 +44,13 @@
 // The age of idle connections counts suspension of the machine, in which the peer may have closed them.
 TimePoint poolTime() { return Duty::current()->clock()->nowWithSuspension(); }
 
-http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
+// The body is not copied, because it may be held for as long as the peer does not answer.
+using RequestMessage = http::request<http::span_body<const char>>;
+
+// `request` must outlive the message.
+RequestMessage toMessage(const Endpoint& endpoint, const HttpRequest& request)
 {
-    http::request<http::string_body> message;
+    RequestMessage message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -54,7 +58,7 @@
         message.set(http::field::host, endpoint.toString());
     for (const HttpHeaders::Field& field : request.headers.fields())
         message.insert(field.name, field.value);
-    message.body() = request.body;
+    message.body() = {request.body.data(), request.body.size()};
     const bool usuallyHasBody = message.method() == http::verb::post || message.method() == http::verb::put
         || message.method() == http::verb::patch;
     if (usuallyHasBody || !request.body.empty())
@@ -168,7 +172,7 @@
 
     // Sends the request. A peer may answer and stop reading before it has the whole body, so a failed write is not
     // the end of the call.
-    error_code write(const http::request<http::string_body>& message)
+    error_code write(const RequestMessage& message)
     {
         const error_code error = runBefore(connection_->socket_, nextDeadline(limits_.interByteTimeout),
             [&](error_code& result) { http::async_write(connection_->socket_, message, FiberToken{result}); });
@@ -371,8 +375,9 @@
     std::array<char, readBufferBytes> chunk_;
 };
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(const SocketBuffers& buffers)
     : pool_(std::make_shared<Pool>())
+    , buffers_(buffers)
 {
 }
 
@@ -393,7 +398,7 @@
     if (limits.pooledOnly)
         return {makeError(TransportError::ConnectionClosed, "no established connection"), false, nullptr};
     absl::StatusOr<tcp::socket> socket = connectSocket(
-        endpoint.address, endpoint.port, std::min(limits.deadline, currentTime() + limits.connectTimeout));
+        endpoint.address, endpoint.port, std::min(limits.deadline, currentTime() + limits.connectTimeout), buffers_);
     if (!socket.ok())
         return {socket.status(), false, nullptr};
     return openOn(std::make_unique<Connection>(*std::move(socket)), endpoint, request, limits);
@@ -402,7 +407,7 @@
 HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::openOn(std::unique_ptr<Connection> connection,
     const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
-    const http::request<http::string_body> message = toMessage(endpoint, request);
+    const RequestMessage message = toMessage(endpoint, request);
     if (limits.cancellation && limits.cancellation->isRequested())
         return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
     auto stream = std::make_unique<Stream>(pool_, endpoint, std::move(connection), limits);
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -3,6 +3,7 @@
 
 #include "transport/Duty.h"
 #include "transport/HttpMessage.h"
+#include "transport/SocketOperation.h"
 
 #include <absl/status/statusor.h>
 
@@ -102,7 +103,8 @@
 // Makes calls from fibers of one duty. Not thread-safe.
 class HttpClient {
 public:
-    HttpClient();
+    // `buffers` are those of the connections that are opened.
+    explicit HttpClient(const SocketBuffers& buffers = {});
     ~HttpClient();
 
     // Sends a request and reads the header of the answer.
@@ -124,6 +126,7 @@
         const HttpRequest& request, const HttpCallLimits& limits);
 
     std::shared_ptr<Pool> pool_;
+    SocketBuffers buffers_;
 };
 
 } // namespace lychee
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -53,6 +54,8 @@
         return HttpFault::BodyTooLarge;
     if (error == boost::asio::error::timed_out)
         return HttpFault::TimedOut;
+    if (error == boost::asio::error::no_memory)
+        return HttpFault::OutOfMemory;
     return HttpFault::Malformed;
 }
 
@@ -134,6 +137,8 @@
             const bool received = readRequest();
             if (received)
                 handleRequest();
+            memory_.reset();
+            request_ = {};
             --state_->activeExchanges_;
             if (!received || !answered_ || !keepAlive_)
                 break;
@@ -165,12 +170,10 @@
         prepare(message);
         message.prepare_payload();
         http::response_serializer<http::string_body> serializer(message);
-        return finish(write("write answer", [&](error_code& error) {
-            if (isHead())
-                http::async_write_header(socket_, serializer, FiberToken{error});
-            else
-                http::async_write(socket_, serializer, FiberToken{error});
-        }));
+        serializer.split(isHead());
+        const auto isDone = [&] { return isHead() ? serializer.is_header_done() : serializer.is_done(); };
+        return finish(writeAll("write answer", isDone,
+            [&](error_code& error) { http::async_write_some(socket_, serializer, FiberToken{error}); }));
     }
 
     absl::Status beginStream(int status, const HttpHeaders& headers) override
@@ -180,32 +183,33 @@
         prepare(message);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
-        return write("write header",
-            [&](error_code& error) { http::async_write_header(socket_, serializer, FiberToken{error}); });
+        serializer.split(true);
+        const auto isDone = [&] { return serializer.is_header_done(); };
+        return writeAll("write header", isDone,
+            [&](error_code& error) { http::async_write_some(socket_, serializer, FiberToken{error}); });
     }
 
     absl::Status write(std::string_view piece) override
     {
         if (piece.empty() || isHead())
             return absl::OkStatus();
-        return write("write body", [&](error_code& error) {
-            boost::asio::async_write(
-                socket_, http::make_chunk(boost::asio::buffer(piece.data(), piece.size())), FiberToken{error});
-        });
+        return writeBuffers("write body", http::make_chunk(boost::asio::buffer(piece.data(), piece.size())));
     }
 
     absl::Status endStream() override
     {
         if (isHead())
             return finish(absl::OkStatus());
-        return finish(write("write end",
-            [&](error_code& error) { boost::asio::async_write(socket_, http::make_chunk_last(), FiberToken{error}); }));
+        return finish(writeBuffers("write end", http::make_chunk_last()));
     }
 
     void abort() override
     {
         keepAlive_ = false;
-        closeSocket();
+        if (writing_)
+            resetSocket();
+        else
+            closeSocket();
     }
 
     bool isPeerGone() override { return !socket_.is_open() || peekPeer(socket_) == PeerSign::Gone; }
@@ -275,15 +279,43 @@
             socket_.cancel(ignored);
     }
 
-    template <typename Operation> absl::Status write(std::string_view doing, Operation&& operation)
+    // Writes in steps, each of which sends something within the time limit. A peer that has made room just as the limit
+    // passes, for example because this process was suspended, is not cut off.
+    template <typename IsDone, typename Step>
+    absl::Status writeAll(std::string_view doing, const IsDone& isDone, const Step& step)
     {
-        const error_code error = runBefore(socket_, currentTime() + state_->options_.writeTimeout, operation);
+        error_code error;
+        writing_ = true;
+        while (!error && !isDone()) {
+            error = runBefore(socket_, currentTime() + state_->options_.writeTimeout, step);
+            if (error == boost::asio::error::timed_out && isWritable(socket_))
+                error = {};
+        }
+        writing_ = false;
         if (!error)
             return absl::OkStatus();
         keepAlive_ = false;
+        if (error == boost::asio::error::timed_out)
+            resetSocket();
         return socketError(error, doing);
     }
 
+    template <typename Buffers> absl::Status writeBuffers(std::string_view doing, const Buffers& buffers)
+    {
+        boost::beast::buffers_suffix<Buffers> rest(buffers);
+        const auto isDone = [&] { return boost::asio::buffer_size(rest) == 0; };
+        return writeAll(
+            doing, isDone, [&](error_code& error) { rest.consume(socket_.async_write_some(rest, FiberToken{error})); });
+    }
+
+    // Closes without delivering what the peer has not read. After a plain close, the system would hold it for minutes.
+    void resetSocket()
+    {
+        error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
     absl::Status finish(absl::Status status)
     {
         answered_ = status.ok();
@@ -309,20 +341,43 @@
             [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
         if (!error && (!hasValidHost(parser.get()) || !hasKnownLength(parser.get())))
             error = http::error::bad_field;
-        if (!error && !parser.is_done()) {
-            error = runBefore(socket_, currentTime() + state_->options_.readTimeout,
-                [&](error_code& result) { http::async_read(socket_, buffer_, parser, FiberToken{result}); });
-        }
+        if (!error && !parser.is_done())
+            error = readBody(parser);
         if (error) {
+            // The memory is free from now on, although the answer may take a while to be read.
+            std::string().swap(parser.get().body());
+            memory_.reset();
             if (!isClosed(error))
                 rejectRequest(faultOf(error));
             return false;
         }
+        if (memory_)
+            memory_->keep();
         keepAlive_ = parser.get().keep_alive();
         request_ = toRequest(parser.release());
         return true;
     }
 
+    error_code readBody(http::request_parser<http::string_body>& parser)
+    {
+        parser.eager(true);
+        if (requestMemory_) {
+            memory_ = requestMemory_->open([this] {
+                error_code ignored;
+                socket_.cancel(ignored);
+            });
+        }
+        const TimePoint limit = currentTime() + state_->options_.readTimeout;
+        error_code error;
+        while (!error && !parser.is_done()) {
+            error = runBefore(socket_, limit,
+                [&](error_code& result) { http::async_read_some(socket_, buffer_, parser, FiberToken{result}); });
+            if (memory_ && (memory_->isRevoked() || !memory_->resize(parser.get().body().size())))
+                return boost::asio::error::no_memory;
+        }
+        return error;
+    }
+
     // Waits for the first byte of a request. The limit is read again when it has passed, because it may have been
     // raised meanwhile: callers then expect the connection to stay open for longer.
     bool awaitRequest()
@@ -366,10 +421,15 @@
     }
 
     std::shared_ptr<State> state_;
+    // Keeps the budget alive for `memory_`.
+    std::shared_ptr<MemoryBudget> requestMemory_ = state_->options_.requestMemory;
+    std::unique_ptr<MemoryBudget::Share> memory_;
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     HttpRequest request_;
     bool busy_ = false;
+    // A write waits for the peer to read.
+    bool writing_ = false;
     // Waiting for the first byte of a request.
     bool idle_ = false;
     bool answered_ = false;
@@ -403,6 +463,7 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
+        setBuffers(socket, options_.buffers);
         auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
         duty_.spawn([connection] { connection->serve(); });
     }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -3,6 +3,8 @@
 
 #include "transport/Duty.h"
 #include "transport/HttpMessage.h"
+#include "transport/MemoryBudget.h"
+#include "transport/SocketOperation.h"
 
 #include <absl/status/statusor.h>
 
@@ -14,6 +16,8 @@
     HeaderTooLarge,
     BodyTooLarge,
     TimedOut,
+    // The requests in progress use up the memory for them.
+    OutOfMemory,
 };
 
 struct HttpServerOptions {
@@ -27,8 +31,12 @@
     Duration headerTimeout = std::chrono::seconds(30);
     // Longest time from the end of the header of a request to its last byte.
     Duration readTimeout = std::chrono::seconds(30);
-    // Longest time for one write to make progress.
+    // Longest time for a peer to read nothing of what is written to it. Its connection is then reset.
     Duration writeTimeout = std::chrono::seconds(30);
+    SocketBuffers buffers;
+    // Bounds the bodies of requests, from their first byte until they are answered; null for no bound. Used on the duty
+    // of the server.
+    std::shared_ptr<MemoryBudget> requestMemory;
     // Builds the answer to a rejected request.
     std::function<HttpResponse(HttpFault)> faultResponse;
 };
--- a/src/transport/MemoryBudget.cpp
+++ b/src/transport/MemoryBudget.cpp
@@ -27,19 +27,38 @@
     counted_ = bytes > budget_.freePart_ ? bytes - budget_.freePart_ : 0;
     budget_.used_ += counted_;
     while (budget_.used_ > budget_.capacity_ && counted_ > 0) {
-        Share* largest = this;
-        for (Share* share : budget_.shares_) {
-            if (!share->isKept_ && share->counted_ > largest->counted_)
-                largest = share;
-        }
-        budget_.revoke(*largest);
-        if (largest == this)
+        Share& victim = budget_.chooseVictim(*this);
+        budget_.revoke(victim);
+        if (&victim == this)
             return false;
-        largest->onRevoked_();
+        victim.onRevoked_();
     }
     return true;
 }
 
+void MemoryBudget::Share::deliverUntil(TimePoint time, std::function<void()> onRevoked)
+{
+    isKept_ = true;
+    slowFrom_ = time;
+    onRevoked_ = std::move(onRevoked);
+}
+
+MemoryBudget::Share& MemoryBudget::chooseVictim(Share& grown)
+{
+    Share* victim = &grown;
+    bool victimIsSlow = false;
+    for (Share* share : shares_) {
+        const bool slow = isSlow(*share);
+        if (share->counted_ == 0 || (share->isKept_ && !slow))
+            continue;
+        if ((slow && !victimIsSlow) || (slow == victimIsSlow && share->counted_ > victim->counted_)) {
+            victim = share;
+            victimIsSlow = slow;
+        }
+    }
+    return *victim;
+}
+
 // The bytes count as returned at once, because the fiber of the message drops them as soon as it runs.
 void MemoryBudget::revoke(Share& share)
 {
--- a/src/transport/MemoryBudget.h
+++ b/src/transport/MemoryBudget.h
@@ -1,12 +1,16 @@
 // A bound on the memory that all messages in progress hold together.
 //
 // Each message may hold a small part without asking, so that short ones are never refused. When the rest is used up,
-// the message that holds the most has to give up.
+// the message that holds the most has to give up. A message that is being delivered is spared for a while, so that
+// memory is taken from readers that are slow before it is taken from others.
 #pragma once
 
+#include "transport/Duty.h"
+
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace lychee {
@@ -22,9 +26,13 @@
         // Sets how many bytes the message holds. Returns false when it has to give up.
         bool resize(std::size_t bytes);
 
-        // The message is complete and only has to be delivered: it is no longer asked to give up.
+        // The message is complete and in use: it is no longer asked to give up.
         void keep() { isKept_ = true; }
 
+        // The message is complete and being delivered. From `time` on its reader counts as slow, and the message is
+        // asked to give up, by `onRevoked`, before others are.
+        void deliverUntil(TimePoint time, std::function<void()> onRevoked);
+
         // Whether the message has to give up.
         bool isRevoked() const { return isRevoked_; }
 
@@ -39,13 +47,16 @@
         // Bytes in addition to the part that is free for each message.
         std::size_t counted_ = 0;
         bool isKept_ = false;
+        // From when on the reader of a message that is being delivered counts as slow.
+        std::optional<TimePoint> slowFrom_;
         bool isRevoked_ = false;
     };
 
     // `capacity` is in bytes, in addition to `freePart` bytes for each message.
-    MemoryBudget(std::size_t capacity, std::size_t freePart)
+    MemoryBudget(std::size_t capacity, std::size_t freePart, std::function<TimePoint()> now = currentTime)
         : capacity_(capacity)
         , freePart_(freePart)
+        , now_(std::move(now))
     {
     }
 
@@ -59,9 +70,13 @@
 
 private:
     void revoke(Share& share);
+    // The share that has to give up so that `grown` can have its bytes.
+    Share& chooseVictim(Share& grown);
+    bool isSlow(const Share& share) const { return share.slowFrom_ && now_() >= *share.slowFrom_; }
 
     std::size_t capacity_;
     std::size_t freePart_;
+    std::function<TimePoint()> now_;
     std::size_t used_ = 0;
     std::set<Share*> shares_;
 };
--- a/src/transport/SocketOperation.cpp
+++ b/src/transport/SocketOperation.cpp
@@ -1,5 +1,6 @@
 #include "transport/SocketOperation.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -35,7 +36,23 @@
     return PeerSign::Gone;
 }
 
-absl::StatusOr<tcp::socket> connectSocket(const std::string& address, std::uint16_t port, TimePoint deadline)
+void setBuffers(tcp::socket& socket, const SocketBuffers& buffers)
+{
+    boost::system::error_code ignored;
+    if (buffers.send > 0)
+        socket.set_option(boost::asio::socket_base::send_buffer_size(buffers.send), ignored);
+    if (buffers.receive > 0)
+        socket.set_option(boost::asio::socket_base::receive_buffer_size(buffers.receive), ignored);
+}
+
+bool isWritable(tcp::socket& socket)
+{
+    pollfd entry{socket.native_handle(), POLLOUT, 0};
+    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+absl::StatusOr<tcp::socket> connectSocket(
+    const std::string& address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers)
 {
     const absl::StatusOr<tcp::endpoint> endpoint = toEndpoint(address, port);
     if (!endpoint.ok())
@@ -45,6 +62,7 @@
     socket.open(endpoint->protocol(), error);
     if (error)
         return makeError(TransportError::ConnectFailed, error.message());
+    setBuffers(socket, buffers);
     error = runBefore(socket, deadline,
         [&](boost::system::error_code& result) { socket.async_connect(*endpoint, FiberToken{result}); });
     if (error == boost::asio::error::timed_out)
--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -55,9 +55,21 @@
 
 PeerSign peekPeer(boost::asio::ip::tcp::socket& socket);
 
+// Bytes that the system may hold for one connection; it holds up to about twice as many. 0 leaves them to the system,
+// which raises them to several megabytes for a peer that reads slowly.
+struct SocketBuffers {
+    int send = 0;
+    int receive = 0;
+};
+
+void setBuffers(boost::asio::ip::tcp::socket& socket, const SocketBuffers& buffers);
+
+// Whether the system takes bytes for the peer now.
+bool isWritable(boost::asio::ip::tcp::socket& socket);
+
 // Connects to a numeric address. The socket has Nagle's algorithm off, because tokens are small and must not wait.
 absl::StatusOr<boost::asio::ip::tcp::socket> connectSocket(
-    const std::string& address, std::uint16_t port, TimePoint deadline);
+    const std::string& address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers = {});
 
 // Opens a listening socket; port 0 takes any free port.
 absl::StatusOr<boost::asio::ip::tcp::acceptor> openAcceptor(
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -1,6 +1,7 @@
 // A relay in one process with targets whose answers a test defines.
 #pragma once
 
+#include "gateway/CallerServer.h"
 #include "gateway/RequestRelay.h"
 #include "platform/Headers.h"
 #include "tests/support/TestHttpClient.h"
@@ -151,8 +152,10 @@
     {
         targets_.push_back(std::make_unique<ScriptedTarget>());
         ScriptedTarget& target = *targets_.back();
+        HttpServerOptions options;
+        options.buffers = targetBuffers_;
         target.server
-            = HttpServer::listen(*targetDuty_, {"127.0.0.1", 0}, {}, [&target, script](HttpExchange& exchange) {
+            = HttpServer::listen(*targetDuty_, {"127.0.0.1", 0}, options, [&target, script](HttpExchange& exchange) {
                   target.requests.push_back(exchange.request());
                   script(target, exchange);
               }).value();
@@ -175,7 +178,7 @@
         record.service = service;
         record.endpoint = {"127.0.0.1", port};
         record.incarnation = fleet::TargetIncarnation(1);
-        record.slots = 8;
+        record.slots = slots_;
         record.holdings.models.push_back({ModelId("m"), 1, {}});
         relayDuty_->run([&] { context_.registry.update(record); });
     }
@@ -202,7 +205,11 @@
         context_.routes = std::make_shared<Published<fleet::RouteTable>>(
             fleet::RouteTable::create(ConfigurationVersion(1), routes, services, {}));
         context_.retryBudget.setOptions({0.2, 50, 10s});
-        callers_ = HttpServer::listen(*relayDuty_, {"127.0.0.1", 0}, {}, [this](HttpExchange& exchange) {
+        HttpServerOptions options;
+        boundSlowCallers(options, context_);
+        options.faultResponse
+            = [](HttpFault fault) { return platform::CallerDialect::localResponse(gateway::faultResponse(fault)); };
+        callers_ = HttpServer::listen(*relayDuty_, {"127.0.0.1", 0}, options, [this](HttpExchange& exchange) {
             RelayedRequest<platform::CallerDialect>(context_, exchange).run();
         }).value();
     }
@@ -290,6 +297,9 @@
     std::vector<std::unique_ptr<ScriptedTarget>> targets_;
     std::vector<std::shared_ptr<RawTarget>> rawTargets_;
     std::unique_ptr<HttpServer> callers_;
+    // Of each target that is added.
+    int slots_ = 8;
+    SocketBuffers targetBuffers_;
 };
 
 } // namespace lychee::gateway
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -50,6 +50,29 @@
     EXPECT_FALSE(complete->isRevoked());
 }
 
+// Guards against slow readers that keep the memory of all others: their answers give up first, but not before their
+// time.
+TEST(MemoryBudget, SlowReadersGiveUpFirst)
+{
+    TimePoint now;
+    MemoryBudget budget(1000, 0, [&] { return now; });
+    int cutOff = 0;
+    const auto slow = budget.open([] {});
+    EXPECT_TRUE(slow->resize(300));
+    slow->deliverUntil(now + std::chrono::seconds(1), [&] { ++cutOff; });
+    const auto sound = budget.open([] {});
+    EXPECT_TRUE(sound->resize(600));
+    const auto other = budget.open([] {});
+    EXPECT_TRUE(other->resize(100));
+    now += std::chrono::milliseconds(999);
+    EXPECT_FALSE(budget.open([] {})->resize(700)) << "a reader is spared until its time";
+    now += std::chrono::milliseconds(1);
+    EXPECT_TRUE(other->resize(200));
+    EXPECT_EQ(cutOff, 1);
+    EXPECT_FALSE(sound->isRevoked());
+    EXPECT_EQ(budget.used(), 800u);
+}
+
 // Guards against memory that stays counted after its message has ended.
 TEST(MemoryBudget, EndedMessagesReturnTheirPart)
 {
