Bound the frames that wait for slow peers in bytes

Cause: 1,024 frames of up to 1 MB could wait for each peer, and a broadcast was copied for each of them.

Change: 1 MB and one frame wait for one peer at most. SharedFrame holds the payload of a broadcast once for all peers and counts it; when the frames of a duty exceed a sixteenth of the machine, the connection on which the most bytes wait is closed. Frames are written in place.

--- a/src/coordination/PeerMesh.cpp
+++ b/src/coordination/PeerMesh.cpp
@@ -300,11 +300,11 @@
 
 void PeerMesh::forward(const PeerMessage& message, const InstanceId& except)
 {
-    const std::string payload = encodePeerMessage(message);
+    const SharedFrame frame(encodePeerMessage(message));
     for (const auto& [id, link] : links_) {
         if (id == except)
             continue;
-        const absl::Status status = link->connection->send(payload);
+        const absl::Status status = link->connection->send(frame);
         if (!status.ok())
             logChannel.warning("Could not send a message to peer {}, dropped it: {}.", id, messageOf(status));
     }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -37,6 +37,8 @@
     // The part of the memory of the process that answers of targets may take. An answer is copied when it grows and
     // when it is sent, so it takes up to three times its size.
     static constexpr std::size_t answerMemoryDivisor = 8;
+    // The part that frames to peers may take.
+    static constexpr std::size_t frameMemoryDivisor = 16;
     // The part that bodies of requests may take. A body is copied when it is forwarded, so it takes twice its size.
     static constexpr std::size_t requestMemoryDivisor = 16;
     // The memory of machines with one processor of which only the memory is known.
@@ -279,6 +281,7 @@
         const std::size_t memory = configured > 0 ? configured : machineMemory();
         context_.answerMemory.setCapacity(memory / GatewayLimits::answerMemoryDivisor);
         context_.requestMemory->setCapacity(memory / GatewayLimits::requestMemoryDivisor);
+        controlDuty_->spawn([memory] { SharedFrame::setMemory(memory / GatewayLimits::frameMemoryDivisor); });
     }
 
     HttpServerOptions serverOptions(const fleet::CallerLimits& limits) const
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -54,11 +54,11 @@
 
 void Mesh::broadcast(const MeshMessage& message)
 {
-    const std::string payload = encodeMeshMessage(message);
+    const SharedFrame frame(encodeMeshMessage(message));
     for (const auto& [id, peer] : peers_) {
         // A failed send is not repeated: the receiver of a connection that has stalled closes it after
         // `receiveTimeout`.
-        if (const absl::Status status = peer.connection->send(payload); !status.ok())
+        if (const absl::Status status = peer.connection->send(frame); !status.ok())
             logChannel.debug("peer={} broadcast message not sent: {}", id, messageOf(status));
     }
 }
--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -1,14 +1,18 @@
 #include "transport/FrameConnection.h"
 
 #include "transport/Log.h"
+#include "transport/MemoryBudget.h"
 #include "transport/SocketOperation.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
+#include <set>
+#include <vector>
 
 namespace lychee {
 
@@ -24,6 +28,15 @@
 // Frames that may wait for a slow peer.
 constexpr std::size_t maxQueuedFrames = 1024;
 
+// Bytes that may wait for a slow peer, in addition to one frame.
+constexpr std::size_t maxQueuedBytes = std::size_t{1024} * 1024;
+
+// The part of the machine's memory for the frames of a duty.
+constexpr std::size_t frameMemoryDivisor = 16;
+
+// What the system holds for one peer.
+constexpr SocketBuffers socketBuffers{65536, 0};
+
 // Frames that wait are written together up to this size, at least one.
 constexpr std::size_t maxWriteBytes = 65536;
 
@@ -32,11 +45,30 @@
 
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
-void appendFrame(std::string& bytes, const std::string& payload)
+class TcpFrameConnection;
+
+// What the frames of one duty hold, and the connections on which they wait.
+struct FrameMemory {
+    std::size_t capacity = machineMemory() / frameMemoryDivisor;
+    std::size_t held = 0;
+    // The part of it that connections which were closed return as soon as their writes have ended.
+    std::size_t returning = 0;
+    std::set<TcpFrameConnection*> connections;
+};
+
+// The memory of the duty on which it is called.
+const std::shared_ptr<FrameMemory>& frameMemory()
 {
+    thread_local const auto memory = std::make_shared<FrameMemory>();
+    return memory;
+}
+
+std::array<char, lengthBytes> encodeLength(std::size_t length)
+{
+    std::array<char, lengthBytes> bytes{};
     for (std::size_t i = 0; i < lengthBytes; ++i)
-        bytes.push_back(static_cast<char>((payload.size() >> (8 * (lengthBytes - 1 - i))) & 0xff));
-    bytes += payload;
+        bytes[i] = static_cast<char>((length >> (8 * (lengthBytes - 1 - i))) & 0xff);
+    return bytes;
 }
 
 std::size_t decodeLength(const std::array<char, lengthBytes>& bytes)
@@ -52,17 +84,28 @@
     explicit TcpFrameConnection(tcp::socket socket)
         : socket_(std::move(socket))
     {
+        setBuffers(socket_, socketBuffers);
+        memory_->connections.insert(this);
     }
 
-    absl::Status send(std::string payload) override
+    ~TcpFrameConnection() override { memory_->connections.erase(this); }
+
+    using FrameConnection::send;
+
+    absl::Status send(SharedFrame frame) override
     {
-        if (payload.size() > maxFrameBytes)
-            return makeError(TransportError::FrameTooLong, fmt::format("{} bytes", payload.size()));
+        const std::size_t size = frame.payload().size();
+        if (size > maxFrameBytes)
+            return makeError(TransportError::FrameTooLong, fmt::format("{} bytes", size));
         if (closed_)
             return makeError(TransportError::Stopped, "connection is closed");
-        if (queue_.size() >= maxQueuedFrames)
+        if (queue_.size() >= maxQueuedFrames || (!queue_.empty() && heldBytes_ + size > maxQueuedBytes))
             return makeError(TransportError::RingFull, "peer does not keep up");
-        queue_.push_back(std::move(payload));
+        heldBytes_ += size;
+        queue_.push_back(std::move(frame));
+        closeSlowestPeers();
+        if (closed_)
+            return makeError(TransportError::Stopped, "connection is closed");
         if (!writing_) {
             writing_ = true;
             Duty::current()->spawn([self = shared_from_this()] { self->writeLoop(); });
@@ -120,35 +163,84 @@
         return makeError(partial ? TransportError::FrameTruncated : atEnd, error.message());
     }
 
+    // Closes connections until the frames of the duty fit into their memory.
+    void closeSlowestPeers()
+    {
+        while (memory_->held > memory_->capacity + memory_->returning) {
+            const auto most = std::max_element(memory_->connections.begin(), memory_->connections.end(),
+                [](const auto* one, const auto* other) { return one->heldBytes_ < other->heldBytes_; });
+            if (most == memory_->connections.end() || (*most)->heldBytes_ == 0)
+                return;
+            logChannel.warning(
+                "Closes a connection to a peer that does not keep up: {} bytes wait.", (*most)->heldBytes_);
+            (*most)->giveUp();
+        }
+    }
+
+    void giveUp()
+    {
+        close();
+        queue_.clear();
+        heldBytes_ = 0;
+        returning_ = writingBytes_;
+        memory_->returning += returning_;
+    }
+
     void writeLoop()
     {
         while (!queue_.empty() && !closed_) {
-            const std::string bytes = takeFrames();
-            const error_code error = runBefore(socket_, currentTime() + writeTimeout, [&](error_code& result) {
-                boost::asio::async_write(socket_, boost::asio::buffer(bytes), FiberToken{result});
-            });
+            const std::vector<SharedFrame> frames = takeFrames();
+            std::vector<std::array<char, lengthBytes>> lengths;
+            lengths.reserve(frames.size());
+            for (const SharedFrame& frame : frames)
+                lengths.push_back(encodeLength(frame.payload().size()));
+            std::vector<boost::asio::const_buffer> buffers;
+            buffers.reserve(2 * frames.size());
+            for (std::size_t i = 0; i < frames.size(); ++i) {
+                buffers.push_back(boost::asio::buffer(lengths[i]));
+                buffers.push_back(boost::asio::buffer(frames[i].payload()));
+            }
+            writingBytes_ = boost::asio::buffer_size(buffers);
+            const error_code error = runBefore(socket_, currentTime() + writeTimeout,
+                [&](error_code& result) { boost::asio::async_write(socket_, buffers, FiberToken{result}); });
             if (error) {
                 close();
                 break;
             }
-            bytesSent_ += bytes.size();
+            bytesSent_ += std::exchange(writingBytes_, 0);
+            for (const SharedFrame& frame : frames)
+                heldBytes_ -= std::min(heldBytes_, frame.payload().size());
         }
         writing_ = false;
+        // Empty already, unless the connection was closed.
+        queue_.clear();
+        heldBytes_ = 0;
+        writingBytes_ = 0;
+        memory_->returning -= std::exchange(returning_, 0);
     }
 
     // Takes the frames of the next write. A broadcast of several messages then costs one system call for each peer.
-    std::string takeFrames()
+    std::vector<SharedFrame> takeFrames()
     {
-        std::string bytes;
+        std::vector<SharedFrame> frames;
+        std::size_t bytes = 0;
         do {
-            appendFrame(bytes, queue_.front());
+            bytes += lengthBytes + queue_.front().payload().size();
+            frames.push_back(std::move(queue_.front()));
             queue_.pop_front();
-        } while (!queue_.empty() && bytes.size() + lengthBytes + queue_.front().size() <= maxWriteBytes);
-        return bytes;
+        } while (!queue_.empty() && bytes + lengthBytes + queue_.front().payload().size() <= maxWriteBytes);
+        return frames;
     }
 
     tcp::socket socket_;
-    std::deque<std::string> queue_;
+    const std::shared_ptr<FrameMemory> memory_ = frameMemory();
+    std::deque<SharedFrame> queue_;
+    // Frames in the queue, and those that are being written.
+    std::size_t heldBytes_ = 0;
+    // The latter, with their lengths.
+    std::size_t writingBytes_ = 0;
+    // What this connection has added to FrameMemory::returning.
+    std::size_t returning_ = 0;
     bool writing_ = false;
     bool closed_ = false;
     std::uint64_t bytesSent_ = 0;
@@ -210,6 +302,35 @@
 
 } // namespace
 
+class SharedFrame::Counted {
+public:
+    explicit Counted(std::string payload)
+        : payload_(std::move(payload))
+    {
+        memory_->held += payload_.size();
+    }
+
+    Counted(const Counted&) = delete;
+    Counted& operator=(const Counted&) = delete;
+
+    ~Counted() { memory_->held -= payload_.size(); }
+
+    const std::string& payload() const { return payload_; }
+
+private:
+    const std::shared_ptr<FrameMemory> memory_ = frameMemory();
+    const std::string payload_;
+};
+
+SharedFrame::SharedFrame(std::string payload)
+    : counted_(std::make_shared<const Counted>(std::move(payload)))
+{
+}
+
+const std::string& SharedFrame::payload() const { return counted_->payload(); }
+
+void SharedFrame::setMemory(std::size_t bytes) { frameMemory()->capacity = bytes; }
+
 absl::StatusOr<std::shared_ptr<FrameConnection>> FrameConnection::connect(const Endpoint& endpoint, TimePoint deadline)
 {
     absl::StatusOr<tcp::socket> socket = connectSocket(endpoint.address, endpoint.port, deadline);
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -11,6 +11,24 @@
 // Longest payload of a frame, in bytes.
 inline constexpr std::size_t maxFrameBytes = std::size_t{1024} * 1024;
 
+// A payload that is held once, also while it waits on several connections. Used on one duty, which counts the bytes of
+// all its frames.
+class SharedFrame {
+public:
+    explicit SharedFrame(std::string payload);
+
+    const std::string& payload() const;
+
+    // Sets how many bytes the frames of the calling duty may hold together; a part of the machine's memory unless it is
+    // set.
+    static void setMemory(std::size_t bytes);
+
+private:
+    class Counted;
+
+    std::shared_ptr<const Counted> counted_;
+};
+
 // A connection that carries frames. Used by fibers of one duty; one fiber receives, any fiber sends.
 class FrameConnection {
 public:
@@ -20,8 +38,12 @@
     virtual ~FrameConnection() = default;
 
     // Queues a frame for sending. Fails with RingFull when the peer does not keep up, Stopped after close(), or
-    // FrameTooLong.
-    virtual absl::Status send(std::string payload) = 0;
+    // FrameTooLong. The frames that wait on all connections of a duty share a part of the machine's memory; when it is
+    // used up, the connection that holds the most is closed.
+    absl::Status send(std::string payload) { return send(SharedFrame(std::move(payload))); }
+
+    // The same for a frame that is sent to several peers.
+    virtual absl::Status send(SharedFrame frame) = 0;
 
     // The next frame. Fails with TimedOut at `deadline`, FrameTooLong, FrameTruncated or ConnectionClosed.
     virtual absl::StatusOr<std::string> receive(TimePoint deadline) = 0;
