--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -30,6 +30,15 @@
     std::chrono::seconds retryWindow{10};
     // Limit of strict key revocation; without it, old configurations stay in force.
     std::optional<std::chrono::milliseconds> revocationLimit;
+    // The `tenants` array of the first configuration, and one of its keys, which the deployment's own requests carry.
+    nlohmann::json customers = nlohmann::json::array();
+    std::string key;
+    // Routes have several priorities, and "/stream/y" one of its own.
+    bool priorities = false;
+    // Prefix of an additional route that accepts requests without a key; empty for none.
+    std::string exemptPrefix;
+    // When not 0, all workers state their load, and every other one works at a changing pace drawn from this seed.
+    std::uint64_t paceSeed = 0;
 };
 
 // Member functions throw std::runtime_error when a part of the deployment cannot be started or configured.
@@ -91,7 +100,7 @@
     FaultProxy& workerProxy(const std::string& id) { return *workerProxies_.at(id); }
 
     // Lines that a worker has recorded since its first start: "run ATTEMPT MILLISECONDS", "refused ATTEMPT
-    // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE" and "overcommit".
+    // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE", "overcommit" and "violation ATTEMPT TEXT".
     std::vector<std::string> readRecord(const std::string& worker) const;
 
     Standin& worker(const std::string& id) { return *workers_.at(id); }
@@ -103,6 +112,7 @@
     void writeRow(const std::string& table, const std::string& key, const std::string& value);
     void writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded);
     void startInstance(int index);
+    int priorityOf(const std::string& prefix) const;
     std::filesystem::path recordPath(const std::string& worker) const;
 
     std::filesystem::path buildDirectory_;
@@ -113,7 +123,7 @@
     std::map<std::string, std::unique_ptr<FaultProxy>> workerProxies_;
     std::vector<GatewayInstance> instances_;
     nlohmann::json callerLimits_ = nlohmann::json::object();
-    nlohmann::json customers_ = nlohmann::json::array();
+    nlohmann::json customers_;
 };
 
 } // namespace lychee::test
