Count connected instances as listed before the table is read again

Cause: the table of instances is read once a minute. An instance that started before its peers took its own part of a limit for the whole limit until the next read. Change: the number of listed instances is at least the number of connected ones.

--- a/src/gateway/CallerLimits.cpp
+++ b/src/gateway/CallerLimits.cpp
@@ -20,19 +20,21 @@
 void CallerLimits::configurationChanged(const fleet::RouteTable& table)
 {
     const TimePoint now = currentTime();
-    limit_.setInstances(std::max(listed_, reached_), reached_, now);
+    limit_.setInstances(listed_, reached_, now);
     limit_.setCustomers(table.customers(), now);
 }
 
 void CallerLimits::listedUpdated(std::size_t listed)
 {
-    listed_ = listed;
+    listed_ = std::max(listed, reached_);
     limit_.setInstances(listed_, reached_, currentTime());
 }
 
 void CallerLimits::reachedUpdated(std::size_t reached)
 {
     reached_ = reached;
+    // The table is read once a minute; instances that were started since are connected before.
+    listed_ = std::max(listed_, reached_);
     if (limit_.isActive())
         limit_.setInstances(listed_, reached_, currentTime());
 }
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -93,7 +93,7 @@
         throw std::runtime_error("the stand-in of the store did not accept a row");
 }
 
-void GatewayDeployment::writeConfiguration(int version, const std::vector<std::string>& prefixes)
+void GatewayDeployment::writeConfiguration(int version, const std::vector<std::string>& prefixes, const json& tenants)
 {
     json routes = json::array();
     for (const std::string& prefix : prefixes) {
@@ -109,13 +109,15 @@
     json models = json::array();
     for (const char* model : {"m0", "m1", "m2"})
         models.push_back({{"name", model}, {"weightsMb", 90}, {"loadS", 0.2}, {"adapters", 3}, {"adapterMb", 1}});
-    const json document{{"version", version}, {"routes", routes}, {"limits", callerLimits_},
+    json document{{"version", version}, {"routes", routes}, {"limits", callerLimits_},
         {"services",
             {{{"name", "hall"},
                  {"engine",
                      {{"slots", 16}, {"kvCapacity", 100000}, {"models", models}, {"weightsMb", 200},
                          {"adapterSlots", 2}, {"loadsPerS", 5}}}},
                 {{"name", "desk"}}}}};
+    if (!tenants.empty())
+        document["tenants"] = tenants;
     writeRow("op", "config", document.dump());
 }
 
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -38,7 +38,8 @@
 
     // Writes a configuration with these route prefixes to the store, as the operator does. "/stream/" leads to the
     // engines, all others to the plain workers; "/unsafe/" is not idempotent.
-    void writeConfiguration(int version, const std::vector<std::string>& prefixes);
+    void writeConfiguration(
+        int version, const std::vector<std::string>& prefixes, const nlohmann::json& tenants = nlohmann::json::array());
 
     // Writes a row to the table of the workers, as another writer may.
     void writeWorkerRow(const std::string& key, const std::string& value) { writeRow("servers", key, value); }
