--- a/src/gateway/CallerLimits.cpp
+++ b/src/gateway/CallerLimits.cpp
@@ -20,7 +20,7 @@
 void CallerLimits::configurationChanged(const fleet::RouteTable& table)
 {
     const TimePoint now = currentTime();
-    limit_.setInstances(std::max(listed_, reached_), reached_, now);
+    limit_.setInstances(listed_, reached_, now);
     limit_.setCustomers(table.customers(), now);
     for (const fleet::Customer& customer : table.customers().customers()) {
         std::optional<fleet::CustomerLimit>& known = knownLimits_[customer.id];
@@ -34,13 +34,15 @@
 
 void CallerLimits::listedUpdated(std::size_t listed)
 {
-    listed_ = listed;
+    listed_ = std::max(listed, reached_);
     limit_.setInstances(listed_, reached_, currentTime());
 }
 
 void CallerLimits::reachedUpdated(std::size_t reached)
 {
     reached_ = reached;
+    // The table is read once a minute; instances that were started since are connected before.
+    listed_ = std::max(listed_, reached_);
     if (limit_.isActive())
         limit_.setInstances(listed_, reached_, currentTime());
 }
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -109,7 +109,7 @@
     return prefix == urgentStreams || prefix == "/unsafe/" ? 0 : 2;
 }
 
-void GatewayDeployment::writeConfiguration(int version, const std::vector<std::string>& prefixes)
+void GatewayDeployment::writeConfiguration(int version, const std::vector<std::string>& prefixes, const json& tenants)
 {
     json routes = json::array();
     std::vector<std::string> all = prefixes;
@@ -138,8 +138,9 @@
                      {{"slots", 16}, {"kvCapacity", 100000}, {"models", models}, {"weightsMb", 200},
                          {"adapterSlots", 2}, {"loadsPerS", 5}}}},
                 {{"name", "desk"}}}}};
-    if (!customers_.empty())
-        document["tenants"] = customers_;
+    const json& customers = tenants.empty() ? customers_ : tenants;
+    if (!customers.empty())
+        document["tenants"] = customers;
     writeRow("op", "config", document.dump());
 }
 
