Share scarce slots only where requests differ in urgency

Cause: the share of slots took effect wherever there are more instances than slots, also in earlier deployments whose configuration asks for no scheduling under overload. Change: plain requests are held or refused by the share only where the priorities of the configuration count.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -156,7 +156,7 @@
     // Returns what to do with a request that exceeds the instance's share of a plain service.
     std::optional<TargetDecision> holdForSlot() const
     {
-        const SlotShare* share = input_.need ? nullptr : registry_.slotShare(input_.service.id);
+        const SlotShare* share = input_.need || !input_.sharesSlots ? nullptr : registry_.slotShare(input_.service.id);
         if (!share || share->admits(drawOf(input_.spreadKey), input_.now))
             return std::nullopt;
         if (input_.waited < input_.latencyObjective / partsOfObjectiveHeld)
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -39,6 +39,9 @@
     Duration lateObjective{0};
     // Whether engines fetch the shared parts of a prompt from each other.
     bool fetchesCache = false;
+    // Whether requests of a plain service that has fewer slots than instances are held or refused by the share of this
+    // instance.
+    bool sharesSlots = true;
 };
 
 struct ChosenTarget {
--- a/src/fleet/UrgencyPolicy.cpp
+++ b/src/fleet/UrgencyPolicy.cpp
@@ -50,6 +50,13 @@
     }
 }
 
+bool UrgencyPolicy::isActive() const
+{
+    return !customerPriorities_.empty()
+        || std::any_of(routePriorities_.begin(), routePriorities_.end(),
+            [](const auto& service) { return service.second.size() > 1; });
+}
+
 std::optional<Urgency> UrgencyPolicy::urgencyOf(
     const Route& route, const ServiceId& service, const Customer* customer) const
 {
--- a/src/fleet/UrgencyPolicy.h
+++ b/src/fleet/UrgencyPolicy.h
@@ -25,6 +25,9 @@
     // latency objective than a less urgent one. Elsewhere requests that can wait would pass those that cannot.
     UrgencyPolicy(const std::vector<Route>& routes, const CustomerDirectory& customers);
 
+    // Whether requests of any service differ in urgency, so that scarce capacity is to be divided among them.
+    bool isActive() const;
+
     // Returns nothing where all requests are equally urgent. `customer` may be null; its priority goes before that of
     // the route.
     std::optional<Urgency> urgencyOf(const Route& route, const ServiceId& service, const Customer* customer) const;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -258,7 +258,7 @@
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
             now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_,
             modelWait_ + slotWait_, caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard),
-            lateObjective(), urgency_.has_value()};
+            lateObjective(), urgency_.has_value(), table_->urgency().isActive()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
--- a/tests/unit/UrgencyPolicyTest.cpp
+++ b/tests/unit/UrgencyPolicyTest.cpp
@@ -36,6 +36,7 @@
 {
     const std::vector<Route> routes{routeWith("reply", 0, 2s), routeWith("check", 1, 1s)};
     const UrgencyPolicy policy(routes, {});
+    EXPECT_FALSE(policy.isActive());
     EXPECT_EQ(policy.urgencyOf(routes[0], hall, nullptr), std::nullopt);
     EXPECT_EQ(policy.urgencyOf(routes[1], hall, nullptr), std::nullopt);
 }
