Reserve the ports that tests draw against other tests

A drawn port was only looked at, not reserved, until a process bound it. Change: a UDP socket of the same number marks the port for as long as the test runs.

--- a/tests/support/FreePort.cpp
+++ b/tests/support/FreePort.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 
+#include <list>
 #include <random>
 #include <stdexcept>
 
@@ -30,6 +32,24 @@
     return !error;
 }
 
+// Keeps other tests that run at the same time from drawing the port before a process has bound it. No process of the
+// tests uses UDP, so a UDP socket of the same number can mark it until this process ends.
+bool reserve(std::uint16_t port)
+{
+    using boost::asio::ip::udp;
+    static boost::asio::io_context context;
+    static std::list<udp::socket> reservations;
+    udp::socket socket(context);
+    boost::system::error_code error;
+    const udp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), port);
+    socket.open(endpoint.protocol(), error);
+    if (!error)
+        socket.bind(endpoint, error);
+    if (!error)
+        reservations.push_back(std::move(socket));
+    return !error;
+}
+
 } // namespace
 
 std::uint16_t freePort()
@@ -39,7 +59,7 @@
     std::uniform_int_distribution<std::uint32_t> draw(firstPort, lastPort);
     for (int i = 0; i < maxTries; ++i) {
         const auto port = static_cast<std::uint16_t>(draw(random));
-        if (isFree(port))
+        if (reserve(port) && isFree(port))
             return port;
     }
     throw std::runtime_error("no port is free");
