End the extrapolation of a peer's use in one place

Cause: SharedRateLimit ended the extrapolation of a peer's use by the same loop in two functions, when the peer is no longer heard and when it reports again. Change: endExtrapolation() serves both. It also sets the time of the last report, which recordPeer() left as it was; the demand is 0 from there on, so nothing follows from it.

--- a/src/fleet/SharedRateLimit.cpp
+++ b/src/fleet/SharedRateLimit.cpp
@@ -239,6 +239,11 @@
     if (!std::exchange(peer.isHeard, false))
         return;
     --heard_;
+    endExtrapolation(peer, now);
+}
+
+void SharedRateLimit::endExtrapolation(Peer& peer, TimePoint now)
+{
     for (auto& [customer, use] : peer.uses) {
         Bucket* bucket = find(customer);
         if (!bucket)
@@ -353,16 +358,8 @@
         ++heard_;
         updateShare(now);
     }
-    for (auto& [customer, use] : known.uses) {
-        Bucket* bucket = find(customer);
-        if (!bucket)
-            continue;
-        advance(*bucket, now);
-        // The extrapolation ends here; what was extrapolated is replaced by the reported use below.
-        use.extrapolated += use.demand * (bucket->fractionSeconds - use.reportedAt);
-        bucket->peerDemand = std::max(bucket->peerDemand - use.demand, 0.0);
-        use.demand = 0;
-    }
+    // What was extrapolated is replaced by the reported use below.
+    endExtrapolation(known, now);
     for (const CustomerUse& report : reported) {
         Bucket* bucket = find(report.customer);
         if (!bucket || !isAmount(report.admitted) || !isAmount(report.demand))
--- a/src/fleet/SharedRateLimit.h
+++ b/src/fleet/SharedRateLimit.h
@@ -151,6 +151,7 @@
     void updateShare(TimePoint now);
     void dropSilentPeers(TimePoint now);
     void stopHearing(Peer& peer, TimePoint now);
+    void endExtrapolation(Peer& peer, TimePoint now);
 
     double phase_;
     SharedRateLimitOptions options_;
