Keep the limit that a target states on its requests over all instances

Callers of a target in need made its need worse: it states in its answers how many requests per second it takes from all instances together (Server-Limit), and no instance read the header.

Without a grant the request goes to another target or is refused with the time of the next one. An answer without a limit, to a request that was sent after the limit was known, ends it.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -44,6 +44,9 @@
 // Added for a target that has just reported that it is full.
 constexpr double fullPenaltyMilliseconds = 400;
 
+// Added for a target that limits its requests: those that it takes are left to requests that no other target can serve.
+constexpr double limitedPenaltyMilliseconds = 400;
+
 // How long a plain request occupies its slot on average, in milliseconds.
 constexpr double slotOccupancyMilliseconds = 600;
 
@@ -340,6 +343,8 @@
         penalty += state.decayedFailureShare(input_.now) * failurePenaltyMilliseconds;
         if (state.fullUntil > input_.now)
             penalty += fullPenaltyMilliseconds;
+        if (state.limit)
+            penalty += limitedPenaltyMilliseconds;
         if (state.ejectedUntil > input_.now || registry_.isCutOff(state.record.dataCentre, input_.now))
             penalty += lastResortPenaltyMilliseconds;
         candidate.cost = candidate.milliseconds + penalty;
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -221,7 +221,7 @@
         std::erase_if(notices_, [&](const auto& entry) { return !targets_.contains(entry.first); });
     Notice& notice = notices_[id];
     if (notice.incarnation != incarnation)
-        notice = {incarnation, false, {}};
+        notice = {incarnation, false, {}, std::nullopt};
     return notice;
 }
 
@@ -255,6 +255,38 @@
         return;
     target->second->leaving = notice->second.leaving;
     target->second->declinesUntil = notice->second.declinesUntil;
+    target->second->limit = notice->second.limit;
+}
+
+bool TargetRegistry::recordLimit(
+    const TargetId& id, TargetIncarnation incarnation, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
+{
+    const auto known = notices_.find(id);
+    const bool isKnown = known != notices_.end() && known->second.incarnation == incarnation && known->second.limit;
+    if (!perSecond) {
+        // An answer to a request from before may have been written before the target set the limit.
+        if (!isKnown || sentAt <= known->second.limit->knownSince)
+            return false;
+        known->second.limit.reset();
+    } else if (isKnown) {
+        if (known->second.limit->perSecond == *perSecond)
+            return false;
+        known->second.limit->perSecond = *perSecond;
+    } else {
+        noticeOf(id, incarnation).limit = RequestLimit{*perSecond, now};
+    }
+    applyNotice(id);
+    return true;
+}
+
+std::map<TargetId, double> TargetRegistry::limits() const
+{
+    std::map<TargetId, double> limits;
+    for (const auto& [id, state] : targets_) {
+        if (state->limit)
+            limits.emplace(id, state->limit->perSecond);
+    }
+    return limits;
 }
 
 std::vector<TargetWorkReport> TargetRegistry::ownWork(TimePoint now) const
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -50,6 +50,13 @@
     std::optional<double> pace;
 };
 
+// How many requests a target takes from all instances together.
+struct RequestLimit {
+    double perSecond = 0;
+    // When this instance learnt that the target limits its requests.
+    TimePoint knownSince;
+};
+
 // The present pace of a target that reports one, and where it comes from.
 struct PaceState {
     TargetId target;
@@ -111,6 +118,8 @@
     bool leaving = false;
     // The target has declined a request and wants no further one until this time.
     TimePoint declinesUntil;
+    // Set while the target limits its requests.
+    std::optional<RequestLimit> limit;
     // When each prompt part was last sent to this target, by the hash from promptPartHashes().
     std::unordered_map<std::uint64_t, TimePoint> promptParts;
 
@@ -156,6 +165,11 @@
     // Records that a target has declined a request and wants no further one for a time.
     void recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until);
 
+    // Records how many requests per second a target takes according to its answer to a request that was sent at
+    // `sentAt`, or nothing when it states no limit. Returns whether this differs from what was known.
+    bool recordLimit(const TargetId& id, TargetIncarnation incarnation, std::optional<double> perSecond,
+        TimePoint sentAt, TimePoint now);
+
     // Returns the work of this instance and what it knows of paces at first hand, as a report for its peers.
     std::vector<TargetWorkReport> ownWork(TimePoint now) const;
 
@@ -180,6 +194,9 @@
     // Returns the targets that have reported a pace, those that differ most from 1 first, at most `limit` of them.
     std::vector<PaceState> paces(TimePoint now, std::size_t limit) const;
 
+    // Returns the listed targets that limit their requests, with the requests per second that they take.
+    std::map<TargetId, double> limits() const;
+
     // Returns the fraction of their requests that is admitted, for plain services with fewer slots than instances.
     std::map<ServiceId, double> admittedFractions(TimePoint now) const;
 
@@ -236,6 +253,7 @@
         TargetIncarnation incarnation;
         bool leaving = false;
         TimePoint declinesUntil;
+        std::optional<RequestLimit> limit;
     };
 
     void rebuildServices();
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "gateway/ConfigurationConfirmation.h"
 #include "gateway/ControlLimits.h"
 #include "gateway/CrashWatch.h"
+#include "gateway/GrantExchange.h"
 #include "gateway/LeaseManager.h"
 #include "gateway/Mesh.h"
 #include "gateway/OwnerContact.h"
@@ -39,6 +40,8 @@
     std::function<void(const std::vector<fleet::CrashSuspect>&)> crashSuspectsReported;
     std::function<void(const std::vector<fleet::RequestTrait>&)> traitsCleared;
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
+    // A peer has heard how many requests a target takes, or that it limits them no more.
+    std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitReported;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
     std::function<CrashKnowledge()> readCrashKnowledge;
     // Fills in the work, the demand, the used adapters and the use of customers of this instance. Suspends the fiber.
@@ -103,6 +106,7 @@
         , targets_(availability_, targetHandlers())
         , lease_(store_, options_.self, options_.lease)
         , owner_(duty, orderHandlers())
+        , grants_(options_.self, grantHandlers())
     {
     }
 
@@ -156,6 +160,19 @@
         mesh_->broadcast(MeshTraitsCleared{traits});
     }
 
+    // As GrantExchange::request().
+    std::optional<Duration> requestGrant(
+        const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond, TimePoint deadline)
+    {
+        return grants_.request(target, incarnation, perSecond, deadline);
+    }
+
+    // Tells all peers what a target has said about the requests that it takes.
+    void announceLimit(const TargetId& target, fleet::TargetIncarnation incarnation, std::optional<double> perSecond)
+    {
+        mesh_->broadcast(MeshRequestLimit{target, incarnation, perSecond.has_value(), perSecond.value_or(0)});
+    }
+
     // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with
     // TransportError::ConnectionClosed when no owner that may send orders can be reached, with TimedOut when the
     // adapter is not loaded before the deadline although the owner can be reached, and with other errors when the owner
@@ -231,6 +248,12 @@
             [this](const InstanceId& peer, const MeshMessage& message) { mesh_->send(peer, message).IgnoreError(); }};
     }
 
+    GrantExchange::Handlers grantHandlers()
+    {
+        return {[this] { return mesh_->peers(); },
+            [this](const InstanceId& peer, const MeshMessage& message) { return mesh_->send(peer, message); }};
+    }
+
     // Peers other than the lease holder that may confirm the configuration.
     std::vector<InstanceId> confirmingPeers() const
     {
@@ -450,6 +473,7 @@
     {
         peers_.erase(peer);
         ownerContact_.lost(peer);
+        grants_.lost(peer);
         relay_.peerLost(peer);
         if (lease_.lease().holder() == peer) {
             lease_.lease().holderDisconnected();
@@ -640,6 +664,16 @@
 
     void handle(const InstanceId& peer, const MeshConfirmation& message) { confirmation_.handle(peer, message); }
 
+    void handle(const InstanceId& peer, const MeshGrantQuery& message) { grants_.handle(peer, message); }
+
+    void handle(const InstanceId& peer, const MeshGrant& message) { grants_.handle(peer, message); }
+
+    void handle(const InstanceId&, const MeshRequestLimit& message)
+    {
+        relay_.limitReported(
+            message.target, message.incarnation, message.isLimited ? std::optional(message.perSecond) : std::nullopt);
+    }
+
     void handle(const InstanceId& peer, const MeshLeaving&)
     {
         controlLog.info("peer={} state=leaving", peer);
@@ -664,6 +698,7 @@
     bool collectsHoldings_ = false;
     LeaseManager<typename Platform::Store> lease_;
     PlacementOwner<typename Platform::Channel> owner_;
+    GrantExchange grants_;
     std::unique_ptr<Mesh> mesh_;
     std::map<InstanceId, PeerState> peers_;
     OwnerContact ownerContact_;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -106,6 +106,14 @@
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
                                      TimePoint deadline) { return ensureAdapter(target, model, adapter, deadline); };
+        context_.requestGrant = [this](const fleet::ChosenTarget& target, double perSecond, TimePoint deadline) {
+            return requestGrant(target, perSecond, deadline);
+        };
+        context_.limitChanged = [this](const TargetId& target, fleet::TargetIncarnation incarnation,
+                                    std::optional<double> perSecond) {
+            postToControl(
+                [this, target, incarnation, perSecond] { control_->announceLimit(target, incarnation, perSecond); });
+        };
         context_.configurationIsConfirmed = [this] { return confirmation_.acceptsKeys(); };
         context_.crashes.setOutputs({[this](const std::vector<fleet::CrashSuspect>& suspects) {
                                          postToControl([this, suspects] { control_->announce(suspects); });
@@ -237,6 +245,12 @@
         port.traitBlocked = [this](const fleet::BlockedTrait& blocked) {
             postToRelay([this, blocked] { context_.crashes.blockReported(blocked); });
         };
+        port.limitReported
+            = [this](const TargetId& target, fleet::TargetIncarnation incarnation, std::optional<double> perSecond) {
+                  postToRelay([this, target, incarnation, perSecond] {
+                      context_.registry.recordLimit(target, incarnation, perSecond, currentTime(), currentTime());
+                  });
+              };
         port.readCrashKnowledge = [this] {
             const auto read = callOn(*relayInbox_, [this] { return context_.crashes.knowledge(); });
             return read.ok() ? *read : CrashKnowledge();
@@ -284,6 +298,14 @@
         return result.ok() ? *result : result.status();
     }
 
+    std::optional<Duration> requestGrant(const fleet::ChosenTarget& target, double perSecond, TimePoint deadline)
+    {
+        const auto result = callOn(*controlInbox_, [this, target, perSecond, deadline] {
+            return control_->requestGrant(target.target, target.incarnation, perSecond, deadline);
+        });
+        return result.ok() ? *result : std::optional(RelayLimits::grantTimeout);
+    }
+
     // The fixed part of the retry budget is split equally between all instances.
     void setRetryBudget(const GatewaySettings& settings, std::size_t instances)
     {
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -71,6 +71,15 @@
     return found->second.connection->send(encodeMeshMessage(message));
 }
 
+std::vector<InstanceId> Mesh::peers() const
+{
+    std::vector<InstanceId> ids;
+    ids.reserve(peers_.size());
+    for (const auto& [id, peer] : peers_)
+        ids.push_back(id);
+    return ids;
+}
+
 bool Mesh::isConnectedTo(const Endpoint& endpoint) const
 {
     return std::any_of(
--- a/src/gateway/Mesh.h
+++ b/src/gateway/Mesh.h
@@ -43,6 +43,9 @@
 
     bool isConnected(const InstanceId& peer) const { return peers_.contains(peer); }
 
+    // The connected instances, this one excluded.
+    std::vector<InstanceId> peers() const;
+
     // Number of connected instances, this one excluded.
     std::size_t peerCount() const { return peers_.size(); }
 
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -125,6 +125,17 @@
     return {fromMilliseconds(message.ageMs), message.row};
 }
 
+MeshGrant toMessage(std::uint64_t call, const std::optional<Duration>& wait)
+{
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait.value_or(Duration(0)));
+    return {call, !wait, toMilliseconds(milliseconds)};
+}
+
+std::optional<Duration> fromMessage(const MeshGrant& message)
+{
+    return message.granted ? std::nullopt : std::optional(fromMilliseconds(message.waitMs));
+}
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows)
 {
     std::vector<MeshRow> message;
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -253,9 +253,43 @@
     auto fields() { return std::tie(call, ageMs, row); }
 };
 
+// Asks the receiver to grant one request to a target that limits how many it takes.
+struct MeshGrantQuery {
+    // Number by which the sender matches the answer to this query.
+    std::uint64_t call = 0;
+    TargetId target;
+    fleet::TargetIncarnation incarnation;
+    // The requests per second that the target takes, as the sender last heard.
+    double perSecond = 0;
+
+    auto fields() { return std::tie(call, target, incarnation, perSecond); }
+};
+
+// Answer to a MeshGrantQuery.
+struct MeshGrant {
+    std::uint64_t call = 0;
+    bool granted = false;
+    // Time until the next request can be granted; rounded up.
+    std::uint64_t waitMs = 0;
+
+    auto fields() { return std::tie(call, granted, waitMs); }
+};
+
+// What a target has said to the sender about the requests that it takes. Sent when it says something new.
+struct MeshRequestLimit {
+    TargetId target;
+    fleet::TargetIncarnation incarnation;
+    // Whether the target limits its requests; `perSecond` is meaningless otherwise.
+    bool isLimited = false;
+    double perSecond = 0;
+
+    auto fields() { return std::tie(target, incarnation, isLimited, perSecond); }
+};
+
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
 using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
-    MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked, MeshConfirmationQuery, MeshConfirmation>;
+    MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked, MeshConfirmationQuery, MeshConfirmation,
+    MeshGrantQuery, MeshGrant, MeshRequestLimit>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
@@ -281,6 +315,11 @@
 
 fleet::ConfigurationStatement fromMessage(const MeshConfirmation& message);
 
+// `wait` is as for fleet::RequestGrants::take().
+MeshGrant toMessage(std::uint64_t call, const std::optional<Duration>& wait);
+
+std::optional<Duration> fromMessage(const MeshGrant& message);
+
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows);
 
 std::vector<StoredRow> fromMessage(const std::vector<MeshRow>& rows);
--- a/src/gateway/PaceReview.cpp
+++ b/src/gateway/PaceReview.cpp
@@ -51,6 +51,12 @@
             fmt::format("target=\"{}\"", state.target)});
     for (const auto& [service, fraction] : registry.admittedFractions(now))
         gauges.push_back({"slot_share_admitted", fraction, fmt::format("service=\"{}\"", service)});
+    std::size_t limited = 0;
+    for (const auto& [target, perSecond] : registry.limits()) {
+        if (++limited > maxTargetGauges)
+            break;
+        gauges.push_back({"target_request_limit", perSecond, fmt::format("target=\"{}\"", target)});
+    }
     return gauges;
 }
 
--- a/src/gateway/PaceReview.h
+++ b/src/gateway/PaceReview.h
@@ -1,4 +1,4 @@
-// Shows the paces of targets and the shares of plain services in metrics and log lines.
+// Shows the paces and limits of targets and the shares of plain services in metrics and log lines.
 #pragma once
 
 #include "fleet/TargetRegistry.h"
@@ -11,7 +11,7 @@
     // Logs the targets whose pace differs most from 1, at most once per interval and only if a target reports its pace.
     void log(const fleet::TargetRegistry& registry, TimePoint now);
 
-    // Returns gauges of the same targets and of the shares of plain services.
+    // Returns gauges of the same targets, of those that limit their requests, and of the shares of plain services.
     static std::vector<Gauge> gauges(const fleet::TargetRegistry& registry, TimePoint now);
 
 private:
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -40,6 +40,13 @@
     // TransportError::ConnectionClosed when the owner cannot be reached, and with other errors when the adapter cannot
     // be loaded on this target before the deadline.
     std::function<absl::Status(const TargetId&, const ModelId&, const AdapterId&, TimePoint deadline)> ensureAdapter;
+    // Asks for one request to a target that takes `perSecond` of them from all instances, and suspends the fiber until
+    // the answer. Returns nothing when the request may be sent, and otherwise after which time to ask again.
+    std::function<std::optional<Duration>(const fleet::ChosenTarget&, double perSecond, TimePoint deadline)>
+        requestGrant = [](const fleet::ChosenTarget&, double, TimePoint) { return std::nullopt; };
+    // Tells the peers that a target has stated a limit, or that it has none any more.
+    std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitChanged
+        = [](const TargetId&, fleet::TargetIncarnation, std::optional<double>) {};
     // Adapters in use, with the number of requests that use each of them, and adapters used since the last status
     // message to the peers.
     using AdapterOnTarget = std::tuple<TargetId, ModelId, AdapterId>;
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -35,6 +35,8 @@
     bool leaving = false;
     // The target has declined the request and wants no further one for this time.
     std::optional<Duration> declinesFor;
+    // The requests per second that the target takes from all instances together, if it limits them.
+    std::optional<double> requestsPerSecond;
     // The answer can continue a stream of events.
     bool eventStream = false;
     // The load that the target reports, if it does.
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -24,6 +24,9 @@
     // `maxAdapterRetries` times.
     static constexpr Duration adapterRetryDelay = std::chrono::milliseconds(15);
     static constexpr int maxAdapterRetries = 3;
+    // The way to the instance that grants requests to a limited target, and back. One that does not answer in this time
+    // is probably gone.
+    static constexpr Duration grantTimeout = std::chrono::milliseconds(150);
     // How often a request that waits for a model checks whether it is loaded.
     static constexpr Duration modelPollInterval = std::chrono::milliseconds(50);
     // How often a plain request that is held for a slot checks whether it may be sent.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -368,7 +368,7 @@
             return refuseBlocked();
         if (target.adapterMissing && !ensureAdapter(target))
             return;
-        if (!authorize())
+        if (!takeGrant(target) || !authorize())
             return;
         const AdapterUse use(context_, target.target, caller_.generation);
         Attempt attempt = open(target);
@@ -409,6 +409,25 @@
         return false;
     }
 
+    // Asks for a request to a target that limits how many it takes. Without a grant, the target is left out until the
+    // next one is possible.
+    bool takeGrant(const fleet::ChosenTarget& target)
+    {
+        const fleet::TargetState* state = context_.registry.find(target.target);
+        if (!state || !state->limit)
+            return true;
+        const double perSecond = state->limit->perSecond;
+        const std::optional<Duration> refusedFor
+            = context_.requestGrant(target, perSecond, std::min(deadline_, currentTime() + RelayLimits::grantTimeout));
+        if (!refusedFor)
+            return true;
+        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + *refusedFor);
+        relayLog.info("request={} target={} limit_per_s={:.2f} no request granted for ms={}", caller_.attempt,
+            target.target, perSecond, std::chrono::duration_cast<std::chrono::milliseconds>(*refusedFor).count());
+        lastProblem_ = "the target takes no more requests at present";
+        return false;
+    }
+
     Attempt open(const fleet::ChosenTarget& target)
     {
         Attempt attempt{target, {}, nullptr, nullptr, {}};
@@ -508,7 +527,7 @@
         const TargetAnswer answer = Dialect::readAnswer(status, attempt.stream->headers());
         if (answer.load)
             context_.registry.recordLoad(attempt.target.target, *answer.load, currentTime());
-        recordNotices(attempt.target, answer);
+        recordNotices(attempt, answer);
         if (answer.notRun)
             return afterNotRun(attempt, answer);
         const bool success = status >= 200 && status < 300;
@@ -530,8 +549,17 @@
     }
 
     // Records what the target has said about further requests to it.
-    void recordNotices(const fleet::ChosenTarget& target, const TargetAnswer& answer)
-    {
+    void recordNotices(const Attempt& attempt, const TargetAnswer& answer)
+    {
+        const fleet::ChosenTarget& target = attempt.target;
+        // Another target may have answered at this address.
+        if (!answer.misdirected
+            && context_.registry.recordLimit(
+                target.target, target.incarnation, answer.requestsPerSecond, attempt.startedAt, currentTime())) {
+            relayLog.info("request={} target={} limits requests={} per_s={:.2f}", caller_.attempt, target.target,
+                answer.requestsPerSecond.has_value(), answer.requestsPerSecond.value_or(0));
+            context_.limitChanged(target.target, target.incarnation, answer.requestsPerSecond);
+        }
         if (answer.leaving)
             context_.registry.recordLeaving(target.target, target.incarnation);
         if (!answer.declinesFor)
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -348,5 +348,36 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
 }
 
+// Guards against requests to a target that limits them without a grant, and against a limit that never ends.
+TEST_F(RelayTest, LimitedTargetGetsGrantedRequestsOnly)
+{
+    addTarget(plainService, [](ScriptedTarget& target, HttpExchange& exchange) {
+        HttpHeaders headers = sealedHeaders(exchange.request());
+        if (target.requests.size() < 3)
+            headers.set("Server-Limit", "0.5");
+        exchange.respond({200, headers, "answer"}).IgnoreError();
+    });
+    int asked = 0;
+    bool grants = false;
+    context_.requestGrant = [&](const fleet::ChosenTarget&, double perSecond, TimePoint) -> std::optional<Duration> {
+        EXPECT_EQ(perSecond, 0.5);
+        ++asked;
+        return grants ? std::nullopt : std::optional<Duration>(200ms);
+    };
+    start();
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
+    const auto refused = client().send(request("/unsafe/x"));
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_TRUE(refused->headers.find("Retry-After"));
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 503);
+    EXPECT_EQ(asked, 1);
+    EXPECT_EQ(receivedRequests(), 1u);
+    std::this_thread::sleep_for(250ms);
+    grants = true;
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
+    EXPECT_EQ(asked, 3);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/standins/fleet_worker_standin/Main.cpp
+++ b/tests/standins/fleet_worker_standin/Main.cpp
@@ -13,6 +13,7 @@
 ABSL_FLAG(std::string, models, "", "Models held at the start, separated by commas; a plain worker has none.");
 ABSL_FLAG(int, events, 10, "Events of a stream.");
 ABSL_FLAG(int, event_ms, 20, "Time between two events.");
+ABSL_FLAG(double, request_limit, 0, "Requests per second that answers say the worker takes; 0 for none.");
 ABSL_FLAG(bool, report_load, false, "States the load in each answer.");
 ABSL_FLAG(std::uint64_t, pace_seed, 0,
     "Works at a pace that changes every 600 ms and is drawn from this seed, and states it with the load; 0 for the "
@@ -37,6 +38,7 @@
     }
     options.events = absl::GetFlag(FLAGS_events);
     options.eventTime = std::chrono::milliseconds(absl::GetFlag(FLAGS_event_ms));
+    options.requestLimit = absl::GetFlag(FLAGS_request_limit);
     options.reportsLoad = absl::GetFlag(FLAGS_report_load);
     options.paceSeed = absl::GetFlag(FLAGS_pace_seed);
     Worker worker(std::move(options));
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -146,6 +146,8 @@
 {
     std::vector<HeaderField> headers{
         {"X-Attempt-Id", attempt}, {"X-Response-Seal", responseSeal(options_.id, attempt)}};
+    if (options_.requestLimit > 0)
+        headers.push_back({"Server-Limit", fmt::format("{}", options_.requestLimit)});
     if (options_.reportsLoad)
         headers.push_back({"X-Server-Load", load()});
     return headers;
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds eventTime{20};
     std::chrono::milliseconds loadTime{200};
     std::chrono::milliseconds registrationInterval{300};
+    // Requests per second that answers say the worker takes from all instances; 0 for answers without a limit.
+    double requestLimit = 0;
     // Answers state the load.
     bool reportsLoad = false;
     // When not 0, streams take 2.5 times as long in some periods of 600 ms, which are drawn from this seed, and the
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -46,6 +46,8 @@
     std::vector<std::string> flags{"--id=" + id, "--service=" + service, "--models=" + models,
         fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", options_.events),
         fmt::format("--event-ms={}", options_.eventPause.count()), "--record=" + recordPath(id).string()};
+    if (options_.plainRequestLimit > 0 && models.empty())
+        flags.push_back(fmt::format("--request-limit={}", options_.plainRequestLimit));
     if (options_.paceSeed != 0) {
         flags.emplace_back("--report-load");
         if (workers_.size() % 2 == 0)
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -37,6 +37,8 @@
     bool priorities = false;
     // Prefix of an additional route that accepts requests without a key; empty for none.
     std::string exemptPrefix;
+    // Requests per second that the plain workers say they take; 0 for no limit.
+    double plainRequestLimit = 0;
     // When not 0, all workers state their load, and every other one works at a changing pace drawn from this seed.
     std::uint64_t paceSeed = 0;
 };
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -413,5 +413,39 @@
     EXPECT_EQ(chosen(registry, &generation), "t1");
 }
 
+// Guards against a limit that outlasts the target's need, and against one that an answer from before the need ends.
+TEST_F(TargetChoiceTest, ALimitEndsWithAnAnswerToALaterRequestOnly)
+{
+    TargetRegistry registry = registryOf(1);
+    const TargetId target("t0");
+    const TargetIncarnation incarnation(1);
+    const auto limit = [&] { return registry.find(target)->limit; };
+    EXPECT_TRUE(registry.recordLimit(target, incarnation, 2, now_, now_ + 1s));
+    EXPECT_FALSE(registry.recordLimit(target, incarnation, 2, now_, now_ + 1s));
+    EXPECT_FALSE(registry.recordLimit(target, incarnation, std::nullopt, now_ + 1s, now_ + 2s));
+    ASSERT_TRUE(limit());
+    EXPECT_TRUE(registry.recordLimit(target, incarnation, 0.5, now_ + 2s, now_ + 2s));
+    EXPECT_EQ(limit()->perSecond, 0.5);
+    registry.remove(target);
+    registry.update(record(0));
+    EXPECT_TRUE(limit());
+    EXPECT_TRUE(registry.recordLimit(target, incarnation, std::nullopt, now_ + 2s, now_ + 3s));
+    EXPECT_FALSE(limit());
+    EXPECT_FALSE(registry.recordLimit(target, incarnation, std::nullopt, now_ + 3s, now_ + 3s));
+}
+
+// Guards against requests that use up what a target in need takes although another target is free.
+TEST_F(TargetChoiceTest, ALimitedTargetIsLeftToRequestsThatNoOtherCanServe)
+{
+    TargetRegistry registry = registryOf(2);
+    const GenerationNeed generation = need(1, 2, 3);
+    const TargetId preferred(chosen(registry, &generation));
+    registry.recordLimit(preferred, TargetIncarnation(1), 2, now_, now_);
+    const std::string other = chosen(registry, &generation);
+    EXPECT_NE(other, preferred.value());
+    registry.remove(TargetId(other));
+    EXPECT_EQ(chosen(registry, &generation), preferred.value());
+}
+
 } // namespace
 } // namespace lychee::fleet
