Follow a store that was restored from a copy

After a drill in which the platform's store comes back from a copy some seconds old, its versions go back and are given out again. Instances kept the row with the highest version, so they ignored every row that the store acknowledged until its versions had passed those from before: a change of the configuration was not in force in time, a target that left went on getting requests, and reads since a version given out twice missed changes for good. The lease row could name a former holder, which resumed with a fencing number that was used already.

The Store-Era header of each answer is now part of RowVersion, above the counter, so that later eras are newer everywhere: in the replicas, between instances, and for the condition of a write. A change of the era reads the table anew and counts as the end of an outage: entries that were lost have time to return, removed ones need a new write, a target that was seen leaving stays so until it restarts, reads confirm the configuration again only after the time in which the operator writes it again, and the instance registers itself again. The lease treats a restored row as if its holder had just sent an order, and fences begin above those of the former era.

GatewayProcessTest.FollowsAStoreThatWasRestoredFromACopy failed on (a route of a version that was written after the restoration is still answered 404 after 3 s, on both instances) and passes.

--- a/src/fleet/PlacementLease.cpp
+++ b/src/fleet/PlacementLease.cpp
@@ -14,6 +14,10 @@
 // passed, so this delays no order.
 constexpr std::chrono::duration<double> maxSmallMachineDelay = std::chrono::milliseconds(1300);
 
+// Fencing numbers of one era of the store. Fences that were given out in the lost end of an era are unknown in the next
+// one, which begins above them.
+constexpr std::uint64_t fencesOfEra = std::uint64_t{1} << 20;
+
 } // namespace
 
 Duration smallMachineDelay(double processorShare)
@@ -66,13 +70,34 @@
         return {InstanceId(), fence()};
     if (isHolder())
         return {self_, fence()};
-    return {self_, fence().next()};
+    return {self_, nextFence()};
+}
+
+FencingNumber PlacementLease::nextFence() const
+{
+    return std::max(fence(), FencingNumber(era_.value_or(0) * fencesOfEra)).next();
 }
 
-void PlacementLease::observed(const std::optional<LeaseRow>& row, RowVersion version, TimePoint answeredAt)
+void PlacementLease::observed(
+    const std::optional<LeaseRow>& row, RowVersion version, std::uint64_t era, TimePoint answeredAt)
 {
     lastCallAt_ = answeredAt;
     lastCallFailed_ = false;
+    if (era_ && era > *era_) {
+        era_ = era;
+        wasRestored_ = true;
+        rowKnown_ = true;
+        row_ = row;
+        // Another instance may have taken the lease from this one in the time that the store has lost.
+        if (isHolder())
+            row_->holder = InstanceId();
+        rowVersion_ = version;
+        versionSeenAt_ = answeredAt;
+        versionConfirmedAt_ = answeredAt;
+        ordersUntil_ = {};
+        return;
+    }
+    era_ = std::max(era, era_.value_or(era));
     // The answer is outdated: a newer version of the row is already known.
     if (rowKnown_ && version < rowVersion_ && row)
         return;
@@ -96,7 +121,7 @@
     const bool renewed = isHolder();
     if (!renewed) {
         // If the row has never existed, no other instance can have sent orders.
-        const bool first = !row_;
+        const bool first = !row_ && !wasRestored_;
         ordersFrom_ = first ? answeredAt : versionSeenAt_ + options_.orderWindow + options_.lease;
     }
     rowKnown_ = true;
--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -2,6 +2,10 @@
 // written only by compare-and-set. Targets may not check who sends an order, so a holder sends orders only for a short
 // time after a confirmed renewal, and its successor waits until the last order that the previous holder can have sent
 // is one lease old.
+//
+// When the platform's store is restored from a copy, the row may be one that had been replaced, and the last holder may
+// be another instance than the row names. All instances then treat the row as if its holder had just sent an order, and
+// number their fences above all that were given out before.
 #pragma once
 
 #include "protocol/Ids.h"
@@ -67,9 +71,9 @@
 
     RowVersion expectedVersion() const { return rowVersion_; }
 
-    // Records the row that a read or a rejected write has returned. An absent row has version zero. `answeredAt` is
-    // when the answer arrived.
-    void observed(const std::optional<LeaseRow>& row, RowVersion version, TimePoint answeredAt);
+    // Records the row that a read or a rejected write has returned. An absent row has version zero. `era` counts how
+    // often the store has been restored, and `answeredAt` is when the answer arrived.
+    void observed(const std::optional<LeaseRow>& row, RowVersion version, std::uint64_t era, TimePoint answeredAt);
 
     // Records that the write sent at `sentAt` was confirmed at `answeredAt`.
     void written(RowVersion version, TimePoint sentAt, TimePoint answeredAt);
@@ -105,6 +109,7 @@
 
 private:
     bool mayAcquire() const;
+    FencingNumber nextFence() const;
     Duration acquireDelay() const { return options_.acquireDelay + options_.smallMachineDelay; }
     bool heardFromHolderRecently(TimePoint now) const;
 
@@ -113,6 +118,10 @@
     bool rowKnown_ = false;
     std::optional<LeaseRow> row_;
     RowVersion rowVersion_;
+    // The highest era of the store that was observed.
+    std::optional<std::uint64_t> era_;
+    // The store was restored since this process has known it, so an absent row may have existed.
+    bool wasRestored_ = false;
     // When this version of the row was first read, and when it was last found unchanged.
     TimePoint versionSeenAt_;
     TimePoint versionConfirmedAt_;
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -105,6 +105,9 @@
 
 void TargetRegistry::update(const TargetRecord& record)
 {
+    // A list that was restored from a copy may show a target as it was before.
+    if (record.draining)
+        noticeOf(record.id, record.incarnation).leaving = true;
     std::unique_ptr<TargetState>& state = targets_[record.id];
     if (!state || state->record.incarnation != record.incarnation || state->record.endpoint != record.endpoint) {
         state = std::make_unique<TargetState>();
@@ -116,6 +119,7 @@
     Holdings known = std::move(state->record.holdings);
     const bool serviceChanged = state->record.service != record.service;
     state->record = record;
+    applyNotice(record.id);
     // List entries lag behind the holdings that the placement owner has sent.
     const bool keepKnown = known.sequence > record.holdings.sequence
         || (known.sequence == record.holdings.sequence && state->holdingsFromOwner);
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -128,6 +128,7 @@
             forwardChanges(Platform::targetTable, targetWatch_.replica().version(), since, rows);
         };
         configurationWatch_.readAnswered = [this](TimePoint sentAt) { confirmation_.readAnswered(sentAt); };
+        configurationWatch_.storeRestored = [this] { registrationDue_.notify(); };
         configurationWatch_.maxWait = [this] { return confirmation_.maxReadWait(); };
         duty_.spawn([this] { configurationWatch_.run(); });
         duty_.spawn([this] { targetWatch_.run(); });
@@ -373,7 +374,7 @@
                 sleepFor(ControlLimits::registrationRetryInterval);
                 continue;
             }
-            sleepFor(ControlLimits::registrationInterval);
+            registrationDue_.waitUntil(duty_.timers(), currentTime() + ControlLimits::registrationInterval);
         }
     }
 
@@ -700,6 +701,8 @@
     PlacementOwner<typename Platform::Channel> owner_;
     GrantExchange grants_;
     std::unique_ptr<Mesh> mesh_;
+    // The table of instances may lack the entry of this one.
+    FiberEvent registrationDue_;
     std::map<InstanceId, PeerState> peers_;
     OwnerContact ownerContact_;
     MeshStatus status_;
--- a/src/gateway/LeaseManager.h
+++ b/src/gateway/LeaseManager.h
@@ -88,7 +88,7 @@
             if (row.key == key)
                 return observe(row, now);
         }
-        lease_.observed(std::nullopt, RowVersion(), now);
+        lease_.observed(std::nullopt, RowVersion(), eraOf(page->version).value(), now);
     }
 
     void observe(const StoredRow& row, TimePoint now)
@@ -98,7 +98,7 @@
             leaseLog.error("row={} cannot be decoded as a placement lease; treated as released", row.version);
             decoded.emplace();
         }
-        lease_.observed(decoded, row.version, now);
+        lease_.observed(decoded, row.version, eraOf(row.version).value(), now);
     }
 
     void write()
@@ -113,7 +113,8 @@
         case RowWrite::Outcome::Conflict:
             if (write.current)
                 return observe(*write.current, now);
-            return lease_.observed(std::nullopt, RowVersion(), now);
+            // The row is gone; a read tells why.
+            return lease_.failed(now);
         case RowWrite::Outcome::NotDone:
         case RowWrite::Outcome::Unknown:
             leaseLog.warning("write of the placement lease not confirmed: {}", write.detail);
--- a/src/gateway/RowReplica.cpp
+++ b/src/gateway/RowReplica.cpp
@@ -16,6 +16,12 @@
 
 std::vector<StoredRow> RowReplica::replace(const RowPage& page)
 {
+    if (eraOf(page.version) > eraOf(version_)) {
+        for (auto& [key, row] : rows_) {
+            if (row.removed)
+                row.version = page.version;
+        }
+    }
     std::vector<StoredRow> changed;
     std::map<std::string, bool> listed;
     for (const StoredRow& row : page.rows) {
--- a/src/gateway/RowReplica.h
+++ b/src/gateway/RowReplica.h
@@ -13,7 +13,9 @@
     // Applies a row. Returns whether its content changed; a target's heartbeat often raises the version only.
     bool apply(const StoredRow& row);
 
-    // Applies a whole table as of `page.version`. Returns the rows that were added, changed or removed.
+    // Applies a whole table as of `page.version`. Returns the rows that were added, changed or removed. When the page
+    // is from a later era of the store, it may hold rows that were removed before the store was restored from a copy;
+    // they stay removed until they are written again.
     std::vector<StoredRow> replace(const RowPage& page);
 
     // Applies changed rows. Returns those whose content changed.
--- a/src/gateway/RowStore.h
+++ b/src/gateway/RowStore.h
@@ -1,8 +1,8 @@
-// Access of the gateway to the platform's tables. The versions of rows come from one counter, which grows with each
-// change.
+// Access of the gateway to the platform's tables. The versions of rows grow with each change; StoreEra.h says how they
+// do so when the platform restores its store from a copy.
 #pragma once
 
-#include "protocol/Ids.h"
+#include "gateway/StoreEra.h"
 #include "transport/HttpClient.h"
 #include "transport/RuntimeClock.h"
 
@@ -51,7 +51,7 @@
 // list() reads a whole table; changes() waits up to `wait` for rows newer than `version`, and can be ended early by its
 // cancellation, which may be null; write() writes a row on the condition that it still has `version`. Reads fail with
 // CoordinationError::PlatformUnreachable, and changes() also with VersionStale when the platform no longer has the
-// changes since `version`.
+// changes since `version`, or when its store was restored from a copy since then.
 template <typename Store>
 concept RowStore = requires(Store store, const std::string& text, RowVersion version, Duration wait, TimePoint deadline,
     std::shared_ptr<HttpCancellation> cancellation)
--- a/src/gateway/StoreAvailability.cpp
+++ b/src/gateway/StoreAvailability.cpp
@@ -34,6 +34,12 @@
     logChannel.warning("dependency=store state=lost reason=\"{}\"", reason);
 }
 
+void StoreAvailability::restored(TimePoint now)
+{
+    recoveredAt_ = now;
+    logChannel.warning("dependency=store state=restored its last changes are lost");
+}
+
 bool StoreAvailability::isAvailable(TimePoint now) const
 {
     return everAvailable_ && (!failingSince_ || now - *failingSince_ < outageThreshold);
--- a/src/gateway/StoreAvailability.h
+++ b/src/gateway/StoreAvailability.h
@@ -14,6 +14,9 @@
 
     void failed(TimePoint now, std::string_view reason);
 
+    // Records that the store was restored from a copy, which counts as the end of an outage however short it was.
+    void restored(TimePoint now);
+
     // Whether the last call failed.
     bool isFailing() const { return failingSince_.has_value(); }
 
--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -59,6 +59,7 @@
                 continue;
             }
             availability_.succeeded(currentTime());
+            noteEra(eraOf(page->version));
             // A row that a peer has sent already does not count as changed, but the receivers may not have it.
             const bool knowsNewerRows = !replica_.changedSince(since).empty();
             const std::vector<StoredRow> changed = first ? replica_.replace(*page) : replica_.applyChanges(*page);
@@ -67,7 +68,7 @@
             answeredAt_ = currentTime();
             if (!changed.empty())
                 handler_(changed);
-            if (readAnswered && !page->isPartial)
+            if (readAnswered && !page->isPartial && !mayLackLostWrites())
                 readAnswered(sentAt);
             if (forwardChanges)
                 forwardChanges(since, knowsNewerRows ? replica_.changedSince(since) : changed);
@@ -79,6 +80,7 @@
     // it was complete up to `since`.
     void applyFromPeer(RowVersion since, RowPage page)
     {
+        noteEra(eraOf(page.version));
         if (since > replica_.version())
             page.version = replica_.version();
         else
@@ -99,6 +101,9 @@
     // sent. The time includes suspension of the machine. May be empty.
     std::function<void(TimePoint sentAt)> readAnswered;
 
+    // Called when the store was restored from a copy, which may lack rows that this instance has written. May be empty.
+    std::function<void()> storeRestored;
+
     // Limits how long the platform may hold a read while no changes are forwarded. May be empty.
     std::function<Duration()> maxWait;
 
@@ -108,6 +113,10 @@
     bool isComplete() const { return complete_; }
 
 private:
+    // Time in which the operator writes again what a restored store has lost. Until then, an answer does not show that
+    // nothing newer was acknowledged.
+    static constexpr Duration rewriteTime = std::chrono::seconds(1);
+
     // Time limit for an answer, in addition to the wait that was asked for. The store usually answers within 4 ms, a
     // slow one in 50 times as long.
     static constexpr Duration answerTimeout = std::chrono::milliseconds(900);
@@ -129,6 +138,22 @@
         return begin + std::max(wait, options_.wait) + answerTimeout;
     }
 
+    // Compares the era of an answer with the one that was known.
+    void noteEra(StoreEra era)
+    {
+        const std::optional<StoreEra> before = std::exchange(era_, std::max(era, era_.value_or(era)));
+        if (!before || era <= *before)
+            return;
+        watchLog.warning(
+            "table={} version={} store_era={} store restored from a copy", options_.table, replica_.version(), era);
+        restoredAt_ = currentTime();
+        availability_.restored(*restoredAt_);
+        if (storeRestored)
+            storeRestored();
+    }
+
+    bool mayLackLostWrites() const { return restoredAt_ && currentTime() - *restoredAt_ < rewriteTime; }
+
     // Ends early when the other instance stops forwarding changes, or a call fails.
     void pause()
     {
@@ -182,6 +207,9 @@
     RowReplica replica_;
     bool historyLost_ = false;
     bool complete_ = false;
+    // The highest era of the store that was seen.
+    std::optional<StoreEra> era_;
+    std::optional<TimePoint> restoredAt_;
 };
 
 } // namespace lychee::gateway
--- a/tests/gateway/GatewayProcessTest.cpp
+++ b/tests/gateway/GatewayProcessTest.cpp
@@ -182,5 +182,33 @@
     }
 }
 
+// Guards against instances that keep an old configuration, or lose their targets, after the store was restored from a
+// copy: what it writes from then on has smaller versions than what they know.
+TEST_F(GatewayProcessTest, FollowsAStoreThatWasRestoredFromACopy)
+{
+    const auto post = [&](const std::string& target) {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = target;
+        EXPECT_EQ(deployment_.store().client().send(request)->status, 200);
+    };
+    post("/standin/copy");
+    // The heartbeats of the workers use up versions, which are given out again later.
+    std::this_thread::sleep_for(2s);
+    deployment_.writeConfiguration(5, {"/stream/", "/safe/", "/unsafe/", "/early/"});
+    for (std::size_t instance = 0; instance < 2; ++instance)
+        EXPECT_TRUE(eventually([&] { return deployment_.send(instance, "/early/x", "c").status == 200; }, 2000ms));
+    post("/standin/restore");
+    deployment_.writeConfiguration(5, {"/stream/", "/safe/", "/unsafe/", "/early/"});
+    deployment_.writeConfiguration(7, {"/stream/", "/safe/", "/unsafe/", "/early/", "/late/"});
+    for (std::size_t instance = 0; instance < 2; ++instance) {
+        EXPECT_TRUE(eventually([&] { return deployment_.send(instance, "/late/x", "l").status == 200; }, 3000ms));
+        EXPECT_EQ(deployment_.send(instance, "/safe/x", "s").status, 200);
+        EXPECT_EQ(deployment_.send(instance, "/stream/x", "t").status, 200);
+    }
+    std::this_thread::sleep_for(4s);
+    EXPECT_TRUE(eventually([&] { return deployment_.send(1, "/stream/x", "loaded", "m0/a1").status == 200; }, 8000ms));
+}
+
 } // namespace
 } // namespace lychee::test
--- a/tests/gateway/StoreClientTest.cpp
+++ b/tests/gateway/StoreClientTest.cpp
@@ -1,5 +1,6 @@
 // Answers of the store with unusual rows.
 #include "platform/StoreClient.h"
+#include "coordination/CoordinationError.h"
 #include "tests/gateway/RelayFixture.h"
 
 #include <absl/strings/escaping.h>
@@ -74,5 +75,29 @@
     EXPECT_EQ(page->rows[2].value, "{}");
 }
 
+// Guards against changes that are missed because the store has restored a copy and counts its versions anew: its answer
+// to a read of changes looks like any other.
+TEST_F(StoreClientTest, ChangesSinceAnEarlierEraAreStale)
+{
+    addRawTarget(plainService, [](RawTargetConnection& connection, const HttpRequest&) {
+        connection.write(rawAnswer("200 OK\r\nStore-Era: 3\r\n", R"({"rows":[],"hasMore":false,"rowVersion":9})"));
+    });
+    relayDuty_->run([&] {
+        platform::StoreClient store({"127.0.0.1", rawTargets_.back()->port()});
+        const auto changes = [&](std::uint64_t era) {
+            return store.changes("servers", rowVersionIn(StoreEra(era), 8), 100ms, currentTime() + 1s, nullptr);
+        };
+        EXPECT_EQ(errorOf<CoordinationError>(changes(2).status()), CoordinationError::VersionStale);
+        ASSERT_TRUE(changes(3).ok());
+        EXPECT_EQ(changes(3)->version, rowVersionIn(StoreEra(3), 9));
+        const auto write = [&](RowVersion expected) {
+            return store.write("placement", "owner", expected, "x", currentTime() + 1s).outcome;
+        };
+        EXPECT_EQ(write(rowVersionIn(StoreEra(3), 8)), RowWrite::Outcome::Written);
+        EXPECT_EQ(write(rowVersionIn(StoreEra(2), 8)), RowWrite::Outcome::Unknown)
+            << "the condition was met by a version that was given out twice";
+    });
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -252,5 +252,36 @@
     EXPECT_EQ(store_.lastWait, ControlLimits::configurationForwardedWait) << "the store has answered";
 }
 
+// Guards against targets that are taken as gone although only their entries were lost, against a configuration that
+// counts as confirmed before the operator has written it again, and against an entry of this instance that stays lost.
+TEST_F(TableWatchTest, ARestoredStoreCountsAsBackFromAnOutage)
+{
+    const RowVersion restored = rowVersionIn(StoreEra(1), 1);
+    store_.nextChanges.emplace_back(makeError(CoordinationError::VersionStale, "restored"));
+    store_.laterList = {{{"key", restored, false, "older"}}, restored};
+    std::vector<TimePoint> confirmedAt;
+    int restorations = 0;
+    std::vector<std::string> values;
+    watch_.emplace(
+        store_, availability_, TableWatchOptions{"table", 200ms, 0ms, 200ms, 0ms}, [] { return false; },
+        [&](const std::vector<StoredRow>& rows) {
+            for (const StoredRow& row : rows)
+                values.push_back(row.value);
+        });
+    watch_->readAnswered = [&](TimePoint) { confirmedAt.push_back(currentTime()); };
+    watch_->storeRestored = [&] { ++restorations; };
+    duty_->spawn([this] { watch_->run(); });
+    duty_->run([] {});
+    callsDuring(3s);
+    duty_->run([this] { watch_->readAnswered = nullptr; });
+    EXPECT_EQ(restorations, 1);
+    EXPECT_EQ(values, (std::vector<std::string>{"value", "older"}));
+    ASSERT_GE(confirmedAt.size(), 2u);
+    EXPECT_GE(confirmedAt[1] - confirmedAt[0], Duration(1s));
+    bool wasUnavailable = false;
+    duty_->run([&] { wasUnavailable = availability_.wasUnavailable(currentTime(), 5s); });
+    EXPECT_TRUE(wasUnavailable);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -120,5 +120,31 @@
     EXPECT_EQ(replica.changedSince(RowVersion(4)).size(), 2u);
 }
 
+StoredRow rowOfEra(std::uint64_t era, std::string key, std::uint64_t counter, std::string value)
+{
+    return {std::move(key), rowVersionIn(StoreEra(era), counter), false, std::move(value)};
+}
+
+// Guards against rows that are never taken again because the store has gone back to smaller versions, and against a row
+// that was removed and comes back with the copy.
+TEST(RowReplica, ARestoredStoreReplacesRowsAndBringsNoRemovedOneBack)
+{
+    RowReplica replica;
+    replica.replace({{rowOfEra(1, "a", 90, "new"), rowOfEra(1, "gone", 80, "x"), rowOfEra(1, "lost", 95, "y")},
+        rowVersionIn(StoreEra(1), 95)});
+    replica.apply({"gone", rowVersionIn(StoreEra(1), 99), true, {}});
+    const auto changed
+        = replica.replace({{rowOfEra(2, "a", 50, "old"), rowOfEra(2, "gone", 50, "x")}, rowVersionIn(StoreEra(2), 60)});
+    EXPECT_EQ(changed.size(), 2u);
+    EXPECT_EQ(replica.find("a")->value, "old");
+    EXPECT_EQ(replica.find("gone"), nullptr);
+    EXPECT_EQ(replica.find("lost"), nullptr);
+    EXPECT_EQ(replica.version(), rowVersionIn(StoreEra(2), 60));
+    replica.applyChanges(
+        {{rowOfEra(2, "a", 61, "new"), rowOfEra(2, "gone", 62, "back")}, rowVersionIn(StoreEra(2), 62)});
+    EXPECT_EQ(replica.find("a")->value, "new");
+    EXPECT_EQ(replica.find("gone")->value, "back");
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/standins/fleet_store_standin/Store.cpp
+++ b/tests/standins/fleet_store_standin/Store.cpp
@@ -15,16 +15,46 @@
 } // namespace
 
 void Store::handle(const Request& request, Connection& connection)
+{
+    Response response = answer(request);
+    {
+        const std::lock_guard lock(mutex_);
+        response.headers.push_back({"Store-Era", std::to_string(era_)});
+    }
+    connection.write(response);
+}
+
+Response Store::answer(const Request& request)
 {
     const std::string path = request.path();
     if (request.method == "POST" && path == "/v1/rows-tx")
-        connection.write(transact(request));
-    else if (request.method == "GET" && path == "/v1/rows-get")
-        connection.write(list(request));
-    else if (request.method == "GET" && path == "/v1/rows-feed")
-        connection.write(feed(request));
-    else
-        connection.write(Response::json(404, {{"error", "unknown path"}}));
+        return transact(request);
+    if (request.method == "GET" && path == "/v1/rows-get")
+        return list(request);
+    if (request.method == "GET" && path == "/v1/rows-feed")
+        return feed(request);
+    if (request.method == "POST" && path == "/standin/copy")
+        return keepCopy();
+    if (request.method == "POST" && path == "/standin/restore")
+        return restore();
+    return Response::json(404, {{"error", "unknown path"}});
+}
+
+Response Store::keepCopy()
+{
+    const std::lock_guard lock(mutex_);
+    copy_ = {rows_, version_};
+    return Response::json(200, json::object());
+}
+
+Response Store::restore()
+{
+    const std::lock_guard lock(mutex_);
+    rows_ = copy_.rows;
+    version_ = copy_.version;
+    ++era_;
+    changed_.notify_all();
+    return Response::json(200, json::object());
 }
 
 json Store::stats()
@@ -85,6 +115,8 @@
     std::unique_lock lock(mutex_);
     ++reads_;
     while (true) {
+        if (after > version_)
+            return Response::json(410, {{"error", "no such version"}});
         json rows = json::array();
         for (const auto& [key, row] : rows_) {
             if (key.first == table && row.version > after)
--- a/tests/standins/fleet_store_standin/Store.h
+++ b/tests/standins/fleet_store_standin/Store.h
@@ -1,4 +1,5 @@
 // Simulates the metadata store of the users' platform: rows in tables, conditional transactions and a feed of changes.
+// A test has it keep a copy of its rows (POST /standin/copy) and go back to it (POST /standin/restore).
 #pragma once
 
 #include "tests/standins/common/Standin.h"
@@ -24,6 +25,16 @@
 
     using Key = std::pair<std::string, std::string>;
 
+    struct Rows {
+        std::map<Key, Row> rows;
+        std::uint64_t version = 0;
+    };
+
+    Response answer(const Request& request);
+    Response keepCopy();
+    // Goes back to the copy, without the rows that were written since.
+    Response restore();
+
     Response transact(const Request& request);
     Response list(const Request& request);
     Response feed(const Request& request);
@@ -35,6 +46,8 @@
     std::condition_variable changed_;
     std::map<Key, Row> rows_;
     std::uint64_t version_ = 0;
+    Rows copy_;
+    std::uint64_t era_ = 1;
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
 };
--- a/tests/unit/PlacementLeaseTest.cpp
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 
 namespace lychee::fleet {
@@ -15,6 +16,8 @@
 struct Table {
     std::optional<LeaseRow> row;
     std::uint64_t version = 0;
+    // How often the table was restored from a copy.
+    std::uint64_t era = 0;
 
     bool write(RowVersion expected, const LeaseRow& next)
     {
@@ -28,11 +31,11 @@
 
 void read(PlacementLease& lease, const Table& table, TimePoint now)
 {
-    lease.observed(table.row, RowVersion(table.version), now);
+    lease.observed(table.row, RowVersion(table.version), table.era, now);
 }
 
 // Performs one step of an instance; its calls to the table take no time.
-void step(PlacementLease& lease, Table& table, TimePoint now)
+void step(PlacementLease& lease, Table& table, TimePoint now, std::uint64_t knownEra = 0)
 {
     switch (lease.next(now)) {
     case LeaseStep::Wait:
@@ -40,7 +43,10 @@
     case LeaseStep::Read:
         return read(lease, table, now);
     case LeaseStep::Write:
-        if (table.write(lease.expectedVersion(), lease.row()))
+        // A restored store may find the condition met by a version that it has given out twice; its era shows that.
+        if (const bool written = table.write(lease.expectedVersion(), lease.row()); written && table.era > knownEra)
+            lease.failed(now);
+        else if (written)
             lease.written(RowVersion(table.version), now, now);
         else
             read(lease, table, now);
@@ -280,5 +286,48 @@
     }
 }
 
+// Guards against orders of two holders within one lease, and against a fencing number that is given out twice, after
+// the store was restored from a copy: the row names a former holder, and the last one is not in it.
+TEST(PlacementLease, ARestoredRowGivesNobodyTheRightToSendOrders)
+{
+    Table table;
+    const PlacementLeaseOptions options;
+    PlacementLease former(InstanceId("a"), options);
+    step(former, table, at(1s));
+    step(former, table, at(1s));
+    ASSERT_TRUE(former.maySendOrders(at(1s)));
+    const Table copy = table;
+    PlacementLease last(InstanceId("b"), options);
+    TimePoint now = at(1s);
+    while (!last.maySendOrders(now)) {
+        step(last, table, now);
+        now += 50ms;
+        ASSERT_LT(now, at(20s));
+    }
+    const FencingNumber lastFence = last.fence();
+    const TimePoint restoredAt = now;
+    table = copy;
+    ++table.era;
+    // The last holder sends orders until it learns of the restoration or its window ends.
+    const TimePoint lastOrder = restoredAt + options.orderWindow;
+    PlacementLease started(InstanceId("c"), options);
+    std::map<PlacementLease*, std::uint64_t> knownEras{{&former, 0}, {&last, 0}, {&started, table.era}};
+    bool resumed = false;
+    for (now += 50ms; now < restoredAt + 20s; now += 50ms) {
+        for (PlacementLease* lease : {&former, &last, &started}) {
+            step(*lease, table, now, std::exchange(knownEras[lease], table.era));
+            // The last holder may go on until its next call to the store.
+            if (!lease->maySendOrders(now) || (lease == &last && lease->fence() == lastFence))
+                continue;
+            resumed = true;
+            EXPECT_GE(now, restoredAt + options.lease);
+            EXPECT_GE(now - lastOrder, options.lease - 100ms);
+            EXPECT_GT(lease->fence(), lastFence);
+        }
+        EXPECT_FALSE(last.fence() == lastFence && last.maySendOrders(now) && now > lastOrder);
+    }
+    EXPECT_TRUE(resumed) << "the lease is never taken again";
+}
+
 } // namespace
 } // namespace lychee::fleet
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -395,6 +395,23 @@
     EXPECT_EQ(chosen(registry, &generation), "t0");
 }
 
+// Guards against requests to a target whose entry says that it leaves and is then replaced by an older one, because the
+// list was restored from a copy.
+TEST_F(TargetChoiceTest, ATargetThatLeavesDoesNotReturnWithAnOlderEntry)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    TargetRecord leaving = record(0);
+    leaving.draining = true;
+    registry.update(leaving);
+    registry.update(record(0));
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+    TargetRecord restarted = record(0);
+    restarted.incarnation = TargetIncarnation(2);
+    registry.update(restarted);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
 // Guards against requests to a target that wants none for a time, and against a refusal that sends callers back
 // earlier.
 TEST_F(TargetChoiceTest, ADecliningTargetGetsNoRequestsUntilItsTimeIsOver)
