Grant requests to limited targets for a little later

The granting instance kept no depth beyond one request, so that uneven arrivals were refused although their number was within the limit, and a request was refused also when the target took the next one well before its objective.

The bucket now holds three requests and half a second of the rate, and a request may be granted for a time up to 400 ms ahead.

--- a/src/fleet/RequestGrants.cpp
+++ b/src/fleet/RequestGrants.cpp
@@ -12,8 +12,13 @@
 // takes fewer.
 constexpr double minPerSecond = 0.25;
 
-// Requests that may be granted at once after a pause: those of this time, but at least one.
-constexpr double burstSeconds = 0.25;
+// Requests that may be granted at once after a pause: a fixed number and those of this time. Callers do not come
+// evenly; without it, a target that takes as many as come on average would refuse a part of them.
+constexpr double burstRequests = 3;
+constexpr double burstSeconds = 0.5;
+
+// The bucket of a target that was not known begins with this number: another instance may just have granted others.
+constexpr double firstRequests = 1;
 
 // A bucket that was not used for this time is full.
 constexpr Duration unusedTime = std::chrono::seconds(10);
@@ -27,25 +32,25 @@
     });
 }
 
-std::optional<Duration> RequestGrants::take(
-    const TargetId& target, TargetIncarnation incarnation, double perSecond, TimePoint now)
+RequestGrant RequestGrants::take(
+    const TargetId& target, TargetIncarnation incarnation, double perSecond, Duration maxWait, TimePoint now)
 {
     if (buckets_.size() >= maxTargets && !buckets_.contains(target))
         dropUnused(now);
     const double rate = std::max(perSecond, minPerSecond);
-    const double capacity = std::max(rate * burstSeconds, 1.0);
-    const auto [entry, added] = buckets_.try_emplace(target, Bucket{incarnation, 1, now});
+    const auto [entry, added] = buckets_.try_emplace(target, Bucket{incarnation, firstRequests, now});
     Bucket& bucket = entry->second;
     if (bucket.incarnation != incarnation)
-        bucket = {incarnation, 1, now};
+        bucket = {incarnation, firstRequests, now};
     const double seconds = std::chrono::duration<double>(now - bucket.updated).count();
-    bucket.level = std::min(bucket.level + rate * std::max(seconds, 0.0), capacity);
+    bucket.level = std::min(bucket.level + rate * std::max(seconds, 0.0), burstRequests + burstSeconds * rate);
     bucket.updated = now;
-    if (bucket.level >= 1) {
-        bucket.level -= 1;
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - bucket.level) / rate));
+    const double missing = std::max(1 - bucket.level, 0.0);
+    const auto wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / rate));
+    if (wait > maxWait)
+        return {false, wait - maxWait};
+    bucket.level -= 1;
+    return {true, wait};
 }
 
 void RequestGrants::dropUnused(TimePoint now)
--- a/src/fleet/RequestGrants.h
+++ b/src/fleet/RequestGrants.h
@@ -5,7 +5,6 @@
 #include "fleet/TargetRecord.h"
 
 #include <map>
-#include <optional>
 #include <span>
 
 namespace lychee::fleet {
@@ -14,18 +13,26 @@
 // `instances` must not be empty.
 const InstanceId& granterOf(const TargetId& target, std::span<const InstanceId> instances);
 
+// Whether a request may be sent to a limited target.
+struct RequestGrant {
+    bool isGranted = false;
+    // The time after which a granted request may be sent, or after which to ask again.
+    Duration wait{0};
+
+    bool operator==(const RequestGrant&) const = default;
+};
+
 class RequestGrants {
 public:
     // Targets whose limits are remembered. Above this number, those that nobody has asked for lately are dropped.
     static constexpr std::size_t maxTargets = 1024;
 
-    // Grants one request to a target that takes `perSecond` requests. Returns nothing when it is granted, and otherwise
-    // the time until the next one can be.
-    std::optional<Duration> take(
-        const TargetId& target, TargetIncarnation incarnation, double perSecond, TimePoint now);
+    // Grants one request to a target that takes `perSecond` requests, now or after at most `maxWait`.
+    RequestGrant take(
+        const TargetId& target, TargetIncarnation incarnation, double perSecond, Duration maxWait, TimePoint now);
 
 private:
-    // A token bucket.
+    // A token bucket. Its level is negative while requests are granted for later.
     struct Bucket {
         TargetIncarnation incarnation;
         double level = 0;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -162,10 +162,10 @@
     }
 
     // As GrantExchange::request().
-    std::optional<Duration> requestGrant(
-        const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond, TimePoint deadline)
+    fleet::RequestGrant requestGrant(const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond,
+        Duration maxWait, TimePoint deadline)
     {
-        return grants_.request(target, incarnation, perSecond, deadline);
+        return grants_.request(target, incarnation, perSecond, maxWait, deadline);
     }
 
     // Tells all peers what a target has said about the requests that it takes.
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -106,8 +106,8 @@
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
                                      TimePoint deadline) { return ensureAdapter(target, model, adapter, deadline); };
-        context_.requestGrant = [this](const fleet::ChosenTarget& target, double perSecond, TimePoint deadline) {
-            return requestGrant(target, perSecond, deadline);
+        context_.requestGrant = [this](const fleet::ChosenTarget& target, double perSecond, Duration maxWait) {
+            return requestGrant(target, perSecond, maxWait);
         };
         context_.limitChanged = [this](const TargetId& target, fleet::TargetIncarnation incarnation,
                                     std::optional<double> perSecond) {
@@ -298,12 +298,13 @@
         return result.ok() ? *result : result.status();
     }
 
-    std::optional<Duration> requestGrant(const fleet::ChosenTarget& target, double perSecond, TimePoint deadline)
+    fleet::RequestGrant requestGrant(const fleet::ChosenTarget& target, double perSecond, Duration maxWait)
     {
-        const auto result = callOn(*controlInbox_, [this, target, perSecond, deadline] {
-            return control_->requestGrant(target.target, target.incarnation, perSecond, deadline);
+        const auto result = callOn(*controlInbox_, [this, target, perSecond, maxWait] {
+            return control_->requestGrant(
+                target.target, target.incarnation, perSecond, maxWait, currentTime() + RelayLimits::grantTimeout);
         });
-        return result.ok() ? *result : std::optional(RelayLimits::grantTimeout);
+        return result.ok() ? *result : fleet::RequestGrant{false, RelayLimits::grantTimeout};
     }
 
     // The fixed part of the retry budget is split equally between all instances.
--- a/src/gateway/GrantExchange.cpp
+++ b/src/gateway/GrantExchange.cpp
@@ -10,30 +10,32 @@
 
 } // namespace
 
-std::optional<Duration> GrantExchange::request(
-    const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond, TimePoint deadline)
+fleet::RequestGrant GrantExchange::request(const TargetId& target, fleet::TargetIncarnation incarnation,
+    double perSecond, Duration maxWait, TimePoint deadline)
 {
     std::vector<InstanceId> instances = handlers_.peers();
     instances.push_back(self_);
     const InstanceId& granter = fleet::granterOf(target, instances);
     if (granter == self_)
-        return grants_.take(target, incarnation, perSecond, currentTime());
+        return grants_.take(target, incarnation, perSecond, maxWait, currentTime());
     const std::uint64_t call = ++lastCall_;
     Pending pending;
     pending.granter = granter;
     pending_.emplace(call, &pending);
-    const absl::Status sent = handlers_.send(granter, MeshGrantQuery{call, target, incarnation, perSecond});
+    const absl::Status sent
+        = handlers_.send(granter, MeshGrantQuery{call, target, incarnation, perSecond, toMilliseconds(maxWait)});
     if (sent.ok())
         pending.done.waitUntil(Duty::current()->timers(), deadline);
     pending_.erase(call);
-    logChannel.debug("target={} granter={} granted={}", target, granter, !pending.refusedFor);
-    return pending.refusedFor;
+    logChannel.debug("target={} granter={} granted={}", target, granter, pending.grant.isGranted);
+    return pending.grant;
 }
 
 void GrantExchange::handle(const InstanceId& peer, const MeshGrantQuery& query)
 {
-    const std::optional<Duration> wait = grants_.take(query.target, query.incarnation, query.perSecond, currentTime());
-    handlers_.send(peer, toMessage(query.call, wait)).IgnoreError();
+    const fleet::RequestGrant grant = grants_.take(
+        query.target, query.incarnation, query.perSecond, fromMilliseconds(query.maxWaitMs), currentTime());
+    handlers_.send(peer, toMessage(query.call, grant)).IgnoreError();
 }
 
 void GrantExchange::handle(const InstanceId& peer, const MeshGrant& answer)
@@ -41,7 +43,7 @@
     const auto found = pending_.find(answer.call);
     if (found == pending_.end() || found->second->granter != peer)
         return;
-    found->second->refusedFor = fromMessage(answer);
+    found->second->grant = fromMessage(answer);
     found->second->done.notify();
 }
 
--- a/src/gateway/GrantExchange.h
+++ b/src/gateway/GrantExchange.h
@@ -27,10 +27,10 @@
     {
     }
 
-    // Asks for one request to a target. Returns nothing when it is granted, and otherwise after which time to ask
-    // again. Suspends the fiber, at most until `deadline`; without an answer the request is not granted.
-    std::optional<Duration> request(
-        const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond, TimePoint deadline);
+    // Asks for one request to a target, which may wait for `maxWait`. Suspends the fiber, at most until `deadline`;
+    // without an answer the request is not granted.
+    fleet::RequestGrant request(const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond,
+        Duration maxWait, TimePoint deadline);
 
     void handle(const InstanceId& peer, const MeshGrantQuery& query);
 
@@ -46,7 +46,7 @@
     struct Pending {
         InstanceId granter;
         FiberEvent done;
-        std::optional<Duration> refusedFor{unansweredPause};
+        fleet::RequestGrant grant{false, unansweredPause};
     };
 
     InstanceId self_;
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -13,6 +13,15 @@
 // Longest duration that is taken from a message.
 constexpr std::chrono::milliseconds maxDuration = std::chrono::hours(1);
 
+// Whole numbers take half of the bytes of a real number, and a token more or less does not matter.
+std::uint32_t toCount(double tokens)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp(std::round(tokens), 0.0, static_cast<double>(std::numeric_limits<std::uint32_t>::max())));
+}
+
+} // namespace
+
 std::uint64_t toMilliseconds(Duration duration)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -24,15 +33,6 @@
     return std::chrono::milliseconds(std::min(count, static_cast<std::uint64_t>(maxDuration.count())));
 }
 
-// Whole numbers take half of the bytes of a real number, and a token more or less does not matter.
-std::uint32_t toCount(double tokens)
-{
-    return static_cast<std::uint32_t>(
-        std::clamp(std::round(tokens), 0.0, static_cast<double>(std::numeric_limits<std::uint32_t>::max())));
-}
-
-} // namespace
-
 std::string encodeMeshMessage(const MeshMessage& message) { return MessageCodec::encode(meshProtocolVersion, message); }
 
 absl::StatusOr<MeshMessage> decodeMeshMessage(std::string_view payload)
@@ -125,15 +125,14 @@
     return {fromMilliseconds(message.ageMs), message.row};
 }
 
-MeshGrant toMessage(std::uint64_t call, const std::optional<Duration>& wait)
+MeshGrant toMessage(std::uint64_t call, const fleet::RequestGrant& grant)
 {
-    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait.value_or(Duration(0)));
-    return {call, !wait, toMilliseconds(milliseconds)};
+    return {call, grant.isGranted, toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(grant.wait))};
 }
 
-std::optional<Duration> fromMessage(const MeshGrant& message)
+fleet::RequestGrant fromMessage(const MeshGrant& message)
 {
-    return message.granted ? std::nullopt : std::optional(fromMilliseconds(message.waitMs));
+    return {message.granted, fromMilliseconds(message.waitMs)};
 }
 
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows)
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -4,6 +4,7 @@
 #include "fleet/ConfigurationAge.h"
 #include "fleet/CrashAttribution.h"
 #include "fleet/DemandMeter.h"
+#include "fleet/RequestGrants.h"
 #include "fleet/SharedRateLimit.h"
 #include "fleet/TargetRegistry.h"
 #include "gateway/RowStore.h"
@@ -261,15 +262,17 @@
     fleet::TargetIncarnation incarnation;
     // The requests per second that the target takes, as the sender last heard.
     double perSecond = 0;
+    // How long the request may wait.
+    std::uint64_t maxWaitMs = 0;
 
-    auto fields() { return std::tie(call, target, incarnation, perSecond); }
+    auto fields() { return std::tie(call, target, incarnation, perSecond, maxWaitMs); }
 };
 
 // Answer to a MeshGrantQuery.
 struct MeshGrant {
     std::uint64_t call = 0;
     bool granted = false;
-    // Time until the next request can be granted; rounded up.
+    // Time until a granted request may be sent, or until the next one can be granted; rounded up.
     std::uint64_t waitMs = 0;
 
     auto fields() { return std::tie(call, granted, waitMs); }
@@ -315,10 +318,13 @@
 
 fleet::ConfigurationStatement fromMessage(const MeshConfirmation& message);
 
-// `wait` is as for fleet::RequestGrants::take().
-MeshGrant toMessage(std::uint64_t call, const std::optional<Duration>& wait);
+MeshGrant toMessage(std::uint64_t call, const fleet::RequestGrant& grant);
 
-std::optional<Duration> fromMessage(const MeshGrant& message);
+fleet::RequestGrant fromMessage(const MeshGrant& message);
+
+std::uint64_t toMilliseconds(Duration duration);
+
+Duration fromMilliseconds(std::uint64_t count);
 
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows);
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "daemon/MetricsSink.h"
 #include "fleet/DemandMeter.h"
+#include "fleet/RequestGrants.h"
 #include "fleet/ServiceRetryBudget.h"
 #include "fleet/TargetChoice.h"
 #include "fleet/TargetRegistry.h"
@@ -41,9 +42,11 @@
     // be loaded on this target before the deadline.
     std::function<absl::Status(const TargetId&, const ModelId&, const AdapterId&, TimePoint deadline)> ensureAdapter;
     // Asks for one request to a target that takes `perSecond` of them from all instances, and suspends the fiber until
-    // the answer. Returns nothing when the request may be sent, and otherwise after which time to ask again.
-    std::function<std::optional<Duration>(const fleet::ChosenTarget&, double perSecond, TimePoint deadline)>
-        requestGrant = [](const fleet::ChosenTarget&, double, TimePoint) { return std::nullopt; };
+    // the answer. The request may wait for `maxWait`.
+    std::function<fleet::RequestGrant(const fleet::ChosenTarget&, double perSecond, Duration maxWait)> requestGrant
+        = [](const fleet::ChosenTarget&, double, Duration) {
+              return fleet::RequestGrant{true, Duration(0)};
+          };
     // Tells the peers that a target has stated a limit, or that it has none any more.
     std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitChanged
         = [](const TargetId&, fleet::TargetIncarnation, std::optional<double>) {};
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -27,6 +27,10 @@
     // The way to the instance that grants requests to a limited target, and back. One that does not answer in this time
     // is probably gone.
     static constexpr Duration grantTimeout = std::chrono::milliseconds(150);
+    // A request is held for a grant for at most this time: what a limited target costs more in the choice of a target.
+    static constexpr Duration maxGrantWait = std::chrono::milliseconds(400);
+    // How often a request that waits for a grant checks whether its caller has left.
+    static constexpr Duration grantPollInterval = std::chrono::milliseconds(50);
     // How often a request that waits for a model checks whether it is loaded.
     static constexpr Duration modelPollInterval = std::chrono::milliseconds(50);
     // How often a plain request that is held for a slot checks whether it may be sent.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -417,17 +417,27 @@
         if (!state || !state->limit)
             return true;
         const double perSecond = state->limit->perSecond;
-        const std::optional<Duration> refusedFor
-            = context_.requestGrant(target, perSecond, std::min(deadline_, currentTime() + RelayLimits::grantTimeout));
-        if (!refusedFor)
-            return true;
-        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + *refusedFor);
+        const Duration left = startedAt_ + latencyObjective() - currentTime() - target.predicted;
+        const Duration maxWait = std::clamp(left, Duration(0), RelayLimits::maxGrantWait);
+        const fleet::RequestGrant grant = context_.requestGrant(target, perSecond, maxWait);
+        if (grant.isGranted)
+            return awaitGrant(grant.wait);
+        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + grant.wait);
         relayLog.info("request={} target={} limit_per_s={:.2f} no request granted for ms={}", caller_.attempt,
-            target.target, perSecond, std::chrono::duration_cast<std::chrono::milliseconds>(*refusedFor).count());
+            target.target, perSecond, std::chrono::duration_cast<std::chrono::milliseconds>(grant.wait).count());
         lastProblem_ = "the target takes no more requests at present";
         return false;
     }
 
+    // Returns false when the request is not to be sent any more.
+    bool awaitGrant(Duration wait)
+    {
+        const TimePoint end = currentTime() + wait;
+        while (!cancellation_->isRequested() && currentTime() < end)
+            sleepFor(std::min<Duration>(RelayLimits::grantPollInterval, end - currentTime()));
+        return !cancellation_->isRequested();
+    }
+
     Attempt open(const fleet::ChosenTarget& target)
     {
         Attempt attempt{target, {}, nullptr, nullptr, {}};
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -359,10 +359,11 @@
     });
     int asked = 0;
     bool grants = false;
-    context_.requestGrant = [&](const fleet::ChosenTarget&, double perSecond, TimePoint) -> std::optional<Duration> {
+    context_.requestGrant = [&](const fleet::ChosenTarget&, double perSecond, Duration maxWait) {
         EXPECT_EQ(perSecond, 0.5);
+        EXPECT_GT(maxWait, Duration(0));
         ++asked;
-        return grants ? std::nullopt : std::optional<Duration>(200ms);
+        return fleet::RequestGrant{grants, grants ? 60ms : 200ms};
     };
     start();
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
@@ -374,9 +375,11 @@
     EXPECT_EQ(receivedRequests(), 1u);
     std::this_thread::sleep_for(250ms);
     grants = true;
+    const auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < 3; ++i)
         EXPECT_EQ(client().send(request("/unsafe/x"))->status, 200);
     EXPECT_EQ(asked, 3);
+    EXPECT_GE(std::chrono::steady_clock::now() - begin, 120ms) << "granted for later";
 }
 
 } // namespace
