Give models of limited engines a copy elsewhere

Requests for a model that only a limited engine holds were refused for as long as the engine was in need: the placement owner did not know of limits and saw a holder with little use. It now takes limited engines for unavailable, unless they are more than a quarter of all, which the others could not replace.

PlacementPlanTest.ModelsOfALimitedEngineGetACopyElsewhere covers it; without the change no order is planned.

--- a/src/fleet/PlacementPlan.cpp
+++ b/src/fleet/PlacementPlan.cpp
@@ -415,4 +415,15 @@
     return Planner(engine, engines, demand, storeLoads, unserved).run();
 }
 
+void leaveOutLimited(std::span<PlannedEngine> engines, const std::set<TargetId>& limited)
+{
+    constexpr std::size_t enginesForEachLimited = 4;
+    const auto isLimited = [&](const PlannedEngine& engine) { return limited.contains(engine.id); };
+    const auto count = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), isLimited));
+    if (count * enginesForEachLimited > engines.size())
+        return;
+    for (PlannedEngine& engine : engines)
+        engine.available = engine.available && !isLimited(engine);
+}
+
 } // namespace lychee::fleet
--- a/src/fleet/PlacementPlan.h
+++ b/src/fleet/PlacementPlan.h
@@ -68,6 +68,10 @@
 // Free memory of an engine in megabytes; a model that is being loaded counts as held.
 double freeMegabytes(const Engine& engine, const PlannedEngine& planned);
 
+// Takes engines that limit their requests for unavailable, so that models which only they hold get copies elsewhere.
+// Has no effect when they are more than a quarter of all: the others could not hold their models.
+void leaveOutLimited(std::span<PlannedEngine> engines, const std::set<TargetId>& limited);
+
 // Returns the orders to send now, the most urgent first and at most one for each engine. At most `storeLoads` of them
 // are loads from the weight store. The last copy of a declared model is unloaded only for a model in `unserved`: one
 // that is not asked for yields at once, and one that keeps its engine busy for at most half of the time when the model
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -171,6 +171,7 @@
     // Tells all peers what a target has said about the requests that it takes.
     void announceLimit(const TargetId& target, fleet::TargetIncarnation incarnation, std::optional<double> perSecond)
     {
+        owner_.recordLimit(target, incarnation, perSecond.has_value());
         mesh_->broadcast(MeshRequestLimit{target, incarnation, perSecond.has_value(), perSecond.value_or(0)});
     }
 
@@ -671,6 +672,7 @@
 
     void handle(const InstanceId&, const MeshRequestLimit& message)
     {
+        owner_.recordLimit(message.target, message.incarnation, message.isLimited);
         relay_.limitReported(
             message.target, message.incarnation, message.isLimited ? std::optional(message.perSecond) : std::nullopt);
     }
--- a/src/gateway/PlacementOwner.h
+++ b/src/gateway/PlacementOwner.h
@@ -46,14 +46,26 @@
         }
     }
 
+    // Records whether a target limits its requests. Also while this instance does not own placement.
+    void recordLimit(const TargetId& target, fleet::TargetIncarnation incarnation, bool isLimited)
+    {
+        if (isLimited)
+            limited_[target] = incarnation;
+        else
+            limited_.erase(target);
+    }
+
     void updateTarget(const fleet::TargetRecord& record)
     {
+        if (const auto found = limited_.find(record.id); found != limited_.end() && found->second != record.incarnation)
+            limited_.erase(found);
         if (owns_ && isEngine(record))
             dispatcher_.update(record);
     }
 
     void removeTarget(const TargetId& target)
     {
+        limited_.erase(target);
         if (owns_)
             dispatcher_.remove(target);
     }
@@ -97,7 +109,11 @@
     {
         const TimePoint now = currentTime();
         const int storeLoads = std::min(planPace_->available(now), dispatcher_.availableStoreLoads());
-        const std::vector<fleet::PlannedEngine> engines = dispatcher_.engines(service.id);
+        std::vector<fleet::PlannedEngine> engines = dispatcher_.engines(service.id);
+        std::set<TargetId> limited;
+        for (const auto& [target, incarnation] : limited_)
+            limited.insert(target);
+        fleet::leaveOutLimited(engines, limited);
         logDemand(engines, demand, now);
         const std::vector<fleet::ModelOrder> orders = fleet::planModels(
             *service.engine, engines, demand, storeLoads, unservedTimes(service, engines, demand, now));
@@ -161,6 +177,7 @@
     // limits when the loads start.
     std::optional<fleet::LoadRateLimiter> planPace_;
     std::map<ServiceId, fleet::UnservedModels> unserved_;
+    std::map<TargetId, fleet::TargetIncarnation> limited_;
     OrderDispatcher<Channel> dispatcher_;
 };
 
--- a/tests/unit/PlacementPlanTest.cpp
+++ b/tests/unit/PlacementPlanTest.cpp
@@ -165,5 +165,25 @@
     EXPECT_EQ(orders[0].model, ModelId("unknown"));
 }
 
+// Guards against requests that are refused for as long as the only engine that holds their model is in need.
+TEST(PlacementPlan, ModelsOfALimitedEngineGetACopyElsewhere)
+{
+    const Engine engine = engineWith(4, 70000);
+    std::vector<PlannedEngine> engines{target(0, {"m0"}), target(1, {"m1"}), target(2, {"m2"}), target(3, {"m3"})};
+    const std::vector<ModelDemand> demand{{ModelId("m0"), 0.05}};
+    EXPECT_TRUE(planModels(engine, engines, demand, 4).empty());
+    const auto available = [&] {
+        return std::count_if(engines.begin(), engines.end(), [](const PlannedEngine& each) { return each.available; });
+    };
+    leaveOutLimited(engines, {TargetId("t0"), TargetId("t1")});
+    EXPECT_EQ(available(), 4) << "half of the engines cannot replace the other half";
+    leaveOutLimited(engines, {TargetId("t0")});
+    EXPECT_EQ(available(), 3);
+    const auto orders = planModels(engine, engines, demand, 4);
+    ASSERT_EQ(orders.size(), 1u);
+    EXPECT_EQ(orders[0].model, ModelId("m0"));
+    EXPECT_NE(orders[0].target, TargetId("t0"));
+}
+
 } // namespace
 } // namespace lychee::fleet
