Give entries that expire in a later outage their time to return

The time that a target has to restore its entry was counted from the end of the last outage, also while another one lasted: a target whose entry was removed in a second outage counted as gone at once although it served.

EntriesThatExpiredInALaterOutageHaveTimeToReturn failed before.

--- a/src/gateway/TargetList.cpp
+++ b/src/gateway/TargetList.cpp
@@ -21,7 +21,8 @@
             if (!targets_.contains(id))
                 continue;
             if (availability_.wasUnavailable(now, entryReturnTime)) {
-                missing_.emplace(id, availability_.recoveredAt().value_or(now) + entryReturnTime);
+                const bool lasts = availability_.isFailing() || !availability_.recoveredAt();
+                missing_.emplace(id, (lasts ? now : *availability_.recoveredAt()) + entryReturnTime);
                 logChannel.info(
                     "target={} row={} entry removed around a store outage, waiting for it to return", id, row.version);
             } else {
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -67,6 +67,21 @@
     EXPECT_TRUE(list_.targets().contains(TargetId("b")));
 }
 
+// Guards against a target that is removed at once in a second outage, because the first one ended long ago.
+TEST_F(TargetListTest, EntriesThatExpiredInALaterOutageHaveTimeToReturn)
+{
+    availability_.succeeded(at(1s));
+    list_.apply({row("a", 1)}, at(1s));
+    availability_.failed(at(2s), "no answer");
+    availability_.succeeded(at(4s));
+    availability_.failed(at(20s), "no answer");
+    list_.apply({row("a", 3, true)}, at(21s));
+    list_.removeExpired(at(22s));
+    EXPECT_TRUE(gone_.empty());
+    list_.removeExpired(at(23200ms));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+}
+
 // Guards against treating an entry that cannot be decoded as a target, and against losing other targets because of it.
 TEST_F(TargetListTest, EntryThatCannotBeDecodedIsNoTarget)
 {
