Remove expired targets five times a second in every deployment

TargetList expects several checks a second for entries that did not return after an outage. The planning loop, which runs every 200 ms on all instances, calls it now. Shown by the logs only; no test runs a whole control plane with a hundred peers.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -383,7 +383,6 @@
     {
         while (!duty_.isStopping()) {
             const TimePoint now = currentTime();
-            targets_.removeExpired(now);
             // The fiber that plans reads the demand while this one waits for the relay duty, so it is not cleared
             // before.
             MeshStatus status;
@@ -430,6 +429,7 @@
     void placementLoop()
     {
         while (!duty_.isStopping()) {
+            targets_.removeExpired(currentTime());
             const auto table = routes_->read();
             const bool owns = lease_.maySendOrders() && table && targetWatch_.isComplete();
             owner_.dispatcher().setUseReportInterval(peerStatusInterval());
