Soak: restore the store from a copy

One seed of three, apart from those with harmless troubles only, has the stand-in of the store go back once to a copy that is 0.5 to 3 s old; the operator then writes its newest configuration again. The choice is drawn from a stream of its own, so that earlier seeds keep their troubles.

--- a/tests/soak/KeyRing.cpp
+++ b/tests/soak/KeyRing.cpp
@@ -11,6 +11,12 @@
 
 // Makes the stream of the features differ from that of the troubles.
 constexpr std::uint64_t featureStream = 0x6b65797300000000;
+constexpr std::uint64_t restorationStream = 0x5eed0f57;
+
+// One seed in so many has a store that is restored from a copy of this age.
+constexpr std::uint64_t restorationSeeds = 3;
+constexpr Millis shortestCopyAge{500};
+constexpr std::uint64_t copyAgeSpan = 2500;
 
 // One seed in so many has each of the features, drawn one by one.
 constexpr std::uint64_t featureSeeds = 2;
@@ -55,10 +61,30 @@
     return "unknown use";
 }
 
+namespace {
+
+// Has a stream of its own, so that what earlier seeds draw stays the same.
+std::optional<Trouble> drawRestoration(std::uint64_t seed, Millis length)
+{
+    std::mt19937_64 random(seed ^ restorationStream);
+    if (isHarmlessSeed(seed) || random() % restorationSeeds != 0)
+        return std::nullopt;
+    const Millis age = shortestCopyAge + Millis(static_cast<std::int64_t>(random() % copyAgeSpan));
+    const auto span = static_cast<std::uint64_t>((length - 2 * quietEdge - age).count());
+    Trouble trouble;
+    trouble.kind = TroubleKind::StoreRestored;
+    trouble.begin = quietEdge + Millis(static_cast<std::int64_t>(random() % span));
+    trouble.end = trouble.begin + age;
+    return trouble;
+}
+
+} // namespace
+
 RunFeatures drawFeatures(std::uint64_t seed, Millis length)
 {
     std::mt19937_64 random(seed ^ featureStream);
     RunFeatures features;
+    features.storeRestored = drawRestoration(seed, length);
     features.customers = random() % featureSeeds == 0;
     features.priorities = random() % featureSeeds == 0;
     features.paceSeed = random() % featureSeeds == 0 ? random() | 1 : 0;
--- a/tests/soak/KeyRing.h
+++ b/tests/soak/KeyRing.h
@@ -24,6 +24,7 @@
     std::size_t slowCallers = 0;
     // Planned replacements of a key, none without customers.
     std::vector<Trouble> keyChanges;
+    std::optional<Trouble> storeRestored;
 };
 
 RunFeatures drawFeatures(std::uint64_t seed, Millis length);
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -82,6 +82,7 @@
     case TroubleKind::StoreSlow:
     case TroubleKind::StoreAnswersLost:
     case TroubleKind::StoreRefuses:
+    case TroubleKind::StoreRestored:
     case TroubleKind::ConfigurationChanged:
     case TroubleKind::KeyReplaced:
         return Subject::Store;
@@ -146,6 +147,8 @@
         return "answers of the store lost";
     case TroubleKind::StoreRefuses:
         return "store refuses";
+    case TroubleKind::StoreRestored:
+        return "store restored from a copy";
     case TroubleKind::StoreLink:
         return "link to the store";
     case TroubleKind::WorkerLink:
--- a/tests/soak/Schedule.h
+++ b/tests/soak/Schedule.h
@@ -40,6 +40,8 @@
     // Calls to the store are carried out and not answered.
     StoreAnswersLost,
     StoreRefuses,
+    // The store comes back from a copy that it made when the trouble began. The operator and the workers write again.
+    StoreRestored,
     // The way of one instance to the store.
     StoreLink,
     WorkerLink,
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -62,6 +62,8 @@
     record_.troubles = drawTroubles(options_.seed, options_.length, deployment_.instanceCount(), workers_.size());
     record_.hasCustomers = keys_.hasCustomers();
     record_.troubles.insert(record_.troubles.end(), features_.keyChanges.begin(), features_.keyChanges.end());
+    if (features_.storeRestored)
+        record_.troubles.push_back(*features_.storeRestored);
     std::stable_sort(record_.troubles.begin(), record_.troubles.end(),
         [](const Trouble& left, const Trouble& right) { return left.begin < right.begin; });
     callers_
@@ -153,7 +155,7 @@
         deployment_.setCallerLimits({{"idleTimeoutMs", limit.count()}});
         callers_->idleLimits().add(limit);
         try {
-            deployment_.writeConfiguration(version, prefixes);
+            writeConfiguration(version, prefixes);
             callers_->idleLimits().acknowledge(clock_.now());
             keys_.acknowledge(clock_.now());
             const std::string path = prefixes.back() + "x";
@@ -165,12 +167,36 @@
     }
 }
 
+void SoakRun::writeConfiguration(int version, const std::vector<std::string>& prefixes)
+{
+    const std::lock_guard lock(configurationMutex_);
+    deployment_.writeConfiguration(version, prefixes);
+    written_ = {version, prefixes};
+}
+
+// The operator writes its newest configuration again, which the copy may lack.
+void SoakRun::restoreStore()
+{
+    const std::lock_guard lock(configurationMutex_);
+    postToStore("/standin/restore");
+    deployment_.writeConfiguration(written_.first, written_.second);
+}
+
+void SoakRun::postToStore(const std::string& target)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    if (const auto answer = deployment_.store().client().send(request); !answer.ok() || answer->status != 200)
+        throw std::runtime_error("the stand-in of the store did not answer " + target);
+}
+
 void SoakRun::replaceKey(const Trouble& trouble, int version, const std::vector<std::string>& prefixes)
 {
     keys_.replaceKey(trouble.variant, clock_.now());
     deployment_.setCustomers(keys_.tenants());
     try {
-        deployment_.writeConfiguration(version, prefixes);
+        writeConfiguration(version, prefixes);
         callers_->idleLimits().acknowledge(clock_.now());
         keys_.acknowledge(clock_.now());
     } catch (const std::runtime_error&) {
@@ -220,6 +246,8 @@
         return store.postFault({{"path", "/v1/rows-tx"}, {"kind", "drop_answer"}, {"count", -1}});
     case TroubleKind::StoreRefuses:
         return store.postFault({{"kind", "refuse"}, {"count", -1}});
+    case TroubleKind::StoreRestored:
+        return postToStore("/standin/copy");
     case TroubleKind::StoreLink:
         return deployment_.instance(trouble.subject).storeProxy->setFault(trouble.link);
     case TroubleKind::WorkerLink:
@@ -264,6 +292,8 @@
     case TroubleKind::StoreAnswersLost:
     case TroubleKind::StoreRefuses:
         return deployment_.store().clearFaults();
+    case TroubleKind::StoreRestored:
+        return restoreStore();
     case TroubleKind::StoreLink:
         return deployment_.instance(trouble.subject).storeProxy->setFault(LinkFault::None);
     case TroubleKind::WorkerLink:
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -37,6 +37,9 @@
     bool canEnd(const Trouble& trouble);
     bool holdsUpStart(const Trouble& trouble) const;
     void changeConfigurations();
+    void writeConfiguration(int version, const std::vector<std::string>& prefixes);
+    void restoreStore();
+    void postToStore(const std::string& target);
     void replaceKey(const Trouble& trouble, int version, const std::vector<std::string>& prefixes);
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
@@ -64,6 +67,10 @@
     // Until when each instance that was stopped has to end.
     std::vector<Millis> stopLimits_;
     std::set<const Trouble*> active_;
+    // Guards `written_` and the store while its configuration is written.
+    std::mutex configurationMutex_;
+    // The newest configuration that the store has taken.
+    std::pair<int, std::vector<std::string>> written_{1, {"/stream/", "/safe/", "/unsafe/"}};
     std::unique_ptr<Callers> callers_;
     int recoveryCalls_ = 0;
 };
