Keep what a restarted target has said after a late answer of its former process

A late answer to a request from before the restart of a target replaced all that its new process had said: that it leaves, that it declines requests, or its limit. While the target was listed this did no harm, but once its entry had been missing for a time it got requests again although it had said that it leaves.

ALateAnswerOfAFormerProcessChangesNothing failed before. Found by reading.

--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -107,7 +107,7 @@
 {
     // A list that was restored from a copy may show a target as it was before.
     if (record.draining)
-        noticeOf(record.id, record.incarnation).leaving = true;
+        recordLeaving(record.id, record.incarnation);
     std::unique_ptr<TargetState>& state = targets_[record.id];
     if (!state || state->record.incarnation != record.incarnation || state->record.endpoint != record.endpoint) {
         state = std::make_unique<TargetState>();
@@ -219,19 +219,22 @@
     return found != slotShares_.end() && isScarce(service) ? &found->second : nullptr;
 }
 
-TargetRegistry::Notice& TargetRegistry::noticeOf(const TargetId& id, TargetIncarnation incarnation)
+TargetRegistry::Notice* TargetRegistry::noticeOf(const TargetId& id, TargetIncarnation incarnation)
 {
     if (notices_.size() >= maxNotices)
         std::erase_if(notices_, [&](const auto& entry) { return !targets_.contains(entry.first); });
-    Notice& notice = notices_[id];
+    Notice& notice = notices_.try_emplace(id, Notice{incarnation, false, {}, std::nullopt}).first->second;
+    if (incarnation < notice.incarnation)
+        return nullptr;
     if (notice.incarnation != incarnation)
         notice = {incarnation, false, {}, std::nullopt};
-    return notice;
+    return &notice;
 }
 
 void TargetRegistry::recordLeaving(const TargetId& id, TargetIncarnation incarnation)
 {
-    noticeOf(id, incarnation).leaving = true;
+    if (Notice* notice = noticeOf(id, incarnation))
+        notice->leaving = true;
     applyNotice(id);
 }
 
@@ -245,8 +248,8 @@
 
 void TargetRegistry::recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until)
 {
-    Notice& notice = noticeOf(id, incarnation);
-    notice.declinesUntil = std::max(notice.declinesUntil, until);
+    if (Notice* notice = noticeOf(id, incarnation))
+        notice->declinesUntil = std::max(notice->declinesUntil, until);
     applyNotice(id);
 }
 
@@ -276,8 +279,10 @@
         if (known->second.limit->perSecond == *perSecond)
             return false;
         known->second.limit->perSecond = *perSecond;
+    } else if (Notice* notice = noticeOf(id, incarnation)) {
+        notice->limit = RequestLimit{*perSecond, now};
     } else {
-        noticeOf(id, incarnation).limit = RequestLimit{*perSecond, now};
+        return false;
     }
     applyNotice(id);
     return true;
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -257,7 +257,8 @@
     };
 
     void rebuildServices();
-    Notice& noticeOf(const TargetId& id, TargetIncarnation incarnation);
+    // Returns null for an incarnation before the one that is known.
+    Notice* noticeOf(const TargetId& id, TargetIncarnation incarnation);
     void applyNotice(const TargetId& id);
     void recordReachability(const TargetState& state, SendOutcome outcome, TimePoint now);
     void recordHealth(TargetState& state, SendOutcome outcome, TimePoint now);
--- a/src/gateway/GrantExchange.h
+++ b/src/gateway/GrantExchange.h
@@ -1,5 +1,5 @@
-// Asks the instance that grants the requests to a limited target, answers such questions of peers, and passes on what
-// targets say about their limits. Used on the control duty.
+// Asks the instance that grants the requests to a limited target, and answers such questions of peers. Used on the
+// control duty.
 #pragma once
 
 #include "fleet/RequestGrants.h"
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -412,6 +412,23 @@
     EXPECT_EQ(chosen(registry, &generation), "t0");
 }
 
+// Guards against requests to a target that has said that it leaves, after a late answer of its former process and while
+// its entry was missing for a time.
+TEST_F(TargetChoiceTest, ALateAnswerOfAFormerProcessChangesNothing)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    TargetRecord restarted = record(0);
+    restarted.incarnation = TargetIncarnation(2);
+    registry.update(restarted);
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(2));
+    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s);
+    registry.recordLimit(TargetId("t0"), TargetIncarnation(1), 2, now_, now_);
+    registry.remove(TargetId("t0"));
+    registry.update(restarted);
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+}
+
 // Guards against requests to a target that wants none for a time, and against a refusal that sends callers back
 // earlier.
 TEST_F(TargetChoiceTest, ADecliningTargetGetsNoRequestsUntilItsTimeIsOver)
