Do not give up a silent target for a limited one

A request whose target pauses is sent to another one if one can be chosen. A limited target counted as such although it may have no request left to grant: the request then had lost its first target and got none.

RelayTest.SilentTargetIsNotGivenUpForALimitedOne answered 504 before.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -291,7 +291,10 @@
             return false;
         std::vector<TargetId> excluded = excludedTargets_;
         excluded.push_back(silent);
-        return std::holds_alternative<fleet::ChosenTarget>(chooseTarget(excluded, route_->latencyObjective));
+        const fleet::TargetDecision decision = chooseTarget(excluded, route_->latencyObjective);
+        const auto* other = std::get_if<fleet::ChosenTarget>(&decision);
+        // A limited target may have no request left to grant.
+        return other && !context_.registry.find(other->target)->limit;
     }
 
     // An interrupted request is not ended at once when no target is available: one may become available while the
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -382,5 +382,22 @@
     EXPECT_GE(std::chrono::steady_clock::now() - begin, 120ms) << "granted for later";
 }
 
+// Guards against giving up a target that pauses for another one that takes no more requests.
+TEST_F(RelayTest, SilentTargetIsNotGivenUpForALimitedOne)
+{
+    addTarget(plainService, [](ScriptedTarget& target, HttpExchange& exchange) {
+        sleepFor(1700ms);
+        answerWhole(target, exchange);
+    });
+    addTarget(plainService, answerWhole);
+    context_.requestGrant = [](const fleet::ChosenTarget&, double, Duration) { return fleet::RequestGrant{false, 5s}; };
+    start();
+    relayDuty_->run([&] {
+        context_.registry.recordLimit(TargetId("t1"), fleet::TargetIncarnation(1), 1, currentTime(), currentTime());
+    });
+    EXPECT_EQ(client().send(request("/safe/x"))->status, 200);
+    EXPECT_EQ(targets_[0]->requests.size(), 1u);
+}
+
 } // namespace
 } // namespace lychee::gateway
