Ignore entries of a former process of a target

After a restoration of the store, the entry of a target that had restarted since the copy showed its former process.

AnEntryFromBeforeARestartIsIgnored failed before.

--- a/src/gateway/TargetList.cpp
+++ b/src/gateway/TargetList.cpp
@@ -41,6 +41,11 @@
         const auto found = targets_.find(id);
         if (found != targets_.end() && found->second == *record)
             continue;
+        if (found != targets_.end() && record->incarnation < found->second.incarnation) {
+            logChannel.info("target={} row={} born={} ignored, the target has restarted since this entry", id,
+                row.version, record->incarnation);
+            continue;
+        }
         const bool known = found != targets_.end();
         if (!known || found->second.incarnation != record->incarnation || found->second.draining != record->draining) {
             logChannel.info("target={} row={} service={} address={} born={} state={}", id, row.version, record->service,
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -28,6 +28,7 @@
         fleet::TargetRecord record;
         record.id = TargetId(key);
         record.draining = value == "draining";
+        record.incarnation = fleet::TargetIncarnation(value == "restarted" ? 2 : 1);
         return record;
     }
 
@@ -67,6 +68,16 @@
     EXPECT_TRUE(list_.targets().contains(TargetId("b")));
 }
 
+// Guards against a target that counts as its former process because the store was restored from a copy: what the
+// present one says of leaving would be void when its entry returns.
+TEST_F(TargetListTest, AnEntryFromBeforeARestartIsIgnored)
+{
+    list_.apply({row("a", 1, false, "restarted")}, at(1s));
+    list_.apply({row("a", 2)}, at(2s));
+    EXPECT_EQ(list_.targets().at(TargetId("a")).incarnation, fleet::TargetIncarnation(2));
+    EXPECT_EQ(listed_, 1);
+}
+
 // Guards against a target that is removed at once in a second outage, because the first one ended long ago.
 TEST_F(TargetListTest, EntriesThatExpiredInALaterOutageHaveTimeToReturn)
 {
