Remove a target at once when no outage of the store delays its entry

Callers' requests could reach a target that was gone for 2.2 s after its entry was removed, when a single call to the store had failed at the moment at which the removal arrived.

Cause: TargetList decided once, when the removal arrived, whether there was an outage, and a call that had just failed counted as one, however short. StoreAvailability calls a failure below 400 ms no outage, but the decision was never looked at again. removeExpired(), which runs five times a second, now asks again, so the target is removed as soon as the failure turns out to be none.

TargetListTest.AFailureTooShortForAnOutageDelaysNoRemoval failed before (the target was still listed 50 ms after the store had answered again) and passes; the other 9 tests of the program pass.

--- a/src/gateway/TargetList.cpp
+++ b/src/gateway/TargetList.cpp
@@ -58,9 +58,11 @@
 
 void TargetList::removeExpired(TimePoint now)
 {
+    // The outage may turn out to be none: the failures were short, or a peer reached the store all the while.
+    const bool wasUnavailable = availability_.wasUnavailable(now, entryReturnTime);
     std::vector<TargetId> due;
     for (const auto& [id, time] : missing_) {
-        if (now >= time)
+        if (now >= time || !wasUnavailable)
             due.push_back(id);
     }
     for (const TargetId& id : due)
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -93,6 +93,21 @@
     EXPECT_EQ(gone_, std::vector<std::string>{"a"});
 }
 
+// Guards against requests to a target that is gone, because a call to the store failed once while the removal of its
+// entry arrived.
+TEST_F(TargetListTest, AFailureTooShortForAnOutageDelaysNoRemoval)
+{
+    availability_.succeeded(at(1s));
+    list_.apply({row("a", 1)}, at(1s));
+    availability_.failed(at(2s), "no answer");
+    list_.apply({row("a", 3, true)}, at(2100ms));
+    list_.removeExpired(at(2150ms));
+    EXPECT_TRUE(gone_.empty());
+    availability_.succeeded(at(2200ms));
+    list_.removeExpired(at(2250ms));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+}
+
 // Guards against treating an entry that cannot be decoded as a target, and against losing other targets because of it.
 TEST_F(TargetListTest, EntryThatCannotBeDecodedIsNoTarget)
 {
