Do not take an own failure to reach the store for an outage

An instance that the store turned away, or that was cut off from it, went on sending requests to a target for 2.2 s after its peers had told it that the entry was removed.

Cause: whether an entry may have expired in an outage was decided by the calls of this instance alone. Targets renew their entries over other paths, and a peer that reaches the store all the while shows that there is no outage. Instances now state in their status for how long the store has answered them, and a removal waits only while no peer heard in the last 1.5 s has reached the store for the whole return time. For that time after a restoration from a copy no peer is believed, because it may not know of it yet. The field changes the mesh protocol to version 5.

TargetListTest.AStoreThatAnswersAPeerDelaysNoRemoval fails when peers are ignored, and passes; TargetListTest 12, MeshMessagesTest 1 and TableWatchTest 10 tests pass.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -392,6 +392,7 @@
             status.configurationRow = configurationWatch_.replica().newestRow();
             status.targetRows = targetWatch_.replica().version();
             status.holdsLease = lease_.isRenewing();
+            status.storeReachedMs = toMilliseconds(availability_.reachedFor(now));
             for (const MeshAdapterUse& use : status.uses)
                 owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
             status_ = std::move(status);
@@ -503,6 +504,7 @@
         PeerState& state = peers_[peer];
         state.status = status;
         state.heardAt = currentTime();
+        availability_.peerReached(fromMilliseconds(status.storeReachedMs), currentTime());
         relay_.peerUpdated(peer, fromMessage(status.work), fromMessage(status.customerUse));
         if (peer == lease_.lease().holder())
             lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -20,7 +20,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 4;
+inline constexpr std::uint64_t meshProtocolVersion = 5;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -116,10 +116,13 @@
     // The sender holds the placement lease and renews it. Right after it has acquired the lease it may not be allowed
     // to send orders yet.
     bool holdsLease = false;
+    // How long the platform's store has answered the sender without an outage.
+    std::uint64_t storeReachedMs = 0;
 
     auto fields()
     {
-        return std::tie(work, demand, uses, customerUse, readsPlatform, configurationRow, targetRows, holdsLease);
+        return std::tie(
+            work, demand, uses, customerUse, readsPlatform, configurationRow, targetRows, holdsLease, storeReachedMs);
     }
 };
 
--- a/src/gateway/StoreAvailability.cpp
+++ b/src/gateway/StoreAvailability.cpp
@@ -9,13 +9,17 @@
 // Failures that last at least this long are an outage.
 constexpr Duration outageThreshold = std::chrono::milliseconds(400);
 
+// What a peer has said of the store counts for this time; peers send it at least once a second.
+constexpr Duration maxPeerAge = std::chrono::milliseconds(1500);
+
 } // namespace
 
 void StoreAvailability::succeeded(TimePoint now)
 {
-    if (!everAvailable_)
+    if (!firstReachedAt_) {
         logChannel.info("dependency=store state=reached");
-    everAvailable_ = true;
+        firstReachedAt_ = now;
+    }
     if (!failingSince_)
         return;
     if (now - *failingSince_ >= outageThreshold) {
@@ -37,17 +41,43 @@
 void StoreAvailability::restored(TimePoint now)
 {
     recoveredAt_ = now;
+    restoredAt_ = now;
     logChannel.warning("dependency=store state=restored its last changes are lost");
 }
 
 bool StoreAvailability::isAvailable(TimePoint now) const
 {
-    return everAvailable_ && (!failingSince_ || now - *failingSince_ < outageThreshold);
+    return firstReachedAt_ && (!failingSince_ || now - *failingSince_ < outageThreshold);
 }
 
 bool StoreAvailability::wasUnavailable(TimePoint now, Duration before) const
 {
-    return failingSince_ || (recoveredAt_ && now - *recoveredAt_ < before);
+    // A peer may not know yet that the store was restored.
+    if (restoredAt_ && now - *restoredAt_ < before)
+        return true;
+    return (failingSince_ || (recoveredAt_ && now - *recoveredAt_ < before)) && !peersReached(now, before);
+}
+
+Duration StoreAvailability::reachedFor(TimePoint now) const
+{
+    if (!firstReachedAt_ || failingSince_)
+        return Duration(0);
+    return now - std::max(*firstReachedAt_, recoveredAt_.value_or(*firstReachedAt_));
+}
+
+void StoreAvailability::peerReached(Duration reachedFor, TimePoint now)
+{
+    const TimePoint since = now - reachedFor;
+    const bool isOutdated = !peerReachedSince_ || now - peerHeardAt_ > maxPeerAge;
+    if (!isOutdated && since > *peerReachedSince_)
+        return;
+    peerReachedSince_ = since;
+    peerHeardAt_ = now;
+}
+
+bool StoreAvailability::peersReached(TimePoint now, Duration time) const
+{
+    return peerReachedSince_ && now - peerHeardAt_ <= maxPeerAge && peerHeardAt_ - *peerReachedSince_ >= time;
 }
 
 } // namespace lychee::gateway
--- a/src/gateway/StoreAvailability.h
+++ b/src/gateway/StoreAvailability.h
@@ -27,13 +27,27 @@
     // The end of the last outage; empty until the first one has ended.
     std::optional<TimePoint> recoveredAt() const { return recoveredAt_; }
 
-    // Whether calls are failing now, or an outage ended less than `before` ago.
+    // Whether the store may have been in an outage less than `before` ago: calls of this instance are failing now, or
+    // have failed until then, and no peer has reached the store all the while.
     bool wasUnavailable(TimePoint now, Duration before) const;
 
+    // How long the store has answered this instance without an outage; zero while calls fail.
+    Duration reachedFor(TimePoint now) const;
+
+    // Records that a peer, heard at `now`, has reached the store without an outage for the given time.
+    void peerReached(Duration reachedFor, TimePoint now);
+
 private:
+    // Whether a peer that was heard recently has reached the store without an outage for at least the given time.
+    bool peersReached(TimePoint now, Duration time) const;
+
     std::optional<TimePoint> failingSince_;
     std::optional<TimePoint> recoveredAt_;
-    bool everAvailable_ = false;
+    std::optional<TimePoint> restoredAt_;
+    std::optional<TimePoint> firstReachedAt_;
+    // Of the peer that has reached the store for the longest time: since when, and when it was last heard.
+    std::optional<TimePoint> peerReachedSince_;
+    TimePoint peerHeardAt_;
 };
 
 } // namespace lychee::gateway
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -108,6 +108,39 @@
     EXPECT_EQ(gone_, std::vector<std::string>{"a"});
 }
 
+// Guards against requests to a target that is gone, because the store turns this instance away while it answers others.
+TEST_F(TargetListTest, AStoreThatAnswersAPeerDelaysNoRemoval)
+{
+    availability_.succeeded(at(1s));
+    list_.apply({row("a", 1), row("b", 2)}, at(1s));
+    availability_.failed(at(2s), "turned away");
+    list_.apply({row("a", 3, true)}, at(5s));
+    availability_.peerReached(5s, at(5100ms));
+    list_.removeExpired(at(5200ms));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+    list_.apply({row("b", 4, true)}, at(5300ms));
+    EXPECT_EQ(gone_, (std::vector<std::string>{"a", "b"}));
+}
+
+// Guards against removing targets that run, because a peer that has just reached the store again, was heard long ago or
+// does not know of a restored store counts as one that the store answers.
+TEST_F(TargetListTest, APeerThatLostTheStoreTooSpeedsUpNoRemoval)
+{
+    availability_.succeeded(at(1s));
+    list_.apply({row("a", 1)}, at(1s));
+    availability_.peerReached(10s, at(2s));
+    availability_.failed(at(2s), "no answer");
+    list_.apply({row("a", 3, true)}, at(6s));
+    availability_.peerReached(500ms, at(6100ms));
+    list_.removeExpired(at(6200ms));
+    EXPECT_TRUE(gone_.empty());
+    availability_.succeeded(at(6300ms));
+    availability_.restored(at(6300ms));
+    availability_.peerReached(10s, at(6400ms));
+    list_.removeExpired(at(7s));
+    EXPECT_TRUE(gone_.empty());
+}
+
 // Guards against treating an entry that cannot be decoded as a target, and against losing other targets because of it.
 TEST_F(TargetListTest, EntryThatCannotBeDecodedIsNoTarget)
 {
