Keep what a restarted target says of leaving before its new entry arrives

A target that had restarted and then said in an answer that it leaves got requests again as soon as its new list entry arrived, for as long as the entry did not say so too.

Cause: the notice was recorded under the run of the target that this instance knew, its former one, and notices of former runs are void. The list entry of the new run is late when the store is away or the changes arrive late. The incarnation of a target is the time of its start, so the notice now keeps the time at which it was heard: a run that had started by then is the one that said it. The time of day is read once at the start of the process, because it may be set later; a difference of more than a minute is taken for the error of a clock and the notice is void as before.

TargetChoiceTest.WhatARestartedTargetSaysOfLeavingHoldsOnceItIsListed fails when the time is ignored, and passes; TargetChoiceTest 23 and RelayTest 21 tests pass. The times for which a target declines requests and its limit are short or learnt again with the next answer, and stay as they were.

--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -11,9 +11,12 @@
 
 namespace lychee::fleet {
 
-// Identifies one run of a target process; increases with each restart.
+// Identifies one run of a target process by its start, in milliseconds since the epoch; increases with each restart.
 using TargetIncarnation = StrongNumber<struct TargetIncarnationTag, std::int64_t>;
 
+// Milliseconds since the epoch.
+using EpochTime = StrongNumber<struct EpochTimeTag, std::int64_t>;
+
 // Number of orders that a target has accepted since its start.
 using OrderSequence = StrongNumber<struct OrderSequenceTag>;
 
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -54,6 +54,9 @@
 // Targets whose notices are remembered. Above this number, those of targets that are not listed are dropped.
 constexpr std::size_t maxNotices = 4096;
 
+// Longest time for which the list entry of a restarted target may be missing. A longer one is the error of a clock.
+constexpr std::int64_t maxUnlistedMilliseconds = 60'000;
+
 // How long a target on which an adapter could not be loaded is avoided for further ones. Its places are probably all in
 // use, or its queue is long; a place is given away after an adapter was not used for 400 ms.
 constexpr Duration adapterRefusalAvoidance = std::chrono::milliseconds(400);
@@ -107,7 +110,7 @@
 {
     // A list that was restored from a copy may show a target as it was before.
     if (record.draining)
-        recordLeaving(record.id, record.incarnation);
+        recordLeaving(record.id, record.incarnation, std::nullopt);
     std::unique_ptr<TargetState>& state = targets_[record.id];
     if (!state || state->record.incarnation != record.incarnation || state->record.endpoint != record.endpoint) {
         state = std::make_unique<TargetState>();
@@ -223,18 +226,28 @@
 {
     if (notices_.size() >= maxNotices)
         std::erase_if(notices_, [&](const auto& entry) { return !targets_.contains(entry.first); });
-    Notice& notice = notices_.try_emplace(id, Notice{incarnation, false, {}, std::nullopt}).first->second;
+    Notice& notice = notices_.try_emplace(id, Notice{incarnation, false, {}, std::nullopt, std::nullopt}).first->second;
     if (incarnation < notice.incarnation)
         return nullptr;
     if (notice.incarnation != incarnation)
-        notice = {incarnation, false, {}, std::nullopt};
+        notice = {incarnation, notice.wasSaidBy(incarnation), {}, std::nullopt, notice.leavingHeardAt};
     return &notice;
 }
 
-void TargetRegistry::recordLeaving(const TargetId& id, TargetIncarnation incarnation)
+bool TargetRegistry::Notice::wasSaidBy(TargetIncarnation later) const
 {
-    if (Notice* notice = noticeOf(id, incarnation))
+    return leaving && leavingHeardAt && later.value() <= leavingHeardAt->value()
+        && leavingHeardAt->value() - later.value() <= maxUnlistedMilliseconds;
+}
+
+void TargetRegistry::recordLeaving(
+    const TargetId& id, TargetIncarnation incarnation, std::optional<EpochTime> heardAt)
+{
+    if (Notice* notice = noticeOf(id, incarnation)) {
         notice->leaving = true;
+        if (heardAt)
+            notice->leavingHeardAt = heardAt;
+    }
     applyNotice(id);
 }
 
@@ -257,8 +270,12 @@
 {
     const auto target = targets_.find(id);
     const auto notice = notices_.find(id);
-    if (target == targets_.end() || notice == notices_.end()
-        || target->second->record.incarnation != notice->second.incarnation)
+    if (target == targets_.end() || notice == notices_.end())
+        return;
+    const TargetIncarnation listed = target->second->record.incarnation;
+    if (notice->second.incarnation < listed && notice->second.wasSaidBy(listed))
+        noticeOf(id, listed);
+    if (notice->second.incarnation != listed)
         return;
     target->second->leaving = notice->second.leaving;
     target->second->declinesUntil = notice->second.declinesUntil;
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -156,8 +156,9 @@
     // Records the load that a target reported with an answer to this instance.
     void recordLoad(const TargetId& id, const ReportedLoad& load, TimePoint now);
 
-    // Records that a target has said in an answer that it is about to leave.
-    void recordLeaving(const TargetId& id, TargetIncarnation incarnation);
+    // Records that a target has said that it is about to leave. `incarnation` is the known run of the target; an answer
+    // that arrives at `heardAt` may come from a later run, whose list entry has not arrived yet.
+    void recordLeaving(const TargetId& id, TargetIncarnation incarnation, std::optional<EpochTime> heardAt);
 
     // Whether this incarnation of a target is about to leave or no longer listed, so that its end is no crash.
     bool isLeaving(const TargetId& id, TargetIncarnation incarnation) const;
@@ -254,6 +255,11 @@
         bool leaving = false;
         TimePoint declinesUntil;
         std::optional<RequestLimit> limit;
+        // When an answer last said that the target is about to leave.
+        std::optional<EpochTime> leavingHeardAt;
+
+        // Whether a run of the target that is listed later had started when the target said that it is about to leave.
+        bool wasSaidBy(TargetIncarnation later) const;
     };
 
     void rebuildServices();
--- a/src/gateway/RelayContext.cpp
+++ b/src/gateway/RelayContext.cpp
@@ -37,6 +37,12 @@
     return "unknown";
 }
 
+fleet::EpochTime RelayContext::epochTime() const
+{
+    const auto elapsed = Duty::current()->clock()->nowWithSuspension().time_since_epoch();
+    return fleet::EpochTime(epochAtStart + std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+}
+
 void RelayContext::endWaits()
 {
     for (const std::function<void()>* end : waits)
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -65,8 +65,14 @@
     // Functions of the requests in progress that end their waits. They do not suspend the fiber.
     std::set<const std::function<void()>*> waits;
 
+    // The time since the epoch when the clock of the runtime started. The time of day is not read later, because it may
+    // be set while the process runs.
+    std::int64_t epochAtStart = wallClockMilliseconds();
+
     // Ends the waits of all requests in progress, so that they get their last answers.
     void endWaits();
+
+    fleet::EpochTime epochTime() const;
 };
 
 // Adds a request to those whose waits RelayContext::endWaits() ends, for the life of this object.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -574,7 +574,7 @@
             context_.limitChanged(target.target, target.incarnation, answer.requestsPerSecond);
         }
         if (answer.leaving)
-            context_.registry.recordLeaving(target.target, target.incarnation);
+            context_.registry.recordLeaving(target.target, target.incarnation, context_.epochTime());
         if (!answer.declinesFor)
             return;
         context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + *answer.declinesFor);
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -380,7 +380,7 @@
 {
     TargetRegistry registry = registryOf(1);
     const GenerationNeed generation = need(1, 2, 3);
-    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1));
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1), std::nullopt);
     EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
     registry.update(record(0));
     EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
@@ -391,7 +391,23 @@
     restarted.incarnation = TargetIncarnation(2);
     registry.update(restarted);
     EXPECT_EQ(chosen(registry, &generation), "t0");
-    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1));
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1), std::nullopt);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
+// Guards against requests to a restarted target that has said that it leaves before its new entry arrived.
+TEST_F(TargetChoiceTest, WhatARestartedTargetSaysOfLeavingHoldsOnceItIsListed)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(1), EpochTime(5000));
+    TargetRecord restarted = record(0);
+    restarted.incarnation = TargetIncarnation(4000);
+    registry.update(restarted);
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::NoTargets);
+    TargetRecord again = record(0);
+    again.incarnation = TargetIncarnation(6000);
+    registry.update(again);
     EXPECT_EQ(chosen(registry, &generation), "t0");
 }
 
@@ -421,7 +437,7 @@
     TargetRecord restarted = record(0);
     restarted.incarnation = TargetIncarnation(2);
     registry.update(restarted);
-    registry.recordLeaving(TargetId("t0"), TargetIncarnation(2));
+    registry.recordLeaving(TargetId("t0"), TargetIncarnation(2), std::nullopt);
     registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s);
     registry.recordLimit(TargetId("t0"), TargetIncarnation(1), 2, now_, now_);
     registry.remove(TargetId("t0"));
