Wait for the targets that were cut off from the store with this instance

Cause: a peer was believed as soon as it was heard. It shows that the store was available, but not that the targets reached it. Peers are now believed only while they have been heard without a pause for the whole return time, so an instance that was cut off itself waits as before.

--- a/src/gateway/StoreAvailability.cpp
+++ b/src/gateway/StoreAvailability.cpp
@@ -68,7 +68,11 @@
 void StoreAvailability::peerReached(Duration reachedFor, TimePoint now)
 {
     const TimePoint since = now - reachedFor;
+    if (reachedFor == Duration(0))
+        return;
     const bool isOutdated = !peerReachedSince_ || now - peerHeardAt_ > maxPeerAge;
+    if (isOutdated)
+        peersHeardSince_ = now;
     if (!isOutdated && since > *peerReachedSince_)
         return;
     peerReachedSince_ = since;
@@ -77,7 +81,8 @@
 
 bool StoreAvailability::peersReached(TimePoint now, Duration time) const
 {
-    return peerReachedSince_ && now - peerHeardAt_ <= maxPeerAge && peerHeardAt_ - *peerReachedSince_ >= time;
+    return peerReachedSince_ && now - peerHeardAt_ <= maxPeerAge && peerHeardAt_ - *peerReachedSince_ >= time
+        && now - *peersHeardSince_ >= time;
 }
 
 } // namespace lychee::gateway
--- a/src/gateway/StoreAvailability.h
+++ b/src/gateway/StoreAvailability.h
@@ -38,13 +38,16 @@
     void peerReached(Duration reachedFor, TimePoint now);
 
 private:
-    // Whether a peer that was heard recently has reached the store without an outage for at least the given time.
+    // Whether peers have reached the store without an outage for at least the given time, and were heard all the while:
+    // an instance that was cut off together with targets does not know which of them are about to return.
     bool peersReached(TimePoint now, Duration time) const;
 
     std::optional<TimePoint> failingSince_;
     std::optional<TimePoint> recoveredAt_;
     std::optional<TimePoint> restoredAt_;
     std::optional<TimePoint> firstReachedAt_;
+    // Since when peers that reach the store have been heard without a pause.
+    std::optional<TimePoint> peersHeardSince_;
     // Of the peer that has reached the store for the longest time: since when, and when it was last heard.
     std::optional<TimePoint> peerReachedSince_;
     TimePoint peerHeardAt_;
