--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -240,8 +240,7 @@
         && leavingHeardAt->value() - later.value() <= maxUnlistedMilliseconds;
 }
 
-void TargetRegistry::recordLeaving(
-    const TargetId& id, TargetIncarnation incarnation, std::optional<EpochTime> heardAt)
+void TargetRegistry::recordLeaving(const TargetId& id, TargetIncarnation incarnation, std::optional<EpochTime> heardAt)
 {
     if (Notice* notice = noticeOf(id, incarnation)) {
         notice->leaving = true;
