Resume a stream only at the software version that began it

Cause: the software version of a target was not decoded, and neither was the attempt that a take-up names, so the choice of a target could not ask for it. Within one answer the instance knows who began the stream; another instance, or a restarted one, cannot know it without something that outlives processes. The class is state of a request that is kept only in the process that happens to hold its connection.

Change: the versions of each service are listed in a table of the platform, by the lease holder, before they begin resumable streams. With one listed version nothing has to be known of a single stream. While there are several, each stream's version is recorded in a second table, after its first event was passed on. A take-up at another instance reads the list, and the record if there are several versions; when nothing is known, or the version has left, it is refused at once as not run. Cached prompt parts are fetched only from targets of the same version.

--- a/src/fleet/CallerRequest.h
+++ b/src/fleet/CallerRequest.h
@@ -52,6 +52,8 @@
     CallerCredential credential;
     // Set when the caller resumes a broken stream: the last event that it has received.
     std::optional<std::uint64_t> resumeAfter;
+    // The attempt in which the caller received the first event of that stream; empty when the caller does not say.
+    RequestId resumedAttempt;
 };
 
 } // namespace lychee::fleet
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -56,11 +56,10 @@
     // Whether requests need no key of a customer.
     bool acceptsAnonymous = false;
 
+    bool isResumableStream() const { return kind == RequestKind::Streaming && resumable; }
+
     // Whether a request may be sent again after its outcome is unknown.
-    bool isRepeatable() const
-    {
-        return kind == RequestKind::Idempotent || (kind == RequestKind::Streaming && resumable);
-    }
+    bool isRepeatable() const { return kind == RequestKind::Idempotent || isResumableStream(); }
 };
 
 // A model that the engines of a service can hold.
--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -63,6 +63,9 @@
 // Time after which a service without targets probably has one again: targets restart within a few seconds.
 constexpr Duration noTargetsRetry = std::chrono::seconds(2);
 
+// Time within which a software version that has just appeared may begin streams.
+constexpr Duration versionListedRetry = std::chrono::milliseconds(500);
+
 // Time within which the placement owner orders a load: a demand report, a planning pass and the way to the engine.
 constexpr Duration loadOrderDelay = std::chrono::milliseconds(900);
 
@@ -118,6 +121,13 @@
         , input_(input)
         , targets_(registry.ofService(input.service.id))
     {
+        if (input.versions) {
+            for (TargetState* state : targets_) {
+                if (input.versions->contains(state->record.softwareVersion))
+                    ofVersions_.push_back(state);
+            }
+            targets_ = ofVersions_;
+        }
         if (input.need)
             partHashes_ = promptPartHashes(*input.need);
         occupancyMilliseconds_
@@ -147,7 +157,8 @@
     static ChosenTarget chosen(const Candidate& best, Duration predicted, bool late)
     {
         const TargetRecord& record = best.state->record;
-        return {record.id, record.endpoint, record.incarnation, predicted, best.adapterMissing, late, best.cacheSource};
+        return {record.id, record.endpoint, record.incarnation, record.softwareVersion, predicted, best.adapterMissing,
+            late, best.cacheSource};
     }
 
     bool isWorthALateAnswer(const Candidate& best) const
@@ -288,7 +299,7 @@
     {
         const double tokens = promptTokensToPrefill(state);
         const double milliseconds = tokens / prefillTokensPerMillisecond;
-        if (!input_.fetchesCache || !preferred_ || preferred_ == &state || !isCacheSource(*preferred_))
+        if (!input_.fetchesCache || !preferred_ || preferred_ == &state || !isCacheSource(*preferred_, state))
             return milliseconds;
         const double remaining = tokensWithSharedPartsCached(*input_.need);
         const auto transfer = input_.service.engine->cacheTransferTime(tokens - remaining);
@@ -302,11 +313,12 @@
         return fetched;
     }
 
-    // Whether a transfer from this target will probably succeed.
-    bool isCacheSource(const TargetState& state) const
+    // Whether a transfer from this target to another will probably succeed. Cached parts are read only by targets of
+    // the software version that wrote them.
+    bool isCacheSource(const TargetState& state, const TargetState& receiver) const
     {
-        return state.isInService() && state.ejectedUntil <= input_.now
-            && !registry_.isCutOff(state.record.dataCentre, input_.now);
+        return state.record.softwareVersion == receiver.record.softwareVersion && state.isInService()
+            && state.ejectedUntil <= input_.now && !registry_.isCutOff(state.record.dataCentre, input_.now);
     }
 
     Candidate evaluate(const TargetState& state) const
@@ -415,6 +427,8 @@
             adapterTried = adapterTried || (state->acceptsRequests(input_.now) && lacksAdapter(*state));
             accepting = std::min(accepting.value_or(TimePoint::max()), state->declinesUntil);
         }
+        if (!anyTarget && input_.versions && hasTargetInService())
+            return NoTarget{NoTargetReason::VersionNotServed, versionListedRetry};
         if (!anyTarget)
             return NoTarget{NoTargetReason::NoTargets, noTargetsRetry};
         if (!anyHolder)
@@ -430,6 +444,13 @@
         return NoTarget{NoTargetReason::TooBusy, std::max<Duration>(*accepting - input_.now, minRetryAfter)};
     }
 
+    bool hasTargetInService() const
+    {
+        const auto targets = registry_.ofService(input_.service.id);
+        return std::any_of(
+            targets.begin(), targets.end(), [](const TargetState* state) { return state->isInService(); });
+    }
+
     // A request waits for a model that is being loaded if the answer can still be in time, because a retry by the
     // caller would not be served sooner. If the model is not being loaded yet, the request waits for the placement
     // owner's next plan.
@@ -457,6 +478,8 @@
     const TargetRegistry& registry_;
     const ChoiceInput& input_;
     std::span<TargetState* const> targets_;
+    // Those of the software versions that may get the request.
+    std::vector<TargetState*> ofVersions_;
     std::vector<std::uint64_t> partHashes_;
     double occupancyMilliseconds_ = 0;
     // The target on which the shared prompt is probably cached; null for requests without one.
@@ -470,6 +493,8 @@
     switch (reason) {
     case NoTargetReason::NoTargets:
         return "no targets";
+    case NoTargetReason::VersionNotServed:
+        return "software version not served";
     case NoTargetReason::ModelNotHeld:
         return "model not held";
     case NoTargetReason::AdapterNotHeld:
--- a/src/fleet/TargetChoice.h
+++ b/src/fleet/TargetChoice.h
@@ -8,6 +8,7 @@
 #include "fleet/RouteTable.h"
 #include "fleet/TargetRegistry.h"
 
+#include <set>
 #include <variant>
 
 namespace lychee::fleet {
@@ -42,12 +43,15 @@
     // Whether requests of a plain service that has fewer slots than instances are held or refused by the share of this
     // instance.
     bool sharesSlots = true;
+    // The software versions whose targets may get the request; null for all.
+    const std::set<SoftwareVersion>* versions = nullptr;
 };
 
 struct ChosenTarget {
     TargetId target;
     Endpoint endpoint;
     TargetIncarnation incarnation;
+    SoftwareVersion softwareVersion;
     // Estimated time to the first event.
     Duration predicted{0};
     // Whether the adapter has to be loaded before the request is sent.
@@ -70,6 +74,8 @@
 enum class NoTargetReason {
     // The service has no target that accepts requests.
     NoTargets,
+    // The service has targets, but none of a software version that may get the request.
+    VersionNotServed,
     // No target holds the model.
     ModelNotHeld,
     // The model is held, but the adapter is not and cannot be loaded now.
--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -57,6 +57,7 @@
     Endpoint endpoint;
     DataCentreId dataCentre;
     TargetIncarnation incarnation;
+    SoftwareVersion softwareVersion;
     int slots = 1;
     // Accepts no new requests; the target is about to stop.
     bool draining = false;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -12,6 +12,7 @@
 #include "gateway/OwnerContact.h"
 #include "gateway/PlacementOwner.h"
 #include "gateway/RowSenders.h"
+#include "gateway/StreamVersions.h"
 #include "gateway/TableWatch.h"
 #include "gateway/TargetList.h"
 #include "transport/Published.h"
@@ -42,6 +43,8 @@
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
     // A peer has heard how many requests a target takes, or that it limits them no more.
     std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitReported;
+    // The software versions of a service that may begin streams.
+    std::function<void(const ServiceId&, const std::set<SoftwareVersion>&)> versionsChanged;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
     std::function<CrashKnowledge()> readCrashKnowledge;
     // Fills in the work, the demand, the used adapters and the use of customers of this instance. Suspends the fiber.
@@ -50,8 +53,9 @@
 
 // What the control plane needs of a platform.
 template <typename Platform>
-concept GatewayPlatform = RowStore<typename Platform::Store> && EngineChannel<typename Platform::Channel> && requires(
-    std::string_view text, const std::string& key)
+concept GatewayPlatform
+    = StreamStore<typename Platform::Store> && EngineChannel<typename Platform::Channel> && requires(
+        std::string_view text, const std::string& key)
 {
     {
         Platform::decodeConfiguration(text)
@@ -107,6 +111,7 @@
         , lease_(store_, options_.self, options_.lease)
         , owner_(duty, orderHandlers())
         , grants_(options_.self, grantHandlers())
+        , versions_(store_, options_.lease.acquireDelay, versionHandlers())
     {
     }
 
@@ -128,7 +133,10 @@
             forwardChanges(Platform::targetTable, targetWatch_.replica().version(), since, rows);
         };
         configurationWatch_.readAnswered = [this](TimePoint sentAt) { confirmation_.readAnswered(sentAt); };
-        configurationWatch_.storeRestored = [this] { registrationDue_.notify(); };
+        configurationWatch_.storeRestored = [this] {
+            registrationDue_.notify();
+            versions_.storeRestored();
+        };
         configurationWatch_.maxWait = [this] { return confirmation_.maxReadWait(); };
         duty_.spawn([this] { configurationWatch_.run(); });
         duty_.spawn([this] { targetWatch_.run(); });
@@ -137,6 +145,8 @@
         duty_.spawn([this] { statusLoop(); });
         duty_.spawn([this] { placementLoop(); });
         duty_.spawn([this] { confirmation_.run(); });
+        duty_.spawn([this] { versions_.run(); });
+        duty_.spawn([this] { versions_.runRecorder(); });
         return absl::OkStatus();
     }
 
@@ -161,6 +171,15 @@
         mesh_->broadcast(MeshTraitsCleared{traits});
     }
 
+    // Records for other instances at which software version streams have begun.
+    void recordOrigins(std::vector<fleet::StreamOrigin> origins) { versions_.record(std::move(origins)); }
+
+    // As StreamVersions::find().
+    absl::StatusOr<SoftwareVersion> findOrigin(const ServiceId& service, const RequestId& attempt, TimePoint deadline)
+    {
+        return versions_.find(service, attempt, deadline);
+    }
+
     // As GrantExchange::request().
     fleet::RequestGrant requestGrant(const TargetId& target, fleet::TargetIncarnation incarnation, double perSecond,
         Duration maxWait, TimePoint deadline)
@@ -218,10 +237,12 @@
         return {[](const std::string& key, std::string_view value) { return Platform::decodeTarget(key, value); },
             [this](const fleet::TargetRecord& record) {
                 relay_.targetUpdated(record);
+                versions_.targetUpdated(record);
                 owner_.updateTarget(record);
             },
             [this](const TargetId& target) {
                 announcedHoldings_.forget(target);
+                versions_.targetRemoved(target);
                 relay_.targetRemoved(target);
                 owner_.removeTarget(target);
             }};
@@ -256,6 +277,15 @@
             [this](const InstanceId& peer, const MeshMessage& message) { return mesh_->send(peer, message); }};
     }
 
+    typename StreamVersions<typename Platform::Store>::Handlers versionHandlers()
+    {
+        return {[this] { return lease_.isRenewing(); },
+            [this](const ServiceId& service, const std::set<SoftwareVersion>& versions) {
+                relay_.versionsChanged(service, versions);
+            },
+            [this](const MeshMessage& message) { mesh_->broadcast(message); }};
+    }
+
     // Peers other than the lease holder that may confirm the configuration.
     std::vector<InstanceId> confirmingPeers() const
     {
@@ -339,6 +369,7 @@
             controlLog.info("configuration version={} row={} routes={} services={} in force", (*table)->version(),
                 row.version, (*table)->routes().size(), (*table)->services().size());
             routes_->publish(*table);
+            versions_.configurationChanged(**table);
             relay_.configurationChanged(**table);
         }
     }
@@ -397,7 +428,7 @@
                 owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
             status_ = std::move(status);
             mesh_->broadcast(status_);
-            ready_.store(routes_->read() != nullptr && targetWatch_.isComplete());
+            ready_.store(routes_->read() != nullptr && targetWatch_.isComplete() && versions_.isSettled());
             reportConnectivity();
             sleepFor(statusInterval());
         }
@@ -457,6 +488,8 @@
         if (lease_.lease().holder() == peer)
             reportConnectivity();
         duty_.spawn([this, peer] { sendCrashKnowledge(peer); });
+        for (const MeshVersionList& list : versions_.lists())
+            mesh_->send(peer, list).IgnoreError();
         if (!owner_.owns())
             return;
         for (const fleet::TargetRecord& record : owner_.dispatcher().records())
@@ -679,6 +712,8 @@
             message.target, message.incarnation, message.isLimited ? std::optional(message.perSecond) : std::nullopt);
     }
 
+    void handle(const InstanceId&, const MeshVersionList& message) { versions_.handle(message); }
+
     void handle(const InstanceId& peer, const MeshLeaving&)
     {
         controlLog.info("peer={} state=leaving", peer);
@@ -704,6 +739,7 @@
     LeaseManager<typename Platform::Store> lease_;
     PlacementOwner<typename Platform::Channel> owner_;
     GrantExchange grants_;
+    StreamVersions<typename Platform::Store> versions_;
     std::unique_ptr<Mesh> mesh_;
     // The table of instances may lack the entry of this one.
     FiberEvent registrationDue_;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -114,6 +114,13 @@
             postToControl(
                 [this, target, incarnation, perSecond] { control_->announceLimit(target, incarnation, perSecond); });
         };
+        context_.origins.requireListing();
+        context_.recordOrigins = [this](std::vector<fleet::StreamOrigin> origins) {
+            postToControl([this, origins = std::move(origins)] { control_->recordOrigins(origins); });
+        };
+        context_.findOrigin = [this](const ServiceId& service, const RequestId& attempt, TimePoint deadline) {
+            return findOrigin(service, attempt, deadline);
+        };
         context_.configurationIsConfirmed = [this] { return confirmation_.acceptsKeys(); };
         context_.crashes.setOutputs({[this](const std::vector<fleet::CrashSuspect>& suspects) {
                                          postToControl([this, suspects] { control_->announce(suspects); });
@@ -251,6 +258,13 @@
                       context_.registry.recordLimit(target, incarnation, perSecond, currentTime(), currentTime());
                   });
               };
+        port.versionsChanged = [this](const ServiceId& service, const std::set<SoftwareVersion>& versions) {
+            postToRelay([this, service, versions] {
+                auto unrecorded = context_.origins.setVersions(service, versions, currentTime());
+                if (!unrecorded.empty())
+                    context_.recordOrigins(std::move(unrecorded));
+            });
+        };
         port.readCrashKnowledge = [this] {
             const auto read = callOn(*relayInbox_, [this] { return context_.crashes.knowledge(); });
             return read.ok() ? *read : CrashKnowledge();
@@ -307,6 +321,13 @@
         return result.ok() ? *result : fleet::RequestGrant{false, RelayLimits::grantTimeout};
     }
 
+    absl::StatusOr<SoftwareVersion> findOrigin(const ServiceId& service, const RequestId& attempt, TimePoint deadline)
+    {
+        const auto result = callOn(*controlInbox_,
+            [this, service, attempt, deadline] { return control_->findOrigin(service, attempt, deadline); });
+        return result.ok() ? *result : result.status();
+    }
+
     // The fixed part of the retry budget is split equally between all instances.
     void setRetryBudget(const GatewaySettings& settings, std::size_t instances)
     {
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -292,10 +292,19 @@
     auto fields() { return std::tie(target, incarnation, isLimited, perSecond); }
 };
 
+// The software versions of a service that may begin streams, as of a version of the platform's row.
+struct MeshVersionList {
+    ServiceId service;
+    RowVersion row;
+    std::vector<SoftwareVersion> versions;
+
+    auto fields() { return std::tie(service, row, versions); }
+};
+
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
 using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
     MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked, MeshConfirmationQuery, MeshConfirmation,
-    MeshGrantQuery, MeshGrant, MeshRequestLimit>;
+    MeshGrantQuery, MeshGrant, MeshRequestLimit, MeshVersionList>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -5,6 +5,7 @@
 #include "fleet/DemandMeter.h"
 #include "fleet/RequestGrants.h"
 #include "fleet/ServiceRetryBudget.h"
+#include "fleet/StreamOrigins.h"
 #include "fleet/TargetChoice.h"
 #include "fleet/TargetRegistry.h"
 #include "gateway/CallerLimits.h"
@@ -65,6 +66,11 @@
     // Functions of the requests in progress that end their waits. They do not suspend the fiber.
     std::set<const std::function<void()>*> waits;
 
+    fleet::StreamOrigins origins;
+    // Records for other instances at which software version streams have begun.
+    std::function<void(std::vector<fleet::StreamOrigin>)> recordOrigins = [](const auto&) {};
+    // Finds the software version that began a stream at another instance, and suspends the fiber until the answer.
+    std::function<absl::StatusOr<SoftwareVersion>(const ServiceId&, const RequestId&, TimePoint deadline)> findOrigin;
     // The time since the epoch when the clock of the runtime started. The time of day is not read later, because it may
     // be set while the process runs.
     std::int64_t epochAtStart = wallClockMilliseconds();
--- a/src/protocol/Ids.h
+++ b/src/protocol/Ids.h
@@ -14,6 +14,8 @@
 // An engine or a process of a plain service.
 using TargetId = StrongId<struct TargetIdTag>;
 using ServiceId = StrongId<struct ServiceIdTag>;
+// Version of the software of a target, not of the weights that it holds.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using ModelId = StrongId<struct ModelIdTag>;
 using AdapterId = StrongId<struct AdapterIdTag>;
 // What an engine loads: MODEL@VERSION or MODEL@VERSION:ADAPTER@VERSION.
--- a/tests/standins/fleet_store_standin/Store.cpp
+++ b/tests/standins/fleet_store_standin/Store.cpp
@@ -97,11 +97,14 @@
 Response Store::list(const Request& request)
 {
     const std::string table = request.query("table").value_or("");
+    const std::string from = request.query("from").value_or("");
+    const auto to = request.query("to");
     const std::lock_guard lock(mutex_);
     ++reads_;
     json rows = json::array();
     for (const auto& [key, row] : rows_) {
-        if (key.first == table && !row.removed)
+        const bool inRange = key.second >= from && (!to || key.second < *to);
+        if (key.first == table && !row.removed && inRange)
             rows.push_back(toJson(key, row));
     }
     return Response::json(200, page(rows));
--- a/tests/standins/fleet_worker_standin/Main.cpp
+++ b/tests/standins/fleet_worker_standin/Main.cpp
@@ -7,6 +7,7 @@
 ABSL_FLAG(std::string, id, "worker-1", "Id under which the worker registers itself.");
 ABSL_FLAG(std::string, service, "hall", "Service of the worker.");
 ABSL_FLAG(std::string, zone, "a", "Zone of the worker.");
+ABSL_FLAG(std::string, software_version, "v1", "Version of the software that the entry in the store states.");
 ABSL_FLAG(std::uint16_t, store_port, 0, "Port of the store on the loopback address.");
 ABSL_FLAG(std::uint16_t, advertise_port, 0, "Port that the entry in the store names; 0 for the worker's own.");
 ABSL_FLAG(std::string, record, "", "File to which runs and orders are appended.");
@@ -27,6 +28,7 @@
     options.id = absl::GetFlag(FLAGS_id);
     options.service = absl::GetFlag(FLAGS_service);
     options.zone = absl::GetFlag(FLAGS_zone);
+    options.softwareVersion = absl::GetFlag(FLAGS_software_version);
     options.storeAddress = "127.0.0.1";
     options.storePort = absl::GetFlag(FLAGS_store_port);
     options.advertisedPort = absl::GetFlag(FLAGS_advertise_port);
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -295,7 +295,7 @@
         entry["service"] = options_.service;
         entry["address"] = fmt::format("127.0.0.1:{}", options_.advertisedPort > 0 ? options_.advertisedPort : port);
         entry["zone"] = options_.zone;
-        entry["version"] = "v1";
+        entry["version"] = options_.softwareVersion;
         entry["slots"] = slots;
         entry["state"] = "ready";
         entry["coldLeftMs"] = 0;
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -16,6 +16,8 @@
     std::string id;
     std::string service;
     std::string zone;
+    // Version of the software, as the entry in the store states it.
+    std::string softwareVersion = "v1";
     // Address and port of the store.
     std::string storeAddress;
     std::uint16_t storePort = 0;
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -46,6 +46,8 @@
     std::vector<std::string> flags{"--id=" + id, "--service=" + service, "--models=" + models,
         fmt::format("--store-port={}", store_->endpoint().port), fmt::format("--events={}", options_.events),
         fmt::format("--event-ms={}", options_.eventPause.count()), "--record=" + recordPath(id).string()};
+    if (const auto version = options_.softwareVersions.find(id); version != options_.softwareVersions.end())
+        flags.push_back("--software_version=" + version->second);
     if (options_.plainRequestLimit > 0 && models.empty())
         flags.push_back(fmt::format("--request-limit={}", options_.plainRequestLimit));
     if (options_.paceSeed != 0) {
@@ -91,12 +93,22 @@
 }
 
 void GatewayDeployment::writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded)
+{
+    transact({{"expected", json::array()},
+        {"setKeys", {{{"table", table}, {"part", ""}, {"key", key}, {"value", encoded}}}}, {"remove", json::array()}});
+}
+
+void GatewayDeployment::removeWorkerRow(const std::string& key)
+{
+    transact({{"expected", json::array()}, {"setKeys", json::array()},
+        {"remove", {{{"table", "servers"}, {"part", ""}, {"key", key}}}}});
+}
+
+void GatewayDeployment::transact(const json& body)
 {
     HttpRequest write;
     write.method = "POST";
     write.target = "/v1/rows-tx";
-    const json body{{"expected", json::array()},
-        {"setKeys", {{{"table", table}, {"part", ""}, {"key", key}, {"value", encoded}}}}, {"remove", json::array()}};
     write.body = body.dump();
     const auto answer = store_->client().send(write);
     if (!answer.ok() || answer->status != 200)
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -39,6 +39,8 @@
     std::string exemptPrefix;
     // Requests per second that the plain workers say they take; 0 for no limit.
     double plainRequestLimit = 0;
+    // Software versions of workers by their ids; the others have the usual one.
+    std::map<std::string, std::string> softwareVersions;
     // When not 0, all workers state their load, and every other one works at a changing pace drawn from this seed.
     std::uint64_t paceSeed = 0;
 };
@@ -63,6 +65,9 @@
         writeEncodedRow("servers", key, encoded);
     }
 
+    // Removes the row of a worker that has ended, as the store does after a time.
+    void removeWorkerRow(const std::string& key);
+
     // Sets the `limits` object of the configurations that are written from now on.
     void setCallerLimits(nlohmann::json limits) { callerLimits_ = std::move(limits); }
 
@@ -113,6 +118,7 @@
 private:
     void addWorker(const std::string& id, const std::string& service, const std::string& models);
     void writeRow(const std::string& table, const std::string& key, const std::string& value);
+    void transact(const nlohmann::json& body);
     void writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded);
     void startInstance(int index);
     int priorityOf(const std::string& prefix) const;
