Do not forward a large configuration to all instances

Cause: the lease holder forwarded each change of the configuration whole to all peers. After a change that adds a thousand routes a configuration has about 300 KB, so each one is 25 MB on the link of one instance, and several a second fill it for seconds. The frames are queued on the connections that carry status messages and changes of targets, so peers took the holder, and each other, for silent. The class is a cost per message that grows with the data and with the number of instances, on a connection that others need.

Change: the configuration is forwarded while all copies together have at most 1 MB. Each instance has a read of its own open at the store, which answers with the newest one, so forwarding was a second copy; an instance that cannot read gets the rows from a few peers. A peer that reads newer rows all the time gets none from others any more, although it is behind in each report.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -127,7 +127,8 @@
             return mesh.status();
         mesh_ = *std::move(mesh);
         configurationWatch_.forwardChanges = [this](RowVersion since, const std::vector<StoredRow>& rows) {
-            forwardChanges(Platform::configurationTable, configurationWatch_.replica().version(), since, rows);
+            if (mayForwardToAll(rows, mesh_->peerCount()))
+                forwardChanges(Platform::configurationTable, configurationWatch_.replica().version(), since, rows);
         };
         targetWatch_.forwardChanges = [this](RowVersion since, const std::vector<StoredRow>& rows) {
             forwardChanges(Platform::targetTable, targetWatch_.replica().version(), since, rows);
@@ -230,6 +231,8 @@
         TimePoint heardAt;
         // Consecutive reports in which the peer had older rows than this instance and needed them from it.
         int reportsBehind = 0;
+        // The version of its configuration according to the report before.
+        RowVersion configurationBefore;
     };
 
     TargetList::Handlers targetHandlers()
@@ -554,6 +557,10 @@
         const ReplicaVersions receiver = replicaVersionsOf(peer, state.status);
         const ReplicaVersions own = ownReplicaVersions();
         const bool readsTargets = state.status.readsPlatform;
+        // A peer that reads newer rows all the time needs none from here, though it may never have the newest.
+        if (readsTargets && receiver.configuration > state.configurationBefore)
+            state.reportsBehind = 0;
+        state.configurationBefore = receiver.configuration;
         if (readsTargets ? own.configuration <= receiver.configuration : !own.isAheadOf(receiver)) {
             state.reportsBehind = 0;
             return;
--- a/src/gateway/RowSenders.cpp
+++ b/src/gateway/RowSenders.cpp
@@ -10,6 +10,9 @@
 // still behind.
 constexpr int sendersPerReport = 2;
 
+// The size of all copies of a change that one instance sends. A slow link carries it within a second.
+constexpr std::size_t maxBytesToAll = std::size_t{1} << 20;
+
 } // namespace
 
 bool sendsRowsTo(const ReplicaVersions& receiver, const ReplicaVersions& self, std::span<const ReplicaVersions> peers,
@@ -28,4 +31,12 @@
     return preferred < sendersPerReport * (1 + reportsBehind);
 }
 
+bool mayForwardToAll(std::span<const StoredRow> rows, std::size_t peers)
+{
+    std::size_t bytes = 0;
+    for (const StoredRow& row : rows)
+        bytes += row.key.size() + row.value.size();
+    return bytes * peers <= maxBytesToAll;
+}
+
 } // namespace lychee::gateway
--- a/src/gateway/RowSenders.h
+++ b/src/gateway/RowSenders.h
@@ -3,6 +3,7 @@
 // link of the starting instance.
 #pragma once
 
+#include "gateway/RowStore.h"
 #include "protocol/Ids.h"
 
 #include <span>
@@ -29,4 +30,9 @@
 bool sendsRowsTo(const ReplicaVersions& receiver, const ReplicaVersions& self, std::span<const ReplicaVersions> peers,
     int reportsBehind);
 
+// Whether changed rows of the configuration are small enough for one instance to send them to all others. Larger ones
+// would hold up its connections for seconds, with all messages behind them. Each peer has a read of the configuration
+// of its own open, and gets the rows from a few others when it says that it cannot read.
+bool mayForwardToAll(std::span<const StoredRow> rows, std::size_t peers);
+
 } // namespace lychee::gateway
--- a/tests/gateway/RowSendersTest.cpp
+++ b/tests/gateway/RowSendersTest.cpp
@@ -62,5 +62,19 @@
     EXPECT_EQ(sendersTo(all[7], all), 2);
 }
 
+// Guards against a large configuration that fills the links of the instance that forwards it, so that this one and what
+// follows it come seconds late; and against small ones that are not forwarded.
+TEST(RowSenders, ALargeConfigurationIsNotForwardedToManyInstances)
+{
+    constexpr std::size_t largeBytes = 300'000;
+    constexpr std::size_t smallBytes = 10'000;
+    const std::vector<StoredRow> large{{"config", RowVersion(1), false, std::string(largeBytes, 'x')}};
+    const std::vector<StoredRow> small{{"config", RowVersion(1), false, std::string(smallBytes, 'x')}};
+    EXPECT_FALSE(mayForwardToAll(large, 84));
+    EXPECT_TRUE(mayForwardToAll(large, 2));
+    EXPECT_TRUE(mayForwardToAll(small, 84));
+    EXPECT_TRUE(mayForwardToAll({}, 1799));
+}
+
 } // namespace
 } // namespace lychee::gateway
