Do not take an answer that is reset during the upload for whole

A target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a write that fails because of the reset is ignored, because an early answer may still wait in the receive buffer; it also takes the error of the socket, so the reads after it give what has arrived and then a regular end, at which a body without a length is whole. Such a body is now cut when the request was not sent whole, on all paths that read an answer: whole answers, streams, and calls to the store. An orderly close during the upload can't be told from a reset there and counts as cut too.

UndelimitedAnswerTest.AnAnswerThatIsResetDuringTheUploadIsNotComplete failed before, for a plain answer and for a stream, and passes.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -297,6 +297,10 @@
             if (count > 0)
                 return std::string(chunk_.data(), count);
         }
+        // The failed write has taken the error of the socket, so a reset looks like a regular end to the reads after
+        // it.
+        if (!isDelimited() && !wholeRequestSent_)
+            return failure(boost::asio::error::connection_reset, "read body");
         return std::nullopt;
     }
 
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -52,6 +52,19 @@
         return request;
     }
 
+    // The next request without its body, which stays unread.
+    std::optional<HttpRequest> readHead()
+    {
+        boost::beast::http::request_parser<boost::beast::http::empty_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        boost::system::error_code error;
+        boost::beast::http::async_read_header(socket_, buffer_, parser, FiberToken{error});
+        if (error)
+            return std::nullopt;
+        ++requestCount_;
+        return HttpRequest{std::string(parser.get().method_string()), std::string(parser.get().target()), {}, ""};
+    }
+
     // Number of requests that were read on this connection.
     int requestCount() const { return requestCount_; }
 
@@ -90,11 +103,18 @@
 public:
     using Script = std::function<void(RawTargetConnection&, const HttpRequest&)>;
 
-    RawTarget(Duty& duty, Script script)
+    // What of a request is read before the script runs. Of a body that is not read, little fits into the buffers.
+    enum class Reads { Whole, Head };
+
+    RawTarget(Duty& duty, Script script, Reads reads)
         : duty_(duty)
         , acceptor_(openAcceptor(duty.io(), "127.0.0.1", 0).value())
         , script_(std::move(script))
+        , reads_(reads)
     {
+        constexpr int smallBuffer = 65536;
+        if (reads_ == Reads::Head)
+            acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(smallBuffer));
     }
 
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
@@ -110,7 +130,8 @@
             auto connection = std::make_shared<RawTargetConnection>(std::move(socket));
             connections_.push_back(connection);
             duty_.spawn([self = shared_from_this(), connection] {
-                while (const auto request = connection->readRequest())
+                while (const auto request
+                    = self->reads_ == Reads::Head ? connection->readHead() : connection->readRequest())
                     self->script_(*connection, *request);
             });
         }
@@ -128,6 +149,7 @@
     Duty& duty_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Script script_;
+    Reads reads_;
     std::vector<std::shared_ptr<RawTargetConnection>> connections_;
 };
 
@@ -163,9 +185,10 @@
     }
 
     // Adds a target whose script writes the bytes of its answers itself.
-    void addRawTarget(const ServiceId& service, RawTarget::Script script)
+    void addRawTarget(
+        const ServiceId& service, RawTarget::Script script, RawTarget::Reads reads = RawTarget::Reads::Whole)
     {
-        auto target = std::make_shared<RawTarget>(*targetDuty_, std::move(script));
+        auto target = std::make_shared<RawTarget>(*targetDuty_, std::move(script), reads);
         rawTargets_.push_back(target);
         targetDuty_->spawn([target] { target->acceptLoop(); });
         registerTarget(service, fmt::format("raw{}", rawTargets_.size() - 1), target->port());
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -159,5 +159,32 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
 }
 
+// Guards against a part of an answer that reaches the caller as complete, because its target answered before it had
+// read the body and reset the connection while the body was being sent.
+TEST_F(UndelimitedAnswerTest, AnAnswerThatIsResetDuringTheUploadIsNotComplete)
+{
+    // The body does not fit into the buffer, so that the reset meets a write.
+    constexpr int smallBuffer = 16384;
+    context_.http = HttpClient({smallBuffer, smallBuffer});
+    for (const auto& [path, service] : {std::pair("/unsafe/x", plainService), std::pair("/once/x", engineService)}) {
+        addRawTarget(
+            service,
+            [](RawTargetConnection& connection, const HttpRequest&) {
+                connection.write(head("") + expectedEvents(2));
+                sleepFor(50ms);
+                connection.reset();
+            },
+            RawTarget::Reads::Head);
+        start();
+        HttpRequest upload = request(path);
+        constexpr std::size_t largeBody = std::size_t{3} << 20;
+        upload.body.assign(largeBody, 'x');
+        const auto answer = client().open(upload);
+        const bool isWhole = answer.ok() && (*answer)->status() == 200 && (*answer)->readBody().ok();
+        EXPECT_FALSE(isWhole) << path;
+        callers_.reset();
+    }
+}
+
 } // namespace
 } // namespace lychee::gateway
