Take no status outside 200 to 599 for an answer

Cause: every status below 200 counted as interim, so the client skipped such an answer and waited for the next one: until the deadline, or it delivered what followed on the connection. Statuses from 600 on were delivered as they came. Interim answers are now those from 100 to 199, and an answer with a status outside 200 to 599 is malformed, so the request is sent again where that is allowed and ends with 502 otherwise.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -34,7 +34,9 @@
 
 // Interim answers (status 1xx) that may precede an answer.
 constexpr int maxInterimAnswers = 8;
+constexpr int firstInterimStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
 
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint32_t maxHeaderBytes = 32768;
@@ -191,7 +193,7 @@
                 status = readNextHeader();
             if (!status.ok())
                 return status;
-            if (this->status() < firstFinalStatus)
+            if (this->status() < firstFinalStatus || this->status() > lastFinalStatus)
                 return makeError(TransportError::MessageMalformed, "the answer has no final status");
             if (!limits_.belongs || limits_.belongs(headers_, connection_->use_))
                 return status;
@@ -240,7 +242,8 @@
     // Whether the header is that of an interim answer, other than a switch to another protocol.
     bool isInterim() const
     {
-        return status() < firstFinalStatus && parser_->get().result() != http::status::switching_protocols;
+        return status() >= firstInterimStatus && status() < firstFinalStatus
+            && parser_->get().result() != http::status::switching_protocols;
     }
 
     absl::Status readNextHeader()
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -186,5 +186,35 @@
     }
 }
 
+// Guards against a status that no answer can have and reaches the caller as an answer.
+TEST_F(UndelimitedAnswerTest, AStatusOutOfRangeIsNoAnswer)
+{
+    std::string status;
+    addRawTarget(plainService, [&](RawTargetConnection& connection, const HttpRequest&) {
+        connection.write(
+            rawAnswer(fmt::format("{} Odd\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: seal\r\n", status), "a body"));
+    });
+    start();
+    for (const char* odd : {"000", "099", "600", "999"}) {
+        status = odd;
+        const auto answer = client().send(request("/unsafe/x"));
+        ASSERT_TRUE(answer.ok()) << answer.status();
+        EXPECT_EQ(answer->status, 502) << odd;
+    }
+}
+
+// Guards against an answer that follows one with a status out of range and is taken for the answer to the request.
+TEST_F(UndelimitedAnswerTest, AStatusOutOfRangeIsNoInterimAnswer)
+{
+    addRawTarget(plainService, [](RawTargetConnection& connection, const HttpRequest&) {
+        connection.write("HTTP/1.1 000 Odd\r\n\r\n"
+            + rawAnswer("200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: seal\r\n", "a body"));
+    });
+    start();
+    const auto answer = client().send(request("/unsafe/x"));
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 502);
+}
+
 } // namespace
 } // namespace lychee::gateway
