Keep what a restarted target declines before its new entry arrives

Cause: the same as of the notice of leaving: what the new process said was recorded under its former run, and was void when the new entry arrived after the outage. The time at which a refusal was heard is kept now too, and what a later run of the target can have said goes over to it. The limit of a target's requests is learnt again with its next answer and stays as it was.

TargetChoiceTest.WhatARestartedTargetDeclinesHoldsOnceItIsListed is new; 24 tests of the program and RelayTest's 21 pass.

--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -226,18 +226,33 @@
 {
     if (notices_.size() >= maxNotices)
         std::erase_if(notices_, [&](const auto& entry) { return !targets_.contains(entry.first); });
-    Notice& notice = notices_.try_emplace(id, Notice{incarnation, false, {}, std::nullopt, std::nullopt}).first->second;
+    Notice fresh;
+    fresh.incarnation = incarnation;
+    Notice& notice = notices_.try_emplace(id, fresh).first->second;
     if (incarnation < notice.incarnation)
         return nullptr;
     if (notice.incarnation != incarnation)
-        notice = {incarnation, notice.wasSaidBy(incarnation), {}, std::nullopt, notice.leavingHeardAt};
+        notice = notice.saidBy(incarnation);
     return &notice;
 }
 
-bool TargetRegistry::Notice::wasSaidBy(TargetIncarnation later) const
+TargetRegistry::Notice TargetRegistry::Notice::saidBy(TargetIncarnation later) const
 {
-    return leaving && leavingHeardAt && later.value() <= leavingHeardAt->value()
-        && leavingHeardAt->value() - later.value() <= maxUnlistedMilliseconds;
+    const auto hadStarted = [later](const std::optional<EpochTime>& heardAt) {
+        return heardAt && later.value() <= heardAt->value()
+            && heardAt->value() - later.value() <= maxUnlistedMilliseconds;
+    };
+    Notice notice;
+    notice.incarnation = later;
+    if (hadStarted(leavingHeardAt)) {
+        notice.leaving = leaving;
+        notice.leavingHeardAt = leavingHeardAt;
+    }
+    if (hadStarted(declineHeardAt)) {
+        notice.declinesUntil = declinesUntil;
+        notice.declineHeardAt = declineHeardAt;
+    }
+    return notice;
 }
 
 void TargetRegistry::recordLeaving(const TargetId& id, TargetIncarnation incarnation, std::optional<EpochTime> heardAt)
@@ -258,10 +273,14 @@
     return found->second->record.incarnation == incarnation && !found->second->isInService();
 }
 
-void TargetRegistry::recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until)
+void TargetRegistry::recordDeclined(
+    const TargetId& id, TargetIncarnation incarnation, TimePoint until, std::optional<EpochTime> heardAt)
 {
-    if (Notice* notice = noticeOf(id, incarnation))
+    if (Notice* notice = noticeOf(id, incarnation)) {
         notice->declinesUntil = std::max(notice->declinesUntil, until);
+        if (heardAt)
+            notice->declineHeardAt = heardAt;
+    }
     applyNotice(id);
 }
 
@@ -272,10 +291,10 @@
     if (target == targets_.end() || notice == notices_.end())
         return;
     const TargetIncarnation listed = target->second->record.incarnation;
-    if (notice->second.incarnation < listed && notice->second.wasSaidBy(listed))
-        noticeOf(id, listed);
-    if (notice->second.incarnation != listed)
+    if (notice->second.incarnation > listed)
         return;
+    if (notice->second.incarnation < listed)
+        notice->second = notice->second.saidBy(listed);
     target->second->leaving = notice->second.leaving;
     target->second->declinesUntil = notice->second.declinesUntil;
     target->second->limit = notice->second.limit;
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -163,8 +163,9 @@
     // Whether this incarnation of a target is about to leave or no longer listed, so that its end is no crash.
     bool isLeaving(const TargetId& id, TargetIncarnation incarnation) const;
 
-    // Records that a target has declined a request and wants no further one for a time.
-    void recordDeclined(const TargetId& id, TargetIncarnation incarnation, TimePoint until);
+    // Records that a target has declined a request and wants no further one for a time. `heardAt` as above.
+    void recordDeclined(
+        const TargetId& id, TargetIncarnation incarnation, TimePoint until, std::optional<EpochTime> heardAt);
 
     // Records how many requests per second a target takes according to its answer to a request that was sent at
     // `sentAt`, or nothing when it states no limit. Returns whether this differs from what was known.
@@ -255,11 +256,12 @@
         bool leaving = false;
         TimePoint declinesUntil;
         std::optional<RequestLimit> limit;
-        // When an answer last said that the target is about to leave.
+        // When an answer last said that the target is about to leave, and that it wants no request for a time.
         std::optional<EpochTime> leavingHeardAt;
+        std::optional<EpochTime> declineHeardAt;
 
-        // Whether a run of the target that is listed later had started when the target said that it is about to leave.
-        bool wasSaidBy(TargetIncarnation later) const;
+        // What a run of the target that is listed later has said, because it had started by then.
+        Notice saidBy(TargetIncarnation later) const;
     };
 
     void rebuildServices();
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -489,7 +489,7 @@
         const fleet::RequestGrant grant = context_.requestGrant(target, perSecond, maxWait);
         if (grant.isGranted)
             return awaitGrant(grant.wait);
-        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + grant.wait);
+        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + grant.wait, std::nullopt);
         relayLog.info("request={} target={} limit_per_s={:.2f} no request granted for ms={}", caller_.attempt,
             target.target, perSecond, std::chrono::duration_cast<std::chrono::milliseconds>(grant.wait).count());
         lastProblem_ = "the target takes no more requests at present";
@@ -641,7 +641,8 @@
             context_.registry.recordLeaving(target.target, target.incarnation, context_.epochTime());
         if (!answer.declinesFor)
             return;
-        context_.registry.recordDeclined(target.target, target.incarnation, currentTime() + *answer.declinesFor);
+        context_.registry.recordDeclined(
+            target.target, target.incarnation, currentTime() + *answer.declinesFor, context_.epochTime());
         relayLog.info("request={} target={} declines requests for ms={}", caller_.attempt, target.target,
             std::chrono::duration_cast<std::chrono::milliseconds>(*answer.declinesFor).count());
     }
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -411,6 +411,23 @@
     EXPECT_EQ(chosen(registry, &generation), "t0");
 }
 
+// Guards against requests to a restarted target that wants none for a time and has said so before its new entry
+// arrived.
+TEST_F(TargetChoiceTest, WhatARestartedTargetDeclinesHoldsOnceItIsListed)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s, EpochTime(5000));
+    TargetRecord restarted = record(0);
+    restarted.incarnation = TargetIncarnation(4000);
+    registry.update(restarted);
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::TooBusy);
+    TargetRecord again = record(0);
+    again.incarnation = TargetIncarnation(6000);
+    registry.update(again);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
 // Guards against requests to a target whose entry says that it leaves and is then replaced by an older one, because the
 // list was restored from a copy.
 TEST_F(TargetChoiceTest, ATargetThatLeavesDoesNotReturnWithAnOlderEntry)
@@ -438,7 +455,7 @@
     restarted.incarnation = TargetIncarnation(2);
     registry.update(restarted);
     registry.recordLeaving(TargetId("t0"), TargetIncarnation(2), std::nullopt);
-    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s);
+    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s, std::nullopt);
     registry.recordLimit(TargetId("t0"), TargetIncarnation(1), 2, now_, now_);
     registry.remove(TargetId("t0"));
     registry.update(restarted);
@@ -451,9 +468,9 @@
 {
     TargetRegistry registry = registryOf(2);
     const GenerationNeed generation = need(1, 2, 3);
-    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s);
+    registry.recordDeclined(TargetId("t0"), TargetIncarnation(1), now_ + 5s, std::nullopt);
     EXPECT_EQ(chosen(registry, &generation), "t1");
-    registry.recordDeclined(TargetId("t1"), TargetIncarnation(1), now_ + 3s);
+    registry.recordDeclined(TargetId("t1"), TargetIncarnation(1), now_ + 3s, std::nullopt);
     registry.update(record(1));
     const auto refused = choose(registry, &generation);
     ASSERT_TRUE(std::holds_alternative<NoTarget>(refused));
