--- a/src/gateway/StreamVersions.h
+++ b/src/gateway/StreamVersions.h
@@ -355,6 +355,7 @@
             unrecorded_.pop_front();
         }
         std::vector<RowContent> rows;
+        rows.reserve(origins.size());
         for (const fleet::StreamOrigin& origin : origins)
             rows.push_back({recordKey(origin.service, origin.attempt), origin.version.value()});
         const std::size_t expired = std::min(expiredRecords(), maxRowsPerUpdate - rows.size());
