Soak: take up streams beside two software versions

Runs of every second seed have engines of two software versions. Two callers of each run begin streams, leave them and take them up at any instance with the attempt that began them; the rest has to be whole and of the version that wrote the first part. The draws of a seed for other troubles stay the same.

--- a/tests/soak/KeyRing.cpp
+++ b/tests/soak/KeyRing.cpp
@@ -85,6 +85,7 @@
     std::mt19937_64 random(seed ^ featureStream);
     RunFeatures features;
     features.storeRestored = drawRestoration(seed, length);
+    features.twoVersions = seed % 2 == 0;
     features.customers = random() % featureSeeds == 0;
     features.priorities = random() % featureSeeds == 0;
     features.paceSeed = random() % featureSeeds == 0 ? random() | 1 : 0;
--- a/tests/soak/KeyRing.h
+++ b/tests/soak/KeyRing.h
@@ -25,6 +25,8 @@
     // Planned replacements of a key, none without customers.
     std::vector<Trouble> keyChanges;
     std::optional<Trouble> storeRestored;
+    // The workers of one service have two software versions.
+    bool twoVersions = false;
 };
 
 RunFeatures drawFeatures(std::uint64_t seed, Millis length);
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -65,6 +65,10 @@
         record.calls.begin(), record.calls.end(), [](const CallRecord& call) { return call.isServed(); }));
     fmt::print("seed {:6}  {:3} troubles  {:5} calls  {:5} served  {:6} checks  {} broken\n", seed,
         record.troubles.size(), record.calls.size(), served, promises.checked(), violations.size());
+    const auto resumed = std::count_if(
+        record.takeUps.begin(), record.takeUps.end(), [](const TakeUpRecord& takeUp) { return takeUp.status == 200; });
+    fmt::print("  {} of {} streams taken up, {} software versions\n", resumed, record.takeUps.size(),
+        record.softwareVersions.size() + 1);
     for (const std::string& text : violations)
         fmt::print("  {}\n", text);
     if (absl::GetFlag(FLAGS_verbose))
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -35,6 +35,7 @@
 {
     checkRuns();
     checkAnswers();
+    checkTakeUps();
     checkTimes();
     checkStops();
     checkLosses();
@@ -52,6 +53,21 @@
     return std::move(violations_);
 }
 
+// A stream goes on only at the software version that began it.
+void Promises::checkTakeUps()
+{
+    const auto versionOf = [this](const std::string& worker) {
+        const auto found = run_.softwareVersions.find(worker);
+        return found == run_.softwareVersions.end() ? std::string() : found->second;
+    };
+    for (const TakeUpRecord& record : run_.takeUps) {
+        if (record.status != 200)
+            continue;
+        expect(record.wrong.empty(), "content: " + record.text());
+        expect(versionOf(record.begunBy) == versionOf(record.resumedBy), "joined versions: " + record.text());
+    }
+}
+
 void Promises::expect(bool holds, std::string_view text)
 {
     ++checked_;
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tests/soak/CallRecord.h"
+#include "tests/soak/TakeUps.h"
 
 #include <map>
 #include <optional>
@@ -40,6 +41,9 @@
 struct RunRecord {
     std::vector<Trouble> troubles;
     std::vector<CallRecord> calls;
+    std::vector<TakeUpRecord> takeUps;
+    // Software versions of the workers by their ids; the others have one of their own.
+    std::map<std::string, std::string> softwareVersions;
     // Runs of each attempt over all workers.
     std::map<std::string, int> runs;
     std::vector<ArrivalRecord> arrivals;
@@ -76,6 +80,7 @@
 private:
     void checkRuns();
     void checkAnswers();
+    void checkTakeUps();
     void checkTimes();
     void checkStops();
     void checkLosses();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -22,6 +22,9 @@
 
 constexpr int plainWorkers = 2;
 
+// Callers that take up their streams.
+constexpr std::size_t takingUp = 2;
+
 // Where requests of callers go; orders and reports go elsewhere.
 constexpr std::array requestPaths{"/stream", "/safe", "/unsafe", "/extra", "/open"};
 
@@ -39,6 +42,8 @@
     result.exemptPrefix = features.customers ? "/open/" : "";
     result.priorities = features.priorities;
     result.paceSeed = features.paceSeed;
+    if (features.twoVersions)
+        result.softwareVersions["e1"] = "v2";
     return result;
 }
 
@@ -68,11 +73,15 @@
         [](const Trouble& left, const Trouble& right) { return left.begin < right.begin; });
     callers_
         = std::make_unique<Callers>(deployment_, clock_, keys_, options_.seed, options_.callers, features_.slowCallers);
+    TakeUps takeUps(deployment_, clock_, keys_, options_.seed, takingUp);
     std::thread operatorThread([this] { changeConfigurations(); });
     playTroubles();
     operatorThread.join();
     checkRunning();
     awaitRecovery();
+    record_.takeUps = takeUps.stop();
+    if (features_.twoVersions)
+        record_.softwareVersions["e1"] = "v2";
     for (CallRecord& call : callers_->stop())
         record_.calls.push_back(std::move(call));
     readWorkers();
