Do not wait for a model that only other software versions hold

A caller that took up a stream waited up to 0.9 s for a copy of its model at the version that began the stream, and was refused then.

Cause: a request whose model no allowed target holds waits for the placement owner's next plan, but the owner does not plan copies by software version, so it orders none while another version holds the model. Such a request is refused at once now, unless a copy is being loaded at its version.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -451,6 +451,16 @@
             targets.begin(), targets.end(), [](const TargetState* state) { return state->isInService(); });
     }
 
+    // Whether the model is held, but at no software version that may get the request. The placement owner orders no
+    // further copy then.
+    bool isHeldAtOtherVersions() const
+    {
+        const auto targets = registry_.ofService(input_.service.id);
+        return input_.versions && std::any_of(targets.begin(), targets.end(), [this](const TargetState* state) {
+            return state->isInService() && holdsModel(*state);
+        });
+    }
+
     // A request waits for a model that is being loaded if the answer can still be in time, because a retry by the
     // caller would not be served sooner. If the model is not being loaded yet, the request waits for the placement
     // owner's next plan.
@@ -465,9 +475,11 @@
             if (loading && loading->first == input_.need->model && state->acceptsRequests(input_.now))
                 ready = std::min(ready.value_or(TimePoint::max()), loading->second);
         }
-        const bool mayBeLoaded = input_.placementReached && input_.waited < loadOrderDelay;
+        const bool isHeldElsewhere = isHeldAtOtherVersions();
+        const bool mayBeLoaded = input_.placementReached && input_.waited < loadOrderDelay && !isHeldElsewhere;
+        // A version that has just appeared may get the request soon.
         if (!ready && !mayBeLoaded)
-            return NoTarget{NoTargetReason::ModelNotHeld, model->storeLoad};
+            return NoTarget{NoTargetReason::ModelNotHeld, isHeldElsewhere ? versionListedRetry : model->storeLoad};
         const TimePoint expected = std::max(ready.value_or(input_.now + model->storeLoad), input_.now);
         const double tokens = static_cast<double>(input_.need->promptTokens.value());
         if (expected - input_.now + toDuration(tokens / prefillTokensPerMillisecond) > fraction(input_.remaining))
--- a/tests/unit/SoftwareVersionChoiceTest.cpp
+++ b/tests/unit/SoftwareVersionChoiceTest.cpp
@@ -59,5 +59,27 @@
     EXPECT_EQ(std::get<NoTarget>(decision).reason, NoTargetReason::VersionNotServed);
 }
 
+// Guards against a caller that waits for a copy of a model which nobody orders, as another version holds it.
+TEST_F(SoftwareVersionChoiceTest, AModelThatOnlyOtherVersionsHoldIsNotAwaited)
+{
+    const ModelId model("m");
+    service_.engine.emplace();
+    service_.engine->models.push_back({model, 1, 1, 0, 2s, 1s, 1s});
+    service_.engine->cacheTokens = 100000;
+    TargetRecord holder = registry_.find(TargetId("t1"))->record;
+    holder.holdings.models.push_back({model, 1, {}});
+    registry_.update(holder);
+    GenerationNeed need;
+    need.model = model;
+    need.promptTokens = TokenCount(10);
+    const std::set<SoftwareVersion> versions{SoftwareVersion("v1")};
+    ChoiceInput input{service_, &need, DataCentreId("a"), TimePoint(10s), 5s};
+    EXPECT_TRUE(std::holds_alternative<ChosenTarget>(chooseTarget(registry_, input)));
+    input.versions = &versions;
+    const auto decision = chooseTarget(registry_, input);
+    ASSERT_TRUE(std::holds_alternative<NoTarget>(decision));
+    EXPECT_EQ(std::get<NoTarget>(decision).reason, NoTargetReason::ModelNotHeld);
+}
+
 } // namespace
 } // namespace lychee::fleet
