--- a/tests/gateway/SoftwareVersionProcessTest.cpp
+++ b/tests/gateway/SoftwareVersionProcessTest.cpp
@@ -55,6 +55,7 @@
     {
         constexpr int count = 12;
         std::vector<BrokenStream> broken;
+        broken.reserve(count);
         for (int i = 0; i < count; ++i)
             broken.push_back(breakStream(instance));
         return broken;
