Move the binding of a stream to its version out of the relay of a request

StreamBinding holds what a request knows of the version that began its stream, and the relay asks it for the versions that may get the request.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -6,11 +6,11 @@
 #include "fleet/RetryPolicy.h"
 #include "fleet/StopPolicy.h"
 #include "fleet/StreamTimeouts.h"
-#include "fleet/VersionListing.h"
 #include "gateway/AdapterUse.h"
 #include "gateway/RelayContext.h"
 #include "gateway/RelayDialect.h"
 #include "gateway/RelayLimits.h"
+#include "gateway/StreamBinding.h"
 #include "protocol/EventSplitter.h"
 #include "transport/Log.h"
 #include "transport/TransportError.h"
@@ -29,6 +29,7 @@
         , caller_(Dialect::readRequest(exchange.request()))
         , table_(context.routes->read())
         , cancellation_(std::make_shared<HttpCancellation>())
+        , binding_(context)
     {
     }
 
@@ -105,68 +106,24 @@
         context_.retryBudget.request(service_->id, currentTime());
         if (caller_.generation)
             context_.demand.record(*caller_.generation, service_->engine->slots, currentTime());
-        return !isTakeUp() || findOrigin();
+        return bindStream();
     }
 
-    // Whether the caller goes on with a stream that an earlier attempt has begun.
-    bool isTakeUp() const
+    // Refuses a take-up of a stream of which the software version that began it is not known: joined with what another
+    // version writes, the stream would look whole.
+    bool bindStream()
     {
-        return route_->isResumableStream() && (caller_.resumeAfter || !caller_.resumedAttempt.empty());
-    }
-
-    // Finds out which software version began the stream of a take-up, and refuses it when nothing is known: joined with
-    // what another version writes, the stream would look whole.
-    bool findOrigin()
-    {
-        if (!context_.findOrigin)
-            return true;
-        if (const auto own = context_.origins.find(service_->id, caller_.resumedAttempt)) {
-            beginAt(*own);
-            return true;
-        }
-        const auto found = context_.findOrigin(
-            service_->id, caller_.resumedAttempt, std::min(deadline_, currentTime() + RelayLimits::originTimeout));
-        if (found.ok()) {
-            beginAt(*found);
+        const absl::Status status = binding_.start(caller_, *route_, service_->id, deadline_);
+        if (status.ok())
             return true;
-        }
         relayLog.info("request={} route={} resumes={} origin not found: {}", caller_.attempt, route_->id,
-            caller_.resumedAttempt, messageOf(found.status()));
-        constexpr std::string_view reason = "the software version that began the stream is not known";
-        if (errorOf<CoordinationError>(found.status()) == CoordinationError::NotFound)
-            refuse(reason, std::nullopt);
-        else
-            refuse(reason, RelayLimits::originRetryAfter);
+            caller_.resumedAttempt, messageOf(status));
+        const bool isUnknown = errorOf<CoordinationError>(status) == CoordinationError::NotFound;
+        refuse("the software version that began the stream is not known",
+            isUnknown ? std::nullopt : std::optional<Duration>(RelayLimits::originRetryAfter));
         return false;
     }
 
-    // From now on, the stream goes on at this software version only.
-    void beginAt(const SoftwareVersion& version) { origin_ = {version}; }
-
-    // Keeps the software version that began the stream, for take-ups at this instance and at others.
-    void recordOrigin(const fleet::ChosenTarget& target)
-    {
-        if (!route_->isResumableStream())
-            return;
-        const bool isFirst = origin_.empty();
-        beginAt(target.softwareVersion);
-        if (!isFirst || isTakeUp())
-            return;
-        const TimePoint now = currentTime();
-        const fleet::StreamOrigin origin{
-            service_->id, caller_.attempt, target.softwareVersion, now + fleet::streamLife(*route_)};
-        if (context_.origins.begun(origin, now))
-            context_.recordOrigins({origin});
-    }
-
-    // The software versions whose targets may get the request; null for all.
-    const std::set<SoftwareVersion>* allowedVersions() const
-    {
-        if (!origin_.empty())
-            return &origin_;
-        return route_->isResumableStream() ? context_.origins.versionsToBegin(service_->id) : nullptr;
-    }
-
     // Finds out whose request it is, and answers it when it may not run. Called before each send, because keys may be
     // taken away while a request waits.
     bool authorize()
@@ -319,7 +276,7 @@
         fleet::ChoiceInput input{*service_, caller_.generation ? &*caller_.generation : nullptr, context_.dataCentre,
             now, deadline_ - now, latencyObjective, excluded, context_.placementReached && mayLoadAdapter_,
             modelWait_ + slotWait_, caller_.attempt.value(), urgency_.value_or(fleet::UrgencyPolicy::standard),
-            lateObjective(), urgency_.has_value(), table_->urgency().isActive(), allowedVersions()};
+            lateObjective(), urgency_.has_value(), table_->urgency().isActive(), binding_.allowedVersions()};
         return fleet::chooseTarget(context_.registry, input);
     }
 
@@ -424,7 +381,7 @@
         if (history_.possibleRuns > 0)
             return fail(502, lastProblem_);
         // A version that has left does not return while the caller waits.
-        if (none.reason == fleet::NoTargetReason::VersionNotServed && !origin_.empty())
+        if (none.reason == fleet::NoTargetReason::VersionNotServed && binding_.isBound())
             return refuse(fleet::nameOf(none.reason), std::nullopt);
         refuse(fleet::nameOf(none.reason), none.retryAfter);
     }
@@ -847,7 +804,7 @@
         if (!streamStarted_) {
             answerStatus_ = attempt.stream->status();
             firstEventAt_ = currentTime();
-            recordOrigin(attempt.target);
+            binding_.firstEventFrom(attempt.target);
             status = exchange_.beginStream(answerStatus_, Dialect::callerHeaders(attempt.stream->headers()));
             streamStarted_ = true;
         } else {
@@ -978,6 +935,7 @@
     // Keeps the objects behind `route_` and `service_` alive when the configuration changes.
     std::shared_ptr<const fleet::RouteTable> table_;
     std::shared_ptr<HttpCancellation> cancellation_;
+    StreamBinding binding_;
     const fleet::Route* route_ = nullptr;
     const fleet::Service* service_ = nullptr;
     // The configuration that knows `customer_`, which is null when the request needs none.
@@ -996,8 +954,6 @@
     std::vector<TargetId> excludedTargets_;
     // Endpoints to which the request was sent.
     std::vector<Endpoint> usedEndpoints_;
-    // The software version that began the stream, once it is known.
-    std::set<SoftwareVersion> origin_;
     EventSplitter splitter_;
     // The header of a streamed answer was sent to the caller.
     bool streamStarted_ = false;
