Believe peers whose messages are not all equally delayed

Cause: the time since which a peer has reached the store is computed at the receiver, so it moves with the delay of each message. A later value was taken for another peer, the one that had been heard counted as silent after 1.5 s, and peers were never heard for the whole return time. Values within 500 ms count as the same now.

TargetListTest.APeerIsBelievedAlthoughItsMessagesAreDelayed failed before and passes, with 13 others of the program.

--- a/src/gateway/StoreAvailability.cpp
+++ b/src/gateway/StoreAvailability.cpp
@@ -12,6 +12,9 @@
 // What a peer has said of the store counts for this time; peers send it at least once a second.
 constexpr Duration maxPeerAge = std::chrono::milliseconds(1500);
 
+// By which the messages of one peer may differ in their delay.
+constexpr Duration peerDelaySlack = std::chrono::milliseconds(500);
+
 } // namespace
 
 void StoreAvailability::succeeded(TimePoint now)
@@ -73,7 +76,7 @@
     const bool isOutdated = !peerReachedSince_ || now - peerHeardAt_ > maxPeerAge;
     if (isOutdated)
         peersHeardSince_ = now;
-    if (!isOutdated && since > *peerReachedSince_)
+    if (!isOutdated && since > *peerReachedSince_ + peerDelaySlack)
         return;
     peerReachedSince_ = since;
     peerHeardAt_ = now;
--- a/tests/gateway/TargetListTest.cpp
+++ b/tests/gateway/TargetListTest.cpp
@@ -125,6 +125,20 @@
     EXPECT_EQ(gone_, (std::vector<std::string>{"a", "b"}));
 }
 
+// Guards against a peer that counts as out of reach because its messages do not all take equally long.
+TEST_F(TargetListTest, APeerIsBelievedAlthoughItsMessagesAreDelayed)
+{
+    availability_.succeeded(at(1s));
+    list_.apply({row("a", 1)}, at(1s));
+    availability_.peerReached(1s, at(1s));
+    availability_.peerReached(2s, at(2050ms));
+    availability_.failed(at(2s), "turned away");
+    list_.apply({row("a", 3, true)}, at(2100ms));
+    availability_.peerReached(3s, at(3020ms));
+    list_.removeExpired(at(3300ms));
+    EXPECT_EQ(gone_, std::vector<std::string>{"a"});
+}
+
 // Guards against removing targets that run, because they were cut off from the store together with this instance and
 // peers elsewhere were not.
 TEST_F(TargetListTest, PeersThatWereOutOfReachSpeedUpNoRemoval)
