Keep the longest life of streams that a service had

A version could be removed from the list while streams of an earlier configuration with longer timeouts could still be taken up, because a new configuration replaced the life of streams. The longest one is kept now. Failed reads of the lists are tried again after 500 ms instead of 200.

VersionListingTest.AShorterTimeoutShortensNoLife failed before by the reading of the code (not run) and passes, with 8 others; SoftwareVersionProcessTest 4 and GatewayProcessTest 9 tests pass.

--- a/src/fleet/VersionListing.h
+++ b/src/fleet/VersionListing.h
@@ -18,8 +18,8 @@
 
 class VersionListing {
 public:
-    // Sets the longest streamLife() of the routes to the service.
-    void setStreamLife(Duration life) { streamLife_ = life; }
+    // Takes the longest streamLife() of the routes to the service. Streams of an earlier configuration keep theirs.
+    void setStreamLife(Duration life) { streamLife_ = std::max(streamLife_, life); }
 
     // Records the versions of the targets that the service has now.
     void observe(const std::set<SoftwareVersion>& present, TimePoint now);
--- a/src/gateway/StreamVersions.h
+++ b/src/gateway/StreamVersions.h
@@ -138,7 +138,7 @@
         mustRead_ = true;
     }
 
-    // Records that a stream has begun, for other instances.
+    // Has the origins of streams recorded for other instances.
     void record(std::vector<fleet::StreamOrigin> origins)
     {
         for (fleet::StreamOrigin& origin : origins) {
@@ -218,7 +218,7 @@
     static constexpr Duration reviewInterval = std::chrono::milliseconds(100);
     static constexpr Duration recordInterval = std::chrono::milliseconds(50);
     static constexpr Duration idleInterval = std::chrono::seconds(5);
-    static constexpr Duration retryInterval = std::chrono::milliseconds(200);
+    static constexpr Duration retryInterval = std::chrono::milliseconds(500);
     static constexpr Duration answerTimeout = std::chrono::milliseconds(900);
     // Others than the lister leave it this time to change a list.
     static constexpr Duration listerTime = std::chrono::milliseconds(500);
@@ -243,12 +243,12 @@
     void review()
     {
         const TimePoint now = currentTime();
-        std::map<ServiceId, std::set<SoftwareVersion>> present;
-        for (const auto& [id, target] : targets_)
-            present[target.first].insert(target.second);
         if (std::none_of(
                 services_.begin(), services_.end(), [](const auto& entry) { return entry.second.isResumable; }))
             return;
+        std::map<ServiceId, std::set<SoftwareVersion>> present;
+        for (const auto& [id, target] : targets_)
+            present[target.first].insert(target.second);
         bool isDue = std::exchange(mustRead_, false);
         for (auto& [service, state] : services_) {
             if (!state.isResumable)
--- a/tests/unit/VersionListingTest.cpp
+++ b/tests/unit/VersionListingTest.cpp
@@ -47,6 +47,15 @@
     EXPECT_EQ(listing.revised(false, at(131s)), std::nullopt);
 }
 
+// Guards against a shorter timeout in a new configuration that ends the life of streams from before.
+TEST(VersionListingTest, AShorterTimeoutShortensNoLife)
+{
+    VersionListing listing = listingOf({older, newer});
+    listing.setStreamLife(1s);
+    listing.observe({newer}, at(1s));
+    EXPECT_EQ(listing.revised(true, at(20s)), std::nullopt);
+}
+
 // Guards against streams that begin at a version that has returned and may have been removed from the list meanwhile.
 TEST(VersionListingTest, AVersionThatWasAwayIsNotUsedUntilTheListIsReadAgain)
 {
