Log why a connection to a peer ends and which configurations peers send

The log said 'connection lost' without a reason, so a frame that arrives slowly, a peer that was killed and a full queue looked the same; and configurations that came from peers were logged at the debug level only.

The end of a connection is logged with its reason and the bytes of both directions, and each message with rows of the configuration with its size. No change of behaviour; not measured by itself.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -651,11 +651,22 @@
         controlLog.debug("peer={} table={} since={} sent={}", peer, table, since, sent.ok());
     }
 
+    static std::size_t sizeOf(const MeshRows& message)
+    {
+        std::size_t bytes = 0;
+        for (const MeshRow& row : message.rows)
+            bytes += row.value.size();
+        return bytes;
+    }
+
     void handle(const InstanceId& peer, const MeshRows& message)
     {
         RowPage page{fromMessage(message.rows), message.version};
-        controlLog.debug("peer={} table={} rows={} since={} version={} applied", peer, message.table,
-            message.rows.size(), message.since, message.version);
+        // Targets change many times a second.
+        if (message.table == Platform::configurationTable && !message.rows.empty()) {
+            controlLog.info("peer={} table={} rows={} bytes={} since={} version={} received", peer, message.table,
+                message.rows.size(), sizeOf(message), message.since, message.version);
+        }
         if (message.table == Platform::targetTable)
             targetWatch_.applyFromPeer(message.since, std::move(page));
         else if (message.table == Platform::configurationTable)
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -150,27 +150,28 @@
         logChannel.info("peer={} address={}:{} connected", peer, hello->address, hello->port);
         handlers_.joined(peer);
     }
-    receiveUntilClosed(peer, connection);
+    const absl::Status end = receiveUntilClosed(peer, connection);
     connection->close();
     const auto found = peers_.find(peer);
     if (found == peers_.end() || found->second.connection != connection)
         return;
     peers_.erase(found);
-    logChannel.info("peer={} connection lost", peer);
+    logChannel.info("peer={} connection lost received={} sent={} reason=\"{}\"", peer, connection->bytesReceived(),
+        connection->bytesSent(), messageOf(end));
     handlers_.lost(peer);
 }
 
-void Mesh::receiveUntilClosed(const InstanceId& peer, const std::shared_ptr<FrameConnection>& connection)
+absl::Status Mesh::receiveUntilClosed(const InstanceId& peer, const std::shared_ptr<FrameConnection>& connection)
 {
     while (true) {
         const auto payload = connection->receive(currentTime() + receiveTimeout);
         if (!payload.ok())
-            return;
+            return payload.status();
         const auto message = decodeMeshMessage(*payload);
         if (!message.ok()) {
             logChannel.warning(
                 "peer={} connection closed, a message cannot be decoded: {}", peer, messageOf(message.status()));
-            return;
+            return message.status();
         }
         handlers_.received(peer, *message);
     }
--- a/src/gateway/Mesh.h
+++ b/src/gateway/Mesh.h
@@ -68,7 +68,8 @@
     void connect(const Endpoint& endpoint);
     void serve(const std::shared_ptr<FrameConnection>& connection, Direction direction);
     bool isPreferred(const InstanceId& peer, const InstanceId& initiator) const;
-    void receiveUntilClosed(const InstanceId& peer, const std::shared_ptr<FrameConnection>& connection);
+    // Returns why the connection has ended.
+    absl::Status receiveUntilClosed(const InstanceId& peer, const std::shared_ptr<FrameConnection>& connection);
     bool isConnectedTo(const Endpoint& endpoint) const;
 
     Duty& duty_;
