Limit the silence of a peer, not the time of a whole frame

Cause: a frame had to arrive as a whole within 2.2 s, and to be written as a whole within 5 s. A configuration with a thousand routes has 300 KB; on a link of 10 Mbit/s beside other traffic it takes longer, so the receiver took the peer that was sending it for silent and closed the connection, with the frame lost and everything that waited behind it. The class is a time limit for a transfer that does not grow with what is transferred.

Change: the limits of a frame connection count from the last byte that moved. PeerMesh of the own interface, which has the same limits, counts bytes as signs of life too.

SlowPeerTest.AFrameThatArrivesSlowlyIsNoSilence fails when the limit counts from the beginning of the frame ("timed out: receive frame") and passes now.

--- a/src/coordination/PeerMesh.cpp
+++ b/src/coordination/PeerMesh.cpp
@@ -21,7 +21,7 @@
 // Receives one message of type T.
 template <typename T> absl::StatusOr<T> receiveMessage(FrameConnection& connection, TimePoint deadline)
 {
-    const absl::StatusOr<std::string> frame = connection.receive(deadline);
+    const absl::StatusOr<std::string> frame = connection.receive(Duration::max(), deadline);
     if (!frame.ok())
         return rejected(messageOf(frame.status()));
     absl::StatusOr<PeerMessage> message = decodePeerMessage(*frame);
@@ -91,7 +91,8 @@
 void PeerMesh::closeSilentLinks()
 {
     for (const auto& [id, link] : links_) {
-        if (currentTime() - link->lastReceived < options_.silence)
+        const TimePoint lastReceived = std::max(link->since, link->connection->lastReceivedAt());
+        if (currentTime() - lastReceived < options_.silence)
             continue;
         logChannel.warning("Nothing received from peer {} within the silence limit; replacing the connection.", id);
         link->connection->close();
@@ -211,8 +212,7 @@
 void PeerMesh::receiveLoop(const std::shared_ptr<Link>& link)
 {
     while (!duty_.isStopping()) {
-        const absl::StatusOr<std::string> frame
-            = link->connection->receive(currentTime() + options_.silence + options_.heartbeat);
+        const absl::StatusOr<std::string> frame = link->connection->receive(options_.silence + options_.heartbeat);
         if (!frame.ok()) {
             logChannel.debug("Connection to peer {} ended: {}.", link->peer, messageOf(frame.status()));
             break;
@@ -223,7 +223,6 @@
                 messageOf(message.status()));
             break;
         }
-        link->lastReceived = currentTime();
         handle(link->peer, *message);
     }
     link->connection->close();
--- a/src/coordination/PeerMesh.h
+++ b/src/coordination/PeerMesh.h
@@ -74,7 +74,7 @@
     struct Link {
         InstanceId peer;
         std::shared_ptr<FrameConnection> connection;
-        TimePoint lastReceived;
+        TimePoint since;
     };
 
     PeerMesh(Duty& duty, PeerMeshOptions options, PeerMeshEvents events);
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -124,7 +124,7 @@
 {
     const absl::Status sent
         = connection->send(encodeMeshMessage(MeshHello{options_.self, options_.listen.address, options_.listen.port}));
-    const auto payload = connection->receive(currentTime() + helloTimeout);
+    const auto payload = connection->receive(helloTimeout, currentTime() + helloTimeout);
     if (!sent.ok() || !payload.ok())
         return connection->close();
     const auto message = decodeMeshMessage(*payload);
@@ -164,7 +164,7 @@
 absl::Status Mesh::receiveUntilClosed(const InstanceId& peer, const std::shared_ptr<FrameConnection>& connection)
 {
     while (true) {
-        const auto payload = connection->receive(currentTime() + receiveTimeout);
+        const auto payload = connection->receive(receiveTimeout);
         if (!payload.ok())
             return payload.status();
         const auto message = decodeMeshMessage(*payload);
--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -5,8 +5,7 @@
 #include "transport/SocketOperation.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 
 #include <algorithm>
 #include <array>
@@ -40,8 +39,8 @@
 // Frames that wait are written together up to this size, at least one.
 constexpr std::size_t maxWriteBytes = 65536;
 
-// Longest time for one write.
-constexpr Duration writeTimeout = std::chrono::seconds(5);
+// Longest time in which a peer takes no byte that waits for it.
+constexpr Duration maxWriteSilence = std::chrono::seconds(5);
 
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
@@ -113,10 +112,11 @@
         return absl::OkStatus();
     }
 
-    absl::StatusOr<std::string> receive(TimePoint deadline) override
+    absl::StatusOr<std::string> receive(Duration maxSilence, TimePoint deadline) override
     {
         std::array<char, lengthBytes> header{};
-        absl::Status status = readExactly(header.data(), header.size(), deadline, TransportError::ConnectionClosed);
+        const ReadLimits limits{maxSilence, deadline};
+        absl::Status status = readExactly(header.data(), header.size(), limits, TransportError::ConnectionClosed);
         if (!status.ok())
             return status;
         const std::size_t length = decodeLength(header);
@@ -125,7 +125,7 @@
             return makeError(TransportError::FrameTooLong, fmt::format("{} bytes announced", length));
         }
         std::string payload(length, '\0');
-        status = readExactly(payload.data(), length, deadline, TransportError::FrameTruncated);
+        status = readExactly(payload.data(), length, limits, TransportError::FrameTruncated);
         if (!status.ok())
             return status;
         bytesReceived_ += lengthBytes + length;
@@ -144,14 +144,28 @@
 
     std::uint64_t bytesReceived() const override { return bytesReceived_; }
 
+    TimePoint lastReceivedAt() const override { return lastReceivedAt_; }
+
 private:
-    absl::Status readExactly(char* data, std::size_t size, TimePoint deadline, TransportError atEnd)
+    struct ReadLimits {
+        Duration maxSilence;
+        TimePoint deadline;
+    };
+
+    absl::Status readExactly(char* data, std::size_t size, const ReadLimits& limits, TransportError atEnd)
     {
         const auto self = shared_from_this();
         std::size_t count = 0;
-        const error_code error = runBefore(socket_, deadline, [&](error_code& result) {
-            count = boost::asio::async_read(socket_, boost::asio::buffer(data, size), FiberToken{result});
-        });
+        error_code error;
+        while (!error && count < size) {
+            const TimePoint silentAt
+                = limits.maxSilence == Duration::max() ? TimePoint::max() : currentTime() + limits.maxSilence;
+            error = runBefore(socket_, std::min(limits.deadline, silentAt), [&](error_code& result) {
+                count += socket_.async_read_some(boost::asio::buffer(data + count, size - count), FiberToken{result});
+            });
+            if (!error)
+                lastReceivedAt_ = currentTime();
+        }
         if (!error)
             return absl::OkStatus();
         // After a partial read the stream is out of step with the frames, also when the limit ended it.
@@ -201,8 +215,7 @@
                 buffers.push_back(boost::asio::buffer(frames[i].payload()));
             }
             writingBytes_ = boost::asio::buffer_size(buffers);
-            const error_code error = runBefore(socket_, currentTime() + writeTimeout,
-                [&](error_code& result) { boost::asio::async_write(socket_, buffers, FiberToken{result}); });
+            const error_code error = writeAll(buffers);
             if (error) {
                 close();
                 break;
@@ -219,6 +232,20 @@
         memory_->returning -= std::exchange(returning_, 0);
     }
 
+    // Writes until the peer has taken nothing for too long.
+    error_code writeAll(const std::vector<boost::asio::const_buffer>& buffers)
+    {
+        boost::beast::buffers_suffix<std::vector<boost::asio::const_buffer>> rest(buffers);
+        error_code error;
+        while (!error && boost::asio::buffer_size(rest) > 0) {
+            std::size_t count = 0;
+            error = runBefore(socket_, currentTime() + maxWriteSilence,
+                [&](error_code& result) { count = socket_.async_write_some(rest, FiberToken{result}); });
+            rest.consume(count);
+        }
+        return error;
+    }
+
     // Takes the frames of the next write. A broadcast of several messages then costs one system call for each peer.
     std::vector<SharedFrame> takeFrames()
     {
@@ -245,6 +272,7 @@
     bool closed_ = false;
     std::uint64_t bytesSent_ = 0;
     std::uint64_t bytesReceived_ = 0;
+    TimePoint lastReceivedAt_;
 };
 
 class TcpFrameListener final : public FrameListener {
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -45,8 +45,9 @@
     // The same for a frame that is sent to several peers.
     virtual absl::Status send(SharedFrame frame) = 0;
 
-    // The next frame. Fails with TimedOut at `deadline`, FrameTooLong, FrameTruncated or ConnectionClosed.
-    virtual absl::StatusOr<std::string> receive(TimePoint deadline) = 0;
+    // The next frame. Fails with TimedOut when no byte arrives for `maxSilence`, or at `deadline`; with FrameTooLong,
+    // FrameTruncated or ConnectionClosed. A large frame on a slow link takes long without being silent.
+    virtual absl::StatusOr<std::string> receive(Duration maxSilence, TimePoint deadline = TimePoint::max()) = 0;
 
     // Ends the connection; receive() fails from now on.
     virtual void close() = 0;
@@ -54,6 +55,9 @@
     virtual std::uint64_t bytesSent() const = 0;
 
     virtual std::uint64_t bytesReceived() const = 0;
+
+    // When a byte last arrived, also of a frame that is not complete.
+    virtual TimePoint lastReceivedAt() const = 0;
 };
 
 // Accepts connections that carry frames.
