--- a/tests/gateway/StoreClientTest.cpp
+++ b/tests/gateway/StoreClientTest.cpp
@@ -61,6 +61,38 @@
     EXPECT_LE(targetsOfRequests_.size(), 12u);
 }
 
+// Guards against a table that can never be read on a slow link, because its transfer takes longer than the store may
+// take to answer; and against a body that stops on the way and is awaited without end.
+TEST_F(StoreClientTest, ABodyMayTakeLongerThanTheAnswerWhileItArrives)
+{
+    const std::string body = R"({"rows":[{"key":"a","rowVersion":3,"value":""}],"hasMore":false,"rowVersion":5})";
+    const std::string answer = rawAnswer("200 OK\r\n", body);
+    const auto stopsAt = std::make_shared<std::atomic<std::size_t>>(answer.size());
+    addRawTarget(plainService, [=](RawTargetConnection& connection, const HttpRequest&) {
+        const std::size_t head = answer.size() - body.size();
+        connection.write(answer.substr(0, head));
+        for (std::size_t i = head; i < *stopsAt; i += 10) {
+            sleepFor(100ms);
+            connection.write(std::string_view(answer).substr(i, 10));
+        }
+    });
+    const auto read = [&] {
+        absl::StatusOr<RowPage> page;
+        relayDuty_->run([&] {
+            platform::StoreClient store({"127.0.0.1", rawTargets_.back()->port()});
+            page = store.list("servers", currentTime() + 300ms);
+        });
+        return page;
+    };
+    const auto page = read();
+    ASSERT_TRUE(page.ok()) << page.status();
+    EXPECT_EQ(page->rows.size(), 1u);
+    *stopsAt = answer.size() - 10;
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_FALSE(read().ok());
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 4s);
+}
+
 // Guards against rows that hide the others of their page.
 TEST_F(StoreClientTest, RowsThatCannotBeReadDoNotHideOthers)
 {
