Send changes of the configuration as differences, at once to instances that cannot read

Cause: an instance that the store turns away gets configurations from peers only, and only whole. With 1,092 routes more, one has 233 KB or more; the lease holder sends it to nobody then, so the instance has to report first that it is behind, and the copies fill its link, with heartbeats behind them. At two versions a second the copies are outdated before they have arrived.

Change: a changed row goes out as its difference from a version that the receiver has had (TextDifference, RowHistory; 150 to 500 bytes for a usual change). The lease holder forwards it to all again, and each instance that reads a change passes it on to those that cannot read, three for each. A receiver without the base drops it and is sent the whole row after its next report. The version of the mesh protocol rises.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -11,6 +11,7 @@
 #include "gateway/Mesh.h"
 #include "gateway/OwnerContact.h"
 #include "gateway/PlacementOwner.h"
+#include "gateway/RowHistory.h"
 #include "gateway/RowSenders.h"
 #include "gateway/StreamVersions.h"
 #include "gateway/TableWatch.h"
@@ -126,13 +127,10 @@
         if (!mesh.ok())
             return mesh.status();
         mesh_ = *std::move(mesh);
-        configurationWatch_.forwardChanges = [this](RowVersion since, const std::vector<StoredRow>& rows) {
-            if (mayForwardToAll(rows, mesh_->peerCount()))
-                forwardChanges(Platform::configurationTable, configurationWatch_.replica().version(), since, rows);
-        };
-        targetWatch_.forwardChanges = [this](RowVersion since, const std::vector<StoredRow>& rows) {
-            forwardChanges(Platform::targetTable, targetWatch_.replica().version(), since, rows);
-        };
+        configurationWatch_.forwardChanges
+            = [this](RowVersion since, const std::vector<StoredRow>& rows) { forwardConfiguration(since, rows); };
+        targetWatch_.forwardChanges
+            = [this](RowVersion since, const std::vector<StoredRow>& rows) { forwardTargets(since, rows); };
         configurationWatch_.readAnswered = [this](TimePoint sentAt) { confirmation_.readAnswered(sentAt); };
         configurationWatch_.storeRestored = [this] {
             registrationDue_.notify();
@@ -357,6 +355,7 @@
     void applyConfiguration(const std::vector<StoredRow>& rows)
     {
         for (const StoredRow& row : rows) {
+            configurationHistory_.record(row);
             if (row.key != Platform::configurationKey || row.removed)
                 continue;
             const auto table = Platform::decodeConfiguration(row.value);
@@ -565,8 +564,11 @@
             state.reportsBehind = 0;
             return;
         }
-        const bool mayBeOnItsWay = readsTargets && state.reportsBehind == 0;
-        if (!mayBeOnItsWay && sendsRowsTo(receiver, own, peerReplicaVersions(), state.reportsBehind))
+        // The difference from a configuration that the peer has is small, so it costs little to send it too often.
+        const bool isSmall = configurationHistory_.contains(Platform::configurationKey, receiver.configuration);
+        const bool mayBeOnItsWay = readsTargets && !isSmall && state.reportsBehind == 0;
+        if (!mayBeOnItsWay
+            && sendsRowsTo(receiver, own, peerReplicaVersions(), state.reportsBehind + (isSmall ? 1 : 0)))
             sendRows(peer, state.status);
         ++state.reportsBehind;
     }
@@ -627,50 +629,111 @@
     }
 
     // The lease holder forwards changes to all peers, so that not every instance has to read them from the platform.
-    void forwardChanges(
-        const std::string& table, RowVersion version, RowVersion since, const std::vector<StoredRow>& changed)
+    void forwardTargets(RowVersion since, const std::vector<StoredRow>& changed)
     {
+        const RowVersion version = targetWatch_.replica().version();
         // Also sent without rows: the receiver learns up to which version its rows are complete.
         if (version > since && lease_.isRenewing())
-            mesh_->broadcast(MeshRows{table, since, version, toMessage(changed)});
+            mesh_->broadcast(MeshRows{Platform::targetTable, since, version, toMessage(changed)});
     }
 
-    void sendRows(const InstanceId& peer, const MeshStatus& status)
+    // Forwards changes as above. An instance that does not hold the lease passes them on to some of those that cannot
+    // read the platform.
+    void forwardConfiguration(RowVersion since, const std::vector<StoredRow>& changed)
     {
-        sendTable(peer, Platform::configurationTable, configurationWatch_.replica(), status.configurationRow);
-        if (!status.readsPlatform)
-            sendTable(peer, Platform::targetTable, targetWatch_.replica(), status.targetRows);
+        const RowVersion version = configurationWatch_.replica().version();
+        if (version <= since)
+            return;
+        if (lease_.isRenewing()) {
+            const MeshRows message = configurationMessage(changed, since, oldestKnownConfiguration());
+            if (mayForwardTo(mesh_->peerCount(), sizeOf(message)))
+                return mesh_->broadcast(message);
+        }
+        if (changed.empty())
+            return;
+        std::vector<InstanceId> readers{options_.self};
+        std::vector<InstanceId> receivers;
+        for (const auto& [peer, state] : peers_)
+            (state.status.readsPlatform ? readers : receivers).push_back(peer);
+        std::erase_if(
+            receivers, [&](const InstanceId& receiver) { return !passesChangeOnTo(receiver, options_.self, readers); });
+        for (const InstanceId& receiver : receivers) {
+            const MeshRows message = configurationMessage(changed, since, peers_.at(receiver).status.configurationRow);
+            if (mayForwardTo(receivers.size(), sizeOf(message)))
+                mesh_->send(receiver, message).IgnoreError();
+        }
     }
 
-    void sendTable(const InstanceId& peer, const std::string& table, const RowReplica& replica, RowVersion since)
+    // The message about changed rows of the configuration for receivers that have had the version `known`.
+    MeshRows configurationMessage(const std::vector<StoredRow>& changed, RowVersion since, RowVersion known)
     {
-        if (since >= replica.version())
-            return;
-        const absl::Status sent
-            = mesh_->send(peer, MeshRows{table, since, replica.version(), toMessage(replica.changedSince(since))});
-        controlLog.debug("peer={} table={} since={} sent={}", peer, table, since, sent.ok());
+        MeshRows message{Platform::configurationTable, since, configurationWatch_.replica().version(), {}};
+        for (const StoredRow& row : changed)
+            message.rows.push_back(configurationHistory_.encode(row, known));
+        return message;
     }
 
     static std::size_t sizeOf(const MeshRows& message)
     {
         std::size_t bytes = 0;
         for (const MeshRow& row : message.rows)
-            bytes += row.value.size();
+            bytes += row.size();
         return bytes;
     }
 
+    // The oldest version of the configuration that a peer has reported and from which a difference can be made. All
+    // peers with a newer one have had it, unless they have started since.
+    RowVersion oldestKnownConfiguration() const
+    {
+        RowVersion oldest = configurationWatch_.replica().newestRow();
+        for (const auto& [peer, state] : peers_) {
+            const RowVersion version = state.status.configurationRow;
+            if (version < oldest && configurationHistory_.contains(Platform::configurationKey, version))
+                oldest = version;
+        }
+        return oldest;
+    }
+
+    void sendRows(const InstanceId& peer, const MeshStatus& status)
+    {
+        const RowVersion configuration = status.configurationRow;
+        const RowReplica& replica = configurationWatch_.replica();
+        if (configuration < replica.version())
+            sendRows(peer, configurationMessage(replica.changedSince(configuration), configuration, configuration));
+        const RowVersion targets = status.targetRows;
+        if (!status.readsPlatform && targets < targetWatch_.replica().version())
+            sendRows(peer,
+                MeshRows{Platform::targetTable, targets, targetWatch_.replica().version(),
+                    toMessage(targetWatch_.replica().changedSince(targets))});
+    }
+
+    void sendRows(const InstanceId& peer, const MeshRows& message)
+    {
+        const absl::Status sent = mesh_->send(peer, message);
+        controlLog.debug("peer={} table={} since={} bytes={} sent={}", peer, message.table, message.since,
+            sizeOf(message), sent.ok());
+    }
+
     void handle(const InstanceId& peer, const MeshRows& message)
     {
-        RowPage page{fromMessage(message.rows), message.version};
         // Targets change many times a second.
         if (message.table == Platform::configurationTable && !message.rows.empty()) {
             controlLog.info("peer={} table={} rows={} bytes={} since={} version={} received", peer, message.table,
                 message.rows.size(), sizeOf(message), message.since, message.version);
         }
+        RowPage page{{}, message.version};
+        RowVersion since = message.since;
+        for (const MeshRow& row : message.rows) {
+            if (auto decoded = configurationHistory_.decode(row))
+                page.rows.push_back(*std::move(decoded));
+            else
+                // A row is missing, so the rows are complete up to no later version than before.
+                since = message.version;
+        }
         if (message.table == Platform::targetTable)
-            targetWatch_.applyFromPeer(message.since, std::move(page));
+            targetWatch_.applyFromPeer(since, std::move(page));
         else if (message.table == Platform::configurationTable)
-            configurationWatch_.applyFromPeer(message.since, std::move(page));
+            configurationWatch_.applyFromPeer(since, std::move(page));
     }
 
     void handle(const InstanceId& peer, const MeshHoldings& message)
@@ -750,6 +813,7 @@
     StoreAvailability availability_;
     TableWatch<typename Platform::Store> configurationWatch_;
     TableWatch<typename Platform::Store> targetWatch_;
+    RowHistory configurationHistory_;
     TargetList targets_;
     AnnouncedHoldings announcedHoldings_;
     // A fiber waits to announce the collected holdings.
--- a/src/gateway/MeshMessages.cpp
+++ b/src/gateway/MeshMessages.cpp
@@ -144,15 +144,6 @@
     return message;
 }
 
-std::vector<StoredRow> fromMessage(const std::vector<MeshRow>& rows)
-{
-    std::vector<StoredRow> result;
-    result.reserve(rows.size());
-    for (const MeshRow& row : rows)
-        result.push_back({row.key, row.version, row.removed, row.value});
-    return result;
-}
-
 std::vector<MeshWork> toMessage(const std::vector<fleet::TargetWorkReport>& shares)
 {
     std::vector<MeshWork> work;
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -9,6 +9,7 @@
 #include "fleet/TargetRegistry.h"
 #include "gateway/RowStore.h"
 #include "protocol/Ids.h"
+#include "protocol/TextDifference.h"
 
 #include <absl/status/statusor.h>
 
@@ -20,7 +21,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 5;
+inline constexpr std::uint64_t meshProtocolVersion = 6;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -126,14 +127,20 @@
     }
 };
 
-// A row of one of the platform's tables.
+// A row of one of the platform's tables, as its value or as the difference from an earlier one.
 struct MeshRow {
     std::string key;
     RowVersion version;
     bool removed = false;
     std::string value;
+    // The version of the row from which `difference` is; zero when `value` is the whole value.
+    RowVersion base;
+    TextDifference difference;
 
-    auto fields() { return std::tie(key, version, removed, value); }
+    // Roughly the bytes of the encoded row.
+    std::size_t size() const { return key.size() + value.size() + difference.size(); }
+
+    auto fields() { return std::tie(key, version, removed, value, base, difference); }
 };
 
 // Rows of one table that have changed after version `since`, up to and including `version`.
@@ -340,8 +347,6 @@
 
 std::vector<MeshRow> toMessage(const std::vector<StoredRow>& rows);
 
-std::vector<StoredRow> fromMessage(const std::vector<MeshRow>& rows);
-
 std::vector<MeshWork> toMessage(const std::vector<fleet::TargetWorkReport>& shares);
 
 std::vector<fleet::TargetWorkReport> fromMessage(const std::vector<MeshWork>& work);
--- a/src/gateway/RowSenders.cpp
+++ b/src/gateway/RowSenders.cpp
@@ -10,8 +10,11 @@
 // still behind.
 constexpr int sendersPerReport = 2;
 
+// Instances that pass a change on to one that cannot read it. Some of them may be unable to reach it.
+constexpr int sendersPerChange = 3;
+
 // The size of all copies of a change that one instance sends. A slow link carries it within a second.
-constexpr std::size_t maxBytesToAll = std::size_t{1} << 20;
+constexpr std::size_t maxForwardedBytes = std::size_t{1} << 20;
 
 } // namespace
 
@@ -31,12 +34,18 @@
     return preferred < sendersPerReport * (1 + reportsBehind);
 }
 
-bool mayForwardToAll(std::span<const StoredRow> rows, std::size_t peers)
+bool passesChangeOnTo(const InstanceId& receiver, const InstanceId& self, std::span<const InstanceId> readers)
+{
+    const std::uint64_t ownWeight = rendezvousWeight(self.value(), receiver.value());
+    const auto preferred = std::count_if(readers.begin(), readers.end(), [&](const InstanceId& reader) {
+        return reader != self && rendezvousWeight(reader.value(), receiver.value()) > ownWeight;
+    });
+    return preferred < sendersPerChange;
+}
+
+bool mayForwardTo(std::size_t receivers, std::size_t messageBytes)
 {
-    std::size_t bytes = 0;
-    for (const StoredRow& row : rows)
-        bytes += row.key.size() + row.value.size();
-    return bytes * peers <= maxBytesToAll;
+    return messageBytes * receivers <= maxForwardedBytes;
 }
 
 } // namespace lychee::gateway
--- a/src/gateway/RowSenders.h
+++ b/src/gateway/RowSenders.h
@@ -30,9 +30,13 @@
 bool sendsRowsTo(const ReplicaVersions& receiver, const ReplicaVersions& self, std::span<const ReplicaVersions> peers,
     int reportsBehind);
 
-// Whether changed rows of the configuration are small enough for one instance to send them to all others. Larger ones
-// would hold up its connections for seconds, with all messages behind them. Each peer has a read of the configuration
-// of its own open, and gets the rows from a few others when it says that it cannot read.
-bool mayForwardToAll(std::span<const StoredRow> rows, std::size_t peers);
+// Whether `self` is one of the few instances that send a change that they have read to `receiver`, which cannot read
+// the platform itself. `readers` are the instances that can, `self` included. Needs no report of the receiver, so that
+// the change arrives as soon as the first of them has read it.
+bool passesChangeOnTo(const InstanceId& receiver, const InstanceId& self, std::span<const InstanceId> readers);
+
+// Whether a message with changed rows is small enough for one instance to send it to this many others. A larger one
+// would hold up its connections for seconds, with all messages behind it.
+bool mayForwardTo(std::size_t receivers, std::size_t messageBytes);
 
 } // namespace lychee::gateway
--- a/tests/gateway/RowSendersTest.cpp
+++ b/tests/gateway/RowSendersTest.cpp
@@ -68,12 +68,24 @@
 {
     constexpr std::size_t largeBytes = 300'000;
     constexpr std::size_t smallBytes = 10'000;
-    const std::vector<StoredRow> large{{"config", RowVersion(1), false, std::string(largeBytes, 'x')}};
-    const std::vector<StoredRow> small{{"config", RowVersion(1), false, std::string(smallBytes, 'x')}};
-    EXPECT_FALSE(mayForwardToAll(large, 84));
-    EXPECT_TRUE(mayForwardToAll(large, 2));
-    EXPECT_TRUE(mayForwardToAll(small, 84));
-    EXPECT_TRUE(mayForwardToAll({}, 1799));
+    EXPECT_FALSE(mayForwardTo(84, largeBytes));
+    EXPECT_TRUE(mayForwardTo(2, largeBytes));
+    EXPECT_TRUE(mayForwardTo(84, smallBytes));
+    EXPECT_TRUE(mayForwardTo(1799, 0));
+}
+
+// Guards against an instance without access to the store that gets a change only after its next report, and against all
+// others sending the change to it.
+TEST(RowSenders, AFewPassAChangeOnToAnInstanceThatCannotRead)
+{
+    std::vector<InstanceId> readers;
+    for (int i = 0; i < 80; ++i)
+        readers.emplace_back(fmt::format("front-{}", i));
+    const InstanceId receiver("front-99");
+    EXPECT_EQ(std::count_if(readers.begin(), readers.end(),
+                  [&](const InstanceId& self) { return passesChangeOnTo(receiver, self, readers); }),
+        3);
+    EXPECT_TRUE(passesChangeOnTo(receiver, readers[0], std::vector<InstanceId>{readers[0]}));
 }
 
 } // namespace
