Do not deny a route while a newer configuration is on its way

Cause: a request that matches no route was answered 404 whatever the instance knew of the age of its configuration. Callers never repeat a request after 404, so a belief was stated as a fact.

Change: while a peer reports a newer configuration than this instance has, such a request is refused with 503 and Retry-After 0.3 s, which is true: it has not run.

RelayTest.AnUnknownRouteIsNotDeniedWhileTheConfigurationIsOutdated needs the new input; without the change the answer is 404 always.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -152,6 +152,9 @@
     // Whether requests can be served. Thread-safe.
     bool isReady() const { return ready_.load(); }
 
+    // Whether a peer has a newer configuration than this instance. Thread-safe.
+    bool isConfigurationOutdated() const { return configurationOutdated_.load(); }
+
     // Tells the peers that this instance leaves, and releases the lease. Suspends the fiber.
     void leave()
     {
@@ -371,6 +374,7 @@
             controlLog.info("configuration version={} row={} routes={} services={} in force", (*table)->version(),
                 row.version, (*table)->routes().size(), (*table)->services().size());
             routes_->publish(*table);
+            reviewConfigurationAge();
             versions_.configurationChanged(**table);
             relay_.configurationChanged(**table);
         }
@@ -510,6 +514,8 @@
     void lost(const InstanceId& peer)
     {
         peers_.erase(peer);
+        if (configurationOutdated_.load())
+            reviewConfigurationAge();
         ownerContact_.lost(peer);
         grants_.lost(peer);
         relay_.peerLost(peer);
@@ -540,6 +546,8 @@
         state.status = status;
         state.heardAt = currentTime();
         availability_.peerReached(fromMilliseconds(status.storeReachedMs), currentTime());
+        if (configurationOutdated_.load() || status.configurationRow > configurationWatch_.replica().newestRow())
+            reviewConfigurationAge();
         relay_.peerUpdated(peer, fromMessage(status.work), fromMessage(status.customerUse));
         if (peer == lease_.lease().holder())
             lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
@@ -628,6 +636,13 @@
         });
     }
 
+    void reviewConfigurationAge()
+    {
+        const RowVersion own = configurationWatch_.replica().newestRow();
+        configurationOutdated_.store(std::any_of(
+            peers_.begin(), peers_.end(), [&](const auto& peer) { return peer.second.status.configurationRow > own; }));
+    }
+
     // The lease holder forwards changes to all peers, so that not every instance has to read them from the platform.
     void forwardTargets(RowVersion since, const std::vector<StoredRow>& changed)
     {
@@ -831,6 +846,7 @@
     std::map<std::uint64_t, PendingCall*> pendingCalls_;
     std::uint64_t lastCall_ = 0;
     std::atomic<bool> ready_{false};
+    std::atomic<bool> configurationOutdated_{false};
 };
 
 } // namespace lychee::gateway
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -121,6 +121,7 @@
         context_.findOrigin = [this](const ServiceId& service, const RequestId& attempt, TimePoint deadline) {
             return findOrigin(service, attempt, deadline);
         };
+        context_.isConfigurationOutdated = [this] { return control_->isConfigurationOutdated(); };
         context_.configurationIsConfirmed = [this] { return confirmation_.acceptsKeys(); };
         context_.crashes.setOutputs({[this](const std::vector<fleet::CrashSuspect>& suspects) {
                                          postToControl([this, suspects] { control_->announce(suspects); });
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -59,6 +59,8 @@
     // Whether the placement owner is known and can be reached; without it no models or adapters are loaded. Set by the
     // control duty, which hears the owner.
     bool placementReached = false;
+    // Whether a peer has a newer configuration than this instance. Thread-safe.
+    std::function<bool()> isConfigurationOutdated = [] { return false; };
     // Whether the configuration is known to be recent enough to accept keys of customers.
     std::function<bool()> configurationIsConfirmed = [] { return true; };
     // From this time on, requests are answered without waiting for a target, because the process is about to end.
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -67,6 +67,8 @@
     // Retry-After of requests that arrive before the instance has a configuration, or whose service is missing from it.
     // A new instance reads the configuration in less time.
     static constexpr Duration noConfigurationRetryAfter = std::chrono::milliseconds(500);
+    // Retry-After of requests without a route while a newer configuration is on its way from a peer.
+    static constexpr Duration outdatedConfigurationRetryAfter = std::chrono::milliseconds(300);
     // Time in which the platform has to tell which software version began a stream, and Retry-After when it does not.
     static constexpr Duration originTimeout = std::chrono::milliseconds(800);
     static constexpr Duration originRetryAfter = std::chrono::milliseconds(500);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -78,7 +78,11 @@
         }
         route_ = table_->match(caller_.host, exchange_.request().path());
         if (!route_) {
-            reject(404, "no route matches the host and path of the request");
+            // The newer configuration may have the route.
+            if (context_.isConfigurationOutdated())
+                refuse("a newer configuration is on its way", RelayLimits::outdatedConfigurationRetryAfter);
+            else
+                reject(404, "no route matches the host and path of the request");
             return false;
         }
         if (!authorize() || !takeFromLimit())
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -23,6 +23,22 @@
     EXPECT_LE(std::stoi(std::string(*sent.headers.find("X-Deadline-Ms"))), 1000);
 }
 
+// Guards against a caller that is told that its route does not exist by an instance that knows that it has an old
+// configuration.
+TEST_F(RelayTest, AnUnknownRouteIsNotDeniedWhileTheConfigurationIsOutdated)
+{
+    std::atomic<bool> outdated{true};
+    context_.isConfigurationOutdated = [&] { return outdated.load(); };
+    addTarget(plainService, answerWhole);
+    start();
+    const auto early = client().send(request("/added/x"));
+    ASSERT_TRUE(early.ok()) << early.status();
+    EXPECT_EQ(early->status, 503);
+    EXPECT_TRUE(early->headers.find("Retry-After").has_value());
+    outdated = false;
+    EXPECT_EQ(client().send(request("/added/x"))->status, 404);
+}
+
 // Guards against a non-idempotent request that is sent twice, and against one that is reported as not run after it was
 // sent. Both targets close the connection without an answer.
 TEST_F(RelayTest, NonIdempotentRequestIsSentOnlyOnce)
