Choose the senders of a change among all instances that may have it

Cause: each instance counted only those peers as possible senders of a newer row that had already reported it. In the first second after a change nobody has, so every instance sent the whole row to each instance whose report came in.

Change: peers that read the platform count as possible senders too. A change that is larger than 32 KB is sent to an instance that cannot read only when it has reported that it lacks it, so by two others at first.

RowSenders.InstancesThatReadTheSameChangeDoNotAllSendIt counts 79 senders without the change, and 2 with it.

--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -583,7 +583,7 @@
 
     static ReplicaVersions replicaVersionsOf(const InstanceId& instance, const MeshStatus& status)
     {
-        return {instance, status.configurationRow, status.targetRows};
+        return {instance, status.configurationRow, status.targetRows, status.readsPlatform};
     }
 
     ReplicaVersions ownReplicaVersions() const
@@ -674,7 +674,7 @@
             receivers, [&](const InstanceId& receiver) { return !passesChangeOnTo(receiver, options_.self, readers); });
         for (const InstanceId& receiver : receivers) {
             const MeshRows message = configurationMessage(changed, since, peers_.at(receiver).status.configurationRow);
-            if (mayForwardTo(receivers.size(), sizeOf(message)))
+            if (mayPassChangeOn(sizeOf(message)))
                 mesh_->send(receiver, message).IgnoreError();
         }
     }
--- a/src/gateway/RowSenders.cpp
+++ b/src/gateway/RowSenders.cpp
@@ -13,6 +13,9 @@
 // Instances that pass a change on to one that cannot read it. Some of them may be unable to reach it.
 constexpr int sendersPerChange = 3;
 
+// The largest change that is sent to an instance by several others before it asks for it.
+constexpr std::size_t maxPassedBytes = std::size_t{1} << 15;
+
 // The size of all copies of a change that one instance sends. A slow link carries it within a second.
 constexpr std::size_t maxForwardedBytes = std::size_t{1} << 20;
 
@@ -27,7 +30,7 @@
     const std::uint64_t ownWeight = rendezvousWeight(self.instance.value(), key);
     int preferred = 0;
     for (const ReplicaVersions& peer : peers) {
-        if (peer.instance != receiver.instance && peer.isAheadOf(receiver)
+        if (peer.instance != receiver.instance && (peer.isAheadOf(receiver) || peer.readsPlatform)
             && rendezvousWeight(peer.instance.value(), key) > ownWeight)
             ++preferred;
     }
@@ -43,6 +46,8 @@
     return preferred < sendersPerChange;
 }
 
+bool mayPassChangeOn(std::size_t messageBytes) { return messageBytes <= maxPassedBytes; }
+
 bool mayForwardTo(std::size_t receivers, std::size_t messageBytes)
 {
     return messageBytes * receivers <= maxForwardedBytes;
--- a/tests/gateway/RowSendersTest.cpp
+++ b/tests/gateway/RowSendersTest.cpp
@@ -50,6 +50,25 @@
     EXPECT_EQ(sendersTo(all[7], all, 100), 79);
 }
 
+// Guards against all instances sending a change that they have just read to one that lacks it, because none has told
+// the others yet that it has the change.
+TEST(RowSenders, InstancesThatReadTheSameChangeDoNotAllSendIt)
+{
+    std::vector<ReplicaVersions> all = instances(80, newest - 1);
+    for (ReplicaVersions& instance : all)
+        instance.readsPlatform = true;
+    all[7].readsPlatform = false;
+    int senders = 0;
+    for (const ReplicaVersions& known : all) {
+        const ReplicaVersions self{known.instance, RowVersion(newest), RowVersion(newest), true};
+        std::vector<ReplicaVersions> peers;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(peers),
+            [&](const ReplicaVersions& peer) { return peer.instance != self.instance; });
+        senders += self.instance != all[7].instance && sendsRowsTo(all[7], self, peers, 0) ? 1 : 0;
+    }
+    EXPECT_EQ(senders, 2);
+}
+
 // Guards against rows that no instance sends because the chosen senders do not have newer rows themselves.
 TEST(RowSenders, OnlyInstancesWithNewerRowsSend)
 {
