Reach targets through tunnels of peers while the own links are lost

Cause: an instance had no way to a target but its own. Each request tried up to five targets, 250 ms each, and nothing concluded from it that the instance had lost its links and not the targets. The class is a failure of this process that is taken for one of everything around it.

Change: the connections to targets are opened by a TargetDialer. The relay is the same as before: what may be sent again, identity, limits, streams and cancellation do not know of the way. Tunnels lead to listed targets only, from peers only, and never to another tunnel. The crash watch asks on the same ways, so that a lost link is not reported as a crash; a lease holder that reaches no target gives the lease up.

--- a/src/fleet/PlacementLease.cpp
+++ b/src/fleet/PlacementLease.cpp
@@ -34,14 +34,14 @@
     }
     const Duration sinceLastCall = now - lastCallAt_;
     if (isHolder()) {
-        if (releasing_)
+        if (givesUp())
             return LeaseStep::Write;
         return sinceLastCall >= options_.renewInterval ? LeaseStep::Write : LeaseStep::Wait;
     }
     if (releasing_)
         return LeaseStep::Wait;
     const bool heard = heardFromHolderRecently(now);
-    if (!heard && mayAcquire())
+    if (!heard && isCandidate_ && mayAcquire())
         return LeaseStep::Write;
     const Duration interval = heard ? options_.idleReadInterval : options_.urgentReadInterval;
     return sinceLastCall >= interval ? LeaseStep::Read : LeaseStep::Wait;
@@ -66,7 +66,7 @@
 
 LeaseRow PlacementLease::row() const
 {
-    if (releasing_)
+    if (givesUp() && isHolder())
         return {InstanceId(), fence()};
     if (isHolder())
         return {self_, fence()};
@@ -143,7 +143,7 @@
 
 bool PlacementLease::maySendOrders(TimePoint now) const
 {
-    return isHolder() && !releasing_ && now >= ordersFrom_ && now < ordersUntil_;
+    return isHolder() && !givesUp() && now >= ordersFrom_ && now < ordersUntil_;
 }
 
 } // namespace lychee::fleet
--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -92,7 +92,7 @@
     bool maySendOrders(TimePoint now) const;
 
     // Whether this instance is the holder and its last confirmed renewal is recent enough for it to send orders.
-    bool isRenewing(TimePoint now) const { return isHolder() && !releasing_ && now < ordersUntil_; }
+    bool isRenewing(TimePoint now) const { return isHolder() && !givesUp() && now < ordersUntil_; }
 
     bool isHolder() const { return row_ && row_->holder == self_; }
 
@@ -104,10 +104,14 @@
     // Stops sending orders at once; the next step writes a row without a holder.
     void release() { releasing_ = true; }
 
+    // Sets whether this instance may hold the lease. One that may not releases it, and takes it no more.
+    void setCandidate(bool isCandidate) { isCandidate_ = isCandidate; }
+
     // Whether the released row is in the table, or this instance was not the holder.
     bool isReleased() const { return !isHolder(); }
 
 private:
+    bool givesUp() const { return releasing_ || !isCandidate_; }
     bool mayAcquire() const;
     FencingNumber nextFence() const;
     Duration acquireDelay() const { return options_.acquireDelay + options_.smallMachineDelay; }
@@ -131,6 +135,7 @@
     TimePoint ordersUntil_;
     bool lastCallFailed_ = false;
     bool releasing_ = false;
+    bool isCandidate_ = true;
 };
 
 } // namespace lychee::fleet
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -572,6 +572,12 @@
     return found->second;
 }
 
+bool TargetRegistry::isListed(const Endpoint& endpoint) const
+{
+    return std::any_of(
+        targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second->record.endpoint == endpoint; });
+}
+
 void TargetRegistry::rebuildServices()
 {
     byService_.clear();
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -225,6 +225,9 @@
     // Returns the targets of a service.
     std::span<TargetState* const> ofService(const ServiceId& service) const;
 
+    // Whether a listed target has this endpoint.
+    bool isListed(const Endpoint& endpoint) const;
+
     std::size_t size() const { return targets_.size(); }
 
 private:
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -15,6 +15,7 @@
 #include "gateway/RowSenders.h"
 #include "gateway/StreamVersions.h"
 #include "gateway/TableWatch.h"
+#include "gateway/TargetDialer.h"
 #include "gateway/TargetList.h"
 #include "transport/Published.h"
 
@@ -32,6 +33,9 @@
     std::function<void(const InstanceId&, std::vector<fleet::TargetWorkReport>, std::vector<fleet::CustomerUse>)>
         peerUpdated;
     std::function<void(const InstanceId&)> peerLost;
+    // A peer opens tunnels, or does not any more.
+    std::function<void(const InstanceId&, TunnelPeer)> tunnelPeerUpdated;
+    std::function<void(const InstanceId&)> tunnelPeerLost;
     // The number of instances in the table of instances, this one included.
     std::function<void(std::size_t)> instancesListed;
     // Whether the placement owner is connected and available, and how many instances share the retry budget.
@@ -80,6 +84,10 @@
     // The configured id, which stays the same when the process restarts; `self` does not.
     std::string configuredId;
     Endpoint peerEndpoint;
+    std::uint16_t tunnelPort = 0;
+    std::string dataCentre;
+    // The part of a processor that this instance has.
+    double capacity = 0;
     Endpoint store;
     fleet::PlacementLeaseOptions lease;
 };
@@ -120,10 +128,12 @@
     absl::Status start()
     {
         confirmation_.setHandlers(confirmationHandlers());
-        MeshHandlers handlers{[this](const InstanceId& peer) { joined(peer); },
+        MeshHandlers handlers{[this](const MeshHello& hello) { joined(hello); },
             [this](const InstanceId& peer, const MeshMessage& message) { received(peer, message); },
             [this](const InstanceId& peer) { lost(peer); }};
-        auto mesh = Mesh::start(duty_, {options_.self, options_.peerEndpoint}, std::move(handlers));
+        auto mesh = Mesh::start(duty_,
+            {options_.self, options_.peerEndpoint, options_.tunnelPort, options_.dataCentre, options_.capacity},
+            std::move(handlers));
         if (!mesh.ok())
             return mesh.status();
         mesh_ = *std::move(mesh);
@@ -173,6 +183,16 @@
         mesh_->broadcast(MeshTraitsCleared{traits});
     }
 
+    // Records whether this instance reaches targets. Its orders would not arrive while it does not, so that it leaves
+    // placement to others.
+    void setReachesTargets(bool reaches)
+    {
+        reachesTargets_ = reaches;
+        lease_.lease().setCandidate(reaches);
+        status_.reachesTargets = reaches;
+        mesh_->broadcast(status_);
+    }
+
     // Records for other instances at which software version streams have begun.
     void recordOrigins(std::vector<fleet::StreamOrigin> origins) { versions_.record(std::move(origins)); }
 
@@ -234,6 +254,7 @@
         int reportsBehind = 0;
         // The version of its configuration according to the report before.
         RowVersion configurationBefore;
+        TunnelPeer tunnel;
     };
 
     TargetList::Handlers targetHandlers()
@@ -430,6 +451,7 @@
             status.targetRows = targetWatch_.replica().version();
             status.holdsLease = lease_.isRenewing();
             status.storeReachedMs = toMilliseconds(availability_.reachedFor(now));
+            status.reachesTargets = reachesTargets_;
             for (const MeshAdapterUse& use : status.uses)
                 owner_.dispatcher().recordUse(use.target, use.model, use.adapter);
             status_ = std::move(status);
@@ -488,8 +510,11 @@
         return demand;
     }
 
-    void joined(const InstanceId& peer)
+    void joined(const MeshHello& hello)
     {
+        const InstanceId& peer = hello.instance;
+        peers_[peer].tunnel
+            = {{hello.address, hello.tunnelPort}, DataCentreId(hello.dataCentre), hello.capacity, 0, false};
         ownerContact_.heard(peer, currentTime());
         if (lease_.lease().holder() == peer)
             reportConnectivity();
@@ -519,6 +544,7 @@
         ownerContact_.lost(peer);
         grants_.lost(peer);
         relay_.peerLost(peer);
+        relay_.tunnelPeerLost(peer);
         if (lease_.lease().holder() == peer) {
             lease_.lease().holderDisconnected();
             reportConnectivity();
@@ -549,6 +575,11 @@
         if (configurationOutdated_.load() || status.configurationRow > configurationWatch_.replica().newestRow())
             reviewConfigurationAge();
         relay_.peerUpdated(peer, fromMessage(status.work), fromMessage(status.customerUse));
+        state.tunnel.running = 0;
+        for (const MeshWork& work : status.work)
+            state.tunnel.running += work.running;
+        state.tunnel.reachesTargets = status.reachesTargets;
+        relay_.tunnelPeerUpdated(peer, state.tunnel);
         if (peer == lease_.lease().holder())
             lease_.lease().heardFromHolder(LeaseManager<typename Platform::Store>::leaseTime(), status.holdsLease);
         for (const MeshAdapterUse& use : status.uses)
@@ -813,6 +844,7 @@
     void handle(const InstanceId& peer, const MeshLeaving&)
     {
         controlLog.info("peer={} state=leaving", peer);
+        relay_.tunnelPeerLost(peer);
         if (lease_.lease().holder() == peer)
             lease_.lease().holderDisconnected();
     }
@@ -845,6 +877,7 @@
     MeshStatus status_;
     std::map<std::uint64_t, PendingCall*> pendingCalls_;
     std::uint64_t lastCall_ = 0;
+    bool reachesTargets_ = true;
     std::atomic<bool> ready_{false};
     std::atomic<bool> configurationOutdated_{false};
 };
--- a/src/gateway/CrashWatch.cpp
+++ b/src/gateway/CrashWatch.cpp
@@ -16,21 +16,28 @@
 constexpr int maxProbes = 2;
 constexpr Duration probeInterval = std::chrono::milliseconds(20);
 
+} // namespace
+
+CrashWatch::CrashWatch()
+    : connect_([](const Endpoint& endpoint) {
+        return connectSocket(endpoint.address, endpoint.port, currentTime() + probeTimeout).status();
+    })
+{
+}
+
 // A process that has crashed refuses connections. One that has lost a single connection accepts the next.
-bool refusesConnections(const Endpoint& endpoint)
+bool CrashWatch::refusesConnections(const Endpoint& endpoint) const
 {
     for (int probe = 0; probe < maxProbes; ++probe) {
         if (probe > 0)
             sleepFor(probeInterval);
-        const auto socket = connectSocket(endpoint.address, endpoint.port, currentTime() + probeTimeout);
-        if (!socket.ok())
-            return errorOf<TransportError>(socket.status()) == TransportError::ConnectFailed;
+        const absl::Status status = connect_(endpoint);
+        if (!status.ok())
+            return errorOf<TransportError>(status) == TransportError::ConnectFailed;
     }
     return false;
 }
 
-} // namespace
-
 bool CrashWatch::connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run)
 {
     const fleet::CrashSuspect suspect{
--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -34,6 +34,12 @@
 // Accessed on the relay duty only.
 class CrashWatch {
 public:
+    CrashWatch();
+
+    // Sets how it is found out whether a target accepts connections. `connect` fails with TransportError::ConnectFailed
+    // only when the target refuses them, whichever instance asks.
+    void setConnect(std::function<absl::Status(const Endpoint&)> connect) { connect_ = std::move(connect); }
+
     void setOutputs(CrashWatchOutputs outputs) { outputs_ = std::move(outputs); }
 
     // Whether nothing is suspected or blocked, so that the traits of requests need not be computed.
@@ -77,6 +83,7 @@
         std::shared_ptr<bool> crashed = std::make_shared<bool>(false);
     };
 
+    bool refusesConnections(const Endpoint& endpoint) const;
     bool probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
     void recordOwn(const std::vector<fleet::CrashSuspect>& suspects);
     void record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation);
@@ -84,6 +91,7 @@
     fleet::CrashAttribution attribution_;
     std::map<fleet::TargetCrash, Probe> probes_;
     CrashWatchOutputs outputs_;
+    std::function<absl::Status(const Endpoint&)> connect_;
 };
 
 } // namespace lychee::gateway
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/RequestRelay.h"
 #include "protocol/Digest.h"
 #include "transport/HttpServer.h"
+#include "transport/Tunnel.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -24,6 +25,8 @@
 struct GatewayLimits {
     // Tasks that may be queued for one duty, and that may run on it at the same time.
     static constexpr std::size_t inboxCapacity = 16384;
+    // Time to find out whether a target accepts connections.
+    static constexpr Duration crashProbeTime = std::chrono::milliseconds(150);
     // How often a stopping instance checks whether its requests have finished.
     static constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
     // How long the load balancer keeps sending new connections to an instance that is no longer ready: it checks every
@@ -102,6 +105,14 @@
         controlInbox_ = Inbox::create(*controlDuty_, GatewayLimits::inboxCapacity);
         metricsSink_ = std::make_unique<MetricsSink>(*metricsDuty_);
         context_.dataCentre = DataCentreId(settings_->instance.dataCentre());
+        context_.dialer.setOptions(context_.dataCentre, std::hash<std::string>()(self_.value()));
+        context_.dialer.setDetachedHandler(
+            [this](bool detached) { postToControl([this, detached] { control_->setReachesTargets(!detached); }); });
+        context_.crashes.setConnect([this](const Endpoint& target) {
+            return context_.dialer
+                .open(target, GatewayLimits::crashProbeTime, currentTime() + GatewayLimits::crashProbeTime)
+                .status();
+        });
         context_.routes = routes_;
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
@@ -150,6 +161,11 @@
         controlDuty_->run([this] { watchSignals(); });
         control_ = std::make_unique<ControlPlane<Platform>>(
             *controlDuty_, controlOptions(), routes_, relayCallbacks(), confirmation_);
+        auto tunnels = TunnelServer::listen(
+            *relayDuty_, {settings_->peers.address(), tunnelPortOf(*settings_)}, tunnelOptions());
+        if (!tunnels.ok())
+            return tunnels.status();
+        tunnels_ = *std::move(tunnels);
         auto callers = HttpServer::listen(*relayDuty_, settings_->callers.endpoint(), serverOptions({}),
             [this](HttpExchange& exchange) { RelayedRequest<typename Platform::Dialect>(context_, exchange).run(); });
         if (!callers.ok())
@@ -184,8 +200,14 @@
 
     ControlOptions controlOptions() const
     {
-        ControlOptions options{self_, settings_->instance.id(), {settings_->peers.address(), settings_->peers.port()},
-            settings_->platform.endpoint(), {}};
+        ControlOptions options;
+        options.self = self_;
+        options.configuredId = settings_->instance.id();
+        options.peerEndpoint = {settings_->peers.address(), settings_->peers.port()};
+        options.store = settings_->platform.endpoint();
+        options.tunnelPort = tunnelPortOf(*settings_);
+        options.dataCentre = settings_->instance.dataCentre();
+        options.capacity = processorShare(*settings_);
         options.lease.lease = settings_->placement.lease();
         // Instances wait for different times after the lease has expired, so that they try to take it one after
         // another.
@@ -195,6 +217,27 @@
         return options;
     }
 
+    static std::uint16_t tunnelPortOf(const GatewaySettings& settings)
+    {
+        const std::uint16_t configured = settings.peers.tunnelPort();
+        return configured != 0 ? configured : static_cast<std::uint16_t>(settings.peers.port() + 1);
+    }
+
+    // Tunnels lead to listed targets only, and are opened for peers while this instance reaches targets itself.
+    TunnelServerOptions tunnelOptions()
+    {
+        TunnelServerOptions options;
+        options.buffers = RelayLimits::targetBuffers;
+        options.mayOpen = [this](const std::string& address, const Endpoint& target) {
+            return !context_.dialer.isDetached() && context_.dialer.isPeer(address)
+                && context_.registry.isListed(target);
+        };
+        options.connect = [this](const Endpoint& target, TimePoint deadline) {
+            return context_.dialer.connectDirectly(target, deadline);
+        };
+        return options;
+    }
+
     RelayCallbacks relayCallbacks()
     {
         RelayCallbacks port;
@@ -203,8 +246,10 @@
         };
         port.targetRemoved = [this](const TargetId& target) {
             postToRelay([this, target] {
-                if (const fleet::TargetState* state = context_.registry.find(target))
+                if (const fleet::TargetState* state = context_.registry.find(target)) {
                     context_.http.forget(state->record.endpoint);
+                    context_.dialer.forget(state->record.endpoint);
+                }
                 context_.registry.remove(target);
             });
         };
@@ -227,6 +272,11 @@
                 context_.limits.peerLost(peer);
             });
         };
+        port.tunnelPeerUpdated = [this](const InstanceId& peer, const TunnelPeer& update) {
+            postToRelay([this, peer, update] { context_.dialer.peerUpdated(peer, update); });
+        };
+        port.tunnelPeerLost
+            = [this](const InstanceId& peer) { postToRelay([this, peer] { context_.dialer.peerLost(peer); }); };
         port.instancesListed
             = [this](std::size_t listed) { postToRelay([this, listed] { context_.limits.listedUpdated(listed); }); };
         port.connectivityUpdated = [this](bool placementReached, std::size_t instances) {
@@ -393,7 +443,7 @@
     void answerMetrics(HttpExchange& exchange)
     {
         std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
-            {"instances", static_cast<double>(instances_)},
+            {"instances", static_cast<double>(instances_)}, {"tunnels", static_cast<double>(tunnels_->active())},
             {"log_lines_dropped", static_cast<double>(droppedLogLines())}};
         if (const std::optional<Duration> age = confirmation_.age())
             gauges.push_back({"configuration_age_seconds", std::chrono::duration<double>(*age).count()});
@@ -454,6 +504,7 @@
         const TimePoint limit = began + grace - GatewayLimits::closeTimeReserve;
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
+        tunnels_->declineAll();
         const TimePoint lastAnswersAt = limit - GatewayLimits::lastAnswerReserve;
         postToRelay([this, lastAnswersAt] { context_.stopsAt = lastAnswersAt; });
         control_->leave();
@@ -464,7 +515,7 @@
             sleepFor(GatewayLimits::drainPollInterval);
             if (currentTime() >= lastAnswersAt)
                 postToRelay([this] { context_.endWaits(); });
-        } while (currentTime() < limit && callers_->activeExchanges() > 0);
+        } while (currentTime() < limit && callers_->activeExchanges() + tunnels_->active() > 0);
         const std::size_t left = callers_->activeExchanges();
         gatewayLog.info("instance={} stopped cut_off={}", self_, left);
         // Lets the answers that were just written be sent before the process ends.
@@ -493,6 +544,7 @@
     RelayContext context_;
     PaceReview paceReview_;
     std::unique_ptr<ControlPlane<Platform>> control_;
+    std::unique_ptr<TunnelServer> tunnels_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> metrics_;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -48,6 +48,11 @@
     : SettingSection(sections, "peers", "Connections to other instances.")
     , address(*this, {"address", std::nullopt, "", "Address to listen on and to announce to peers."})
     , port(*this, {"port", std::nullopt, "", "Port to listen on."}, anyPort)
+    , tunnelPort(*this,
+          {"tunnel_port", "0", "",
+              "Port on which peers that have lost their links to targets have connections to them opened. 0 takes the "
+              "port after `port`."},
+          anyPort)
 {
 }
 
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -43,6 +43,7 @@
 
         AddressSetting address;
         PortSetting port;
+        PortSetting tunnelPort;
     } peers{sections_};
 
     struct MetricsSection : SettingSection {
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -122,8 +122,8 @@
 
 void Mesh::serve(const std::shared_ptr<FrameConnection>& connection, Direction direction)
 {
-    const absl::Status sent
-        = connection->send(encodeMeshMessage(MeshHello{options_.self, options_.listen.address, options_.listen.port}));
+    const absl::Status sent = connection->send(encodeMeshMessage(MeshHello{options_.self, options_.listen.address,
+        options_.listen.port, options_.tunnelPort, options_.dataCentre, options_.capacity}));
     const auto payload = connection->receive(helloTimeout, currentTime() + helloTimeout);
     if (!sent.ok() || !payload.ok())
         return connection->close();
@@ -148,7 +148,7 @@
     peerAddresses_.insert({hello->address, hello->port});
     if (!wasConnected) {
         logChannel.info("peer={} address={}:{} connected", peer, hello->address, hello->port);
-        handlers_.joined(peer);
+        handlers_.joined(*hello);
     }
     const absl::Status end = receiveUntilClosed(peer, connection);
     connection->close();
--- a/src/gateway/Mesh.h
+++ b/src/gateway/Mesh.h
@@ -13,11 +13,15 @@
     InstanceId self;
     // Address on which this instance accepts connections from peers.
     Endpoint listen;
+    // What the peers need to have this instance open tunnels.
+    std::uint16_t tunnelPort = 0;
+    std::string dataCentre;
+    double capacity = 0;
 };
 
 struct MeshHandlers {
     // Called when a peer that had no connection is connected.
-    std::function<void(const InstanceId&)> joined;
+    std::function<void(const MeshHello&)> joined;
     // Runs in the fiber of the connection.
     std::function<void(const InstanceId&, const MeshMessage&)> received;
     // Called when the connection to a peer has ended and no other one has replaced it.
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -21,7 +21,7 @@
 namespace lychee::gateway {
 
 // Version of the mesh protocol; a message of any other version is rejected.
-inline constexpr std::uint64_t meshProtocolVersion = 6;
+inline constexpr std::uint64_t meshProtocolVersion = 7;
 
 // First message that both sides send on a new connection.
 struct MeshHello {
@@ -29,8 +29,13 @@
     // Address and port on which the sender accepts connections from peers.
     std::string address;
     std::uint16_t port = 0;
+    // The port on which it accepts requests for tunnels to targets.
+    std::uint16_t tunnelPort = 0;
+    std::string dataCentre;
+    // The part of a processor that the sender has.
+    double capacity = 0;
 
-    auto fields() { return std::tie(instance, address, port); }
+    auto fields() { return std::tie(instance, address, port, tunnelPort, dataCentre, capacity); }
 };
 
 // Prompt tokens of one urgency that wait at a target.
@@ -119,11 +124,13 @@
     bool holdsLease = false;
     // How long the platform's store has answered the sender without an outage.
     std::uint64_t storeReachedMs = 0;
+    // The sender connects to targets directly, so that peers may have it open tunnels.
+    bool reachesTargets = false;
 
     auto fields()
     {
-        return std::tie(
-            work, demand, uses, customerUse, readsPlatform, configurationRow, targetRows, holdsLease, storeReachedMs);
+        return std::tie(work, demand, uses, customerUse, readsPlatform, configurationRow, targetRows, holdsLease,
+            storeReachedMs, reachesTargets);
     }
 };
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -11,6 +11,7 @@
 #include "gateway/CallerLimits.h"
 #include "gateway/CrashWatch.h"
 #include "gateway/RelayLimits.h"
+#include "gateway/TargetDialer.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/MemoryBudget.h"
@@ -31,7 +32,8 @@
     fleet::ServiceRetryBudget retryBudget;
     CrashWatch crashes;
     CallerLimits limits;
-    HttpClient http{RelayLimits::targetBuffers};
+    TargetDialer dialer{RelayLimits::targetBuffers};
+    HttpClient http{dialer};
     // Bounds the answers of targets that are held until they are complete.
     MemoryBudget answerMemory{RelayLimits::answerMemory, RelayLimits::freeAnswerMemory};
     // Bounds the bodies of requests that are being received or relayed.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -72,8 +72,9 @@
 
 class HttpClient::Connection {
 public:
-    explicit Connection(tcp::socket socket)
-        : socket_(std::move(socket))
+    explicit Connection(OpenedConnection opened)
+        : socket_(std::move(opened.socket))
+        , retired_(std::move(opened.retired))
     {
     }
 
@@ -103,9 +104,12 @@
         return poolTime() - idleSince_ <= std::min({maxIdle, maxIdleAge, announcedIdle_});
     }
 
+    bool isRetired() const { return retired_ && *retired_; }
+
     TimePoint idleSince_;
     Duration announcedIdle_ = Duration::max();
     ConnectionUse use_ = ConnectionUse::First;
+    std::shared_ptr<const bool> retired_;
 };
 
 class HttpClient::Pool {
@@ -116,6 +120,7 @@
         if (found == idle_.end())
             return nullptr;
         auto& idle = found->second;
+        std::erase_if(idle, [](const auto& connection) { return connection->isRetired(); });
         std::unique_ptr<Connection> connection;
         while (!idle.empty() && idle.back()->isUsable(maxIdle)) {
             connection = std::move(idle.back());
@@ -150,8 +155,10 @@
 
 class HttpClient::Stream final : public HttpStream {
 public:
-    Stream(std::shared_ptr<Pool> pool, Endpoint endpoint, std::unique_ptr<Connection> connection, HttpCallLimits limits)
+    Stream(std::shared_ptr<Pool> pool, ConnectionOpener* opener, Endpoint endpoint,
+        std::unique_ptr<Connection> connection, HttpCallLimits limits)
         : pool_(std::move(pool))
+        , opener_(opener)
         , endpoint_(std::move(endpoint))
         , connection_(std::move(connection))
         , limits_(std::move(limits))
@@ -333,8 +340,11 @@
     {
         connection_->reset();
         // Connections that went silent together are not tried one after another.
-        if (error == boost::asio::error::timed_out)
+        if (error == boost::asio::error::timed_out) {
             pool_->forget(endpoint_);
+            if (opener_)
+                opener_->wentSilent(endpoint_);
+        }
         if (error == http::error::body_limit || error == http::error::header_limit
             || error == http::error::buffer_overflow)
             return makeError(TransportError::MessageTooLarge, error.message());
@@ -347,7 +357,8 @@
     // Only a connection whose answer was read to its end may carry another request.
     void recycle()
     {
-        if (!connection_ || !wholeRequestSent_ || !parser_->keep_alive() || connection_->buffer_.size() != 0)
+        if (!connection_ || !wholeRequestSent_ || !parser_->keep_alive() || connection_->buffer_.size() != 0
+            || connection_->isRetired())
             return;
         connection_->announcedIdle_ = announcedIdle();
         connection_->buffer_.shrink_to_fit();
@@ -371,6 +382,7 @@
     }
 
     std::shared_ptr<Pool> pool_;
+    ConnectionOpener* opener_;
     Endpoint endpoint_;
     std::unique_ptr<Connection> connection_;
     HttpCallLimits limits_;
@@ -388,8 +400,30 @@
 {
 }
 
+HttpClient::HttpClient(ConnectionOpener& opener)
+    : pool_(std::make_shared<Pool>())
+    , opener_(&opener)
+{
+}
+
 HttpClient::~HttpClient() = default;
 
+absl::StatusOr<std::unique_ptr<HttpClient::Connection>> HttpClient::connect(
+    const Endpoint& endpoint, const HttpCallLimits& limits)
+{
+    if (opener_) {
+        absl::StatusOr<OpenedConnection> opened = opener_->open(endpoint, limits.connectTimeout, limits.deadline);
+        if (!opened.ok())
+            return opened.status();
+        return std::make_unique<Connection>(*std::move(opened));
+    }
+    absl::StatusOr<tcp::socket> socket = connectSocket(
+        endpoint.address, endpoint.port, std::min(limits.deadline, currentTime() + limits.connectTimeout), buffers_);
+    if (!socket.ok())
+        return socket.status();
+    return std::make_unique<Connection>(OpenedConnection{*std::move(socket), nullptr});
+}
+
 HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::open(
     const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
@@ -404,11 +438,10 @@
     }
     if (limits.pooledOnly)
         return {makeError(TransportError::ConnectionClosed, "no established connection"), false, nullptr};
-    absl::StatusOr<tcp::socket> socket = connectSocket(
-        endpoint.address, endpoint.port, std::min(limits.deadline, currentTime() + limits.connectTimeout), buffers_);
-    if (!socket.ok())
-        return {socket.status(), false, nullptr};
-    return openOn(std::make_unique<Connection>(*std::move(socket)), endpoint, request, limits);
+    absl::StatusOr<std::unique_ptr<Connection>> connection = connect(endpoint, limits);
+    if (!connection.ok())
+        return {connection.status(), false, nullptr};
+    return openOn(*std::move(connection), endpoint, request, limits);
 }
 
 HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::openOn(std::unique_ptr<Connection> connection,
@@ -417,7 +450,7 @@
     const RequestMessage message = toMessage(endpoint, request);
     if (limits.cancellation && limits.cancellation->isRequested())
         return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
-    auto stream = std::make_unique<Stream>(pool_, endpoint, std::move(connection), limits);
+    auto stream = std::make_unique<Stream>(pool_, opener_, endpoint, std::move(connection), limits);
     const error_code error = stream->write(message);
     if (error && error != boost::asio::error::broken_pipe && error != boost::asio::error::connection_reset)
         return {socketError(error, "write request"), true, nullptr};
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -100,11 +100,35 @@
     Answer answer;
 };
 
+// A connection for an HttpClient.
+struct OpenedConnection {
+    boost::asio::ip::tcp::socket socket;
+    // Once this is set, the connection carries no further request. May be null.
+    std::shared_ptr<const bool> retired;
+};
+
+// Opens the connections of an HttpClient.
+class ConnectionOpener {
+public:
+    virtual ~ConnectionOpener() = default;
+
+    // Connects to an endpoint. `connectTime` is the limit for one way to it; another way may be tried until the
+    // deadline. Fails with TransportError::ConnectFailed when the endpoint refuses connections, and with TimedOut when
+    // it cannot be reached.
+    virtual absl::StatusOr<OpenedConnection> open(const Endpoint& endpoint, Duration connectTime, TimePoint deadline)
+        = 0;
+
+    // A call to the endpoint was given up because nothing arrived. Does not suspend.
+    virtual void wentSilent(const Endpoint& endpoint) = 0;
+};
+
 // Makes calls from fibers of one duty. Not thread-safe.
 class HttpClient {
 public:
     // `buffers` are those of the connections that are opened.
     explicit HttpClient(const SocketBuffers& buffers = {});
+    // Has the connections opened by `opener`, which must outlive this object.
+    explicit HttpClient(ConnectionOpener& opener);
     ~HttpClient();
 
     // Sends a request and reads the header of the answer.
@@ -125,8 +149,12 @@
     HttpOutcome<std::unique_ptr<HttpStream>> openOn(std::unique_ptr<Connection> connection, const Endpoint& endpoint,
         const HttpRequest& request, const HttpCallLimits& limits);
 
+    absl::StatusOr<std::unique_ptr<Connection>> connect(const Endpoint& endpoint, const HttpCallLimits& limits);
+
     std::shared_ptr<Pool> pool_;
     SocketBuffers buffers_;
+    // Null when the client opens its connections itself.
+    ConnectionOpener* opener_ = nullptr;
 };
 
 } // namespace lychee
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -173,10 +173,11 @@
     const auto settings = standins_.directory().file(fmt::format("instance-{}.ini", index));
     std::ofstream(settings) << fmt::format(
         "[instance]\nid = front-{0}\ndata_centre = a\n[callers]\nendpoint = {1}\n[readiness]\nendpoint = {2}\n"
-        "[peers]\naddress = 127.0.0.1\nport = {3}\n[metrics]\nport = {4}\n[platform]\nendpoint = {5}\n"
+        "[peers]\naddress = 127.0.0.1\nport = {3}\ntunnel_port = {7}\n[metrics]\nport = {4}\n[platform]\nendpoint = "
+        "{5}\n"
         "[retries]\nwindow_s = {6}\n[placement]\nlease_ms = 500\n[stop]\ngrace_s = 8\n",
         index, instance.callers.toString(), instance.readiness.toString(), freePort(), instance.metrics.port,
-        store.toString(), options_.retryWindow.count());
+        store.toString(), options_.retryWindow.count(), freePort());
     if (options_.revocationLimit) {
         std::ofstream(settings, std::ios::app)
             << fmt::format("[revocation]\nstrict = true\nlimit_ms = {}\n", options_.revocationLimit->count());
