Record the origins of streams while the list has several software versions

For the last 15 s in which a software version that has left is still listed, a take-up of a stream at another instance than the one that began it was refused.

Cause: whether the origin of a stream is recorded went by the versions that may begin streams, which leave out one that was absent for half the life of a stream. A take-up goes by the store's list, which still had both, found no record and was refused. Two views of one thing, of which the one that decides to write was shorter than the one that decides to read.

Change: origins are recorded while the list itself has several versions.

StreamOriginsTest.StreamsAreRecordedWhileAVersionThatHasLeftIsListed fails when the usable versions decide, and passes now.

--- a/src/fleet/StreamOrigins.cpp
+++ b/src/fleet/StreamOrigins.cpp
@@ -10,17 +10,18 @@
 } // namespace
 
 std::vector<StreamOrigin> StreamOrigins::setVersions(
-    const ServiceId& service, std::set<SoftwareVersion> versions, TimePoint now)
+    const ServiceId& service, std::set<SoftwareVersion> versions, bool mustRecord, TimePoint now)
 {
     std::vector<StreamOrigin> unrecorded;
-    std::set<SoftwareVersion>& known = versions_[service];
-    if (known.size() <= 1 && versions.size() > 1) {
+    versions_[service] = std::move(versions);
+    if (!mustRecord) {
+        recorded_.erase(service);
+    } else if (recorded_.insert(service).second) {
         for (const auto& [attempt, origin] : origins_) {
             if (origin.service == service && origin.expiresAt > now)
                 unrecorded.push_back(origin);
         }
     }
-    known = std::move(versions);
     return unrecorded;
 }
 
@@ -38,8 +39,7 @@
     removeExpired(now);
     if (origins_.emplace(origin.attempt, origin).second)
         order_.push_back(origin.attempt);
-    const auto found = versions_.find(origin.service);
-    return found != versions_.end() && found->second.size() > 1;
+    return recorded_.contains(origin.service);
 }
 
 std::optional<SoftwareVersion> StreamOrigins::find(const ServiceId& service, const RequestId& attempt) const
--- a/src/fleet/StreamOrigins.h
+++ b/src/fleet/StreamOrigins.h
@@ -28,9 +28,11 @@
     // From now on, streams begin only at versions that are listed.
     void requireListing() { requiresListing_ = true; }
 
-    // Sets the versions of a service that may begin streams. Returns the streams in progress of which the origin has to
-    // be recorded because there are several versions now.
-    std::vector<StreamOrigin> setVersions(const ServiceId& service, std::set<SoftwareVersion> versions, TimePoint now);
+    // Sets the versions of a service that may begin streams, and whether the origins of its streams have to be
+    // recorded, which is so while several versions are listed. Returns the streams in progress of which the origin has
+    // to be recorded from now on.
+    std::vector<StreamOrigin> setVersions(
+        const ServiceId& service, std::set<SoftwareVersion> versions, bool mustRecord, TimePoint now);
 
     // The versions that may begin a stream of the service; null for any.
     const std::set<SoftwareVersion>* versionsToBegin(const ServiceId& service) const;
@@ -46,6 +48,8 @@
 
     bool requiresListing_ = false;
     std::map<ServiceId, std::set<SoftwareVersion>> versions_;
+    // The services whose origins have to be recorded.
+    std::set<ServiceId> recorded_;
     std::unordered_map<RequestId, StreamOrigin> origins_;
     // In the order of their beginning.
     std::deque<RequestId> order_;
--- a/src/fleet/VersionListing.h
+++ b/src/fleet/VersionListing.h
@@ -40,6 +40,10 @@
 
     const std::set<SoftwareVersion>& listed() const { return listed_; }
 
+    // Whether the origins of streams have to be recorded: a take-up goes by the list, also by a version in it that may
+    // begin no more streams.
+    bool mustRecordOrigins() const { return listed_.size() > 1; }
+
     // The version of the row of the list; zero when it is not known.
     RowVersion row() const { return row_; }
 
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -48,8 +48,8 @@
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
     // A peer has heard how many requests a target takes, or that it limits them no more.
     std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitReported;
-    // The software versions of a service that may begin streams.
-    std::function<void(const ServiceId&, const std::set<SoftwareVersion>&)> versionsChanged;
+    // The software versions of a service that may begin streams, and whether the origins of streams are recorded.
+    std::function<void(const ServiceId&, const std::set<SoftwareVersion>&, bool mustRecord)> versionsChanged;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
     std::function<CrashKnowledge()> readCrashKnowledge;
     // Fills in the work, the demand, the used adapters and the use of customers of this instance. Suspends the fiber.
@@ -305,8 +305,8 @@
     typename StreamVersions<typename Platform::Store>::Handlers versionHandlers()
     {
         return {[this] { return lease_.isRenewing(); },
-            [this](const ServiceId& service, const std::set<SoftwareVersion>& versions) {
-                relay_.versionsChanged(service, versions);
+            [this](const ServiceId& service, const std::set<SoftwareVersion>& versions, bool mustRecord) {
+                relay_.versionsChanged(service, versions, mustRecord);
             },
             [this](const MeshMessage& message) { mesh_->broadcast(message); }};
     }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -309,13 +309,14 @@
                       context_.registry.recordLimit(target, incarnation, perSecond, currentTime(), currentTime());
                   });
               };
-        port.versionsChanged = [this](const ServiceId& service, const std::set<SoftwareVersion>& versions) {
-            postToRelay([this, service, versions] {
-                auto unrecorded = context_.origins.setVersions(service, versions, currentTime());
-                if (!unrecorded.empty())
-                    context_.recordOrigins(std::move(unrecorded));
-            });
-        };
+        port.versionsChanged
+            = [this](const ServiceId& service, const std::set<SoftwareVersion>& versions, bool mustRecord) {
+                  postToRelay([this, service, versions, mustRecord] {
+                      auto unrecorded = context_.origins.setVersions(service, versions, mustRecord, currentTime());
+                      if (!unrecorded.empty())
+                          context_.recordOrigins(std::move(unrecorded));
+                  });
+              };
         port.readCrashKnowledge = [this] {
             const auto read = callOn(*relayInbox_, [this] { return context_.crashes.knowledge(); });
             return read.ok() ? *read : CrashKnowledge();
--- a/src/gateway/StreamVersions.h
+++ b/src/gateway/StreamVersions.h
@@ -52,8 +52,8 @@
     struct Handlers {
         // Whether this instance is the one that changes the lists. Others add a version when nobody does.
         std::function<bool()> isLister;
-        // The versions of a service that may begin streams have changed.
-        std::function<void(const ServiceId&, const std::set<SoftwareVersion>&)> versionsChanged;
+        // The versions of a service that may begin streams have changed, or whether their origins have to be recorded.
+        std::function<void(const ServiceId&, const std::set<SoftwareVersion>&, bool mustRecord)> versionsChanged;
         // Tells the peers what the list of a service is.
         std::function<void(const MeshMessage&)> announce;
     };
@@ -202,8 +202,9 @@
         fleet::VersionListing listing;
         // Whether a route to the service allows streams to be resumed. The list of others is not kept.
         bool isResumable = false;
-        // The versions that the relay knows.
+        // The versions that the relay knows, and whether it has origins recorded.
         std::optional<std::set<SoftwareVersion>> published;
+        bool recordsOrigins = false;
         // Since when the list has to be changed.
         std::optional<TimePoint> dueSince;
     };
@@ -328,12 +329,14 @@
         if (state.listing.row() == RowVersion() || !state.isResumable)
             return;
         std::set<SoftwareVersion> usable = state.listing.usable(currentTime());
-        if (state.published == usable)
+        const bool mustRecord = state.listing.mustRecordOrigins();
+        if (state.published == usable && state.recordsOrigins == mustRecord)
             return;
-        versionLog.info("service={} versions=\"{}\" row={} may begin streams", service, fleet::encodeVersions(usable),
-            state.listing.row());
+        versionLog.info("service={} versions=\"{}\" row={} record={} may begin streams", service,
+            fleet::encodeVersions(usable), state.listing.row(), mustRecord);
         state.published = usable;
-        handlers_.versionsChanged(service, usable);
+        state.recordsOrigins = mustRecord;
+        handlers_.versionsChanged(service, usable, mustRecord);
     }
 
     std::size_t expiredRecords() const
--- a/tests/unit/VersionListingTest.cpp
+++ b/tests/unit/VersionListingTest.cpp
@@ -91,10 +91,10 @@
 {
     StreamOrigins origins;
     const ServiceId hall("hall");
-    EXPECT_TRUE(origins.setVersions(hall, {older}, at(0s)).empty());
+    EXPECT_TRUE(origins.setVersions(hall, {older}, false, at(0s)).empty());
     EXPECT_FALSE(origins.begun(originOf("ended", 2s), at(0s)));
     EXPECT_FALSE(origins.begun(originOf("a", 30s), at(1s)));
-    const auto unrecorded = origins.setVersions(hall, {older, newer}, at(3s));
+    const auto unrecorded = origins.setVersions(hall, {older, newer}, true, at(3s));
     ASSERT_EQ(unrecorded.size(), 1u);
     EXPECT_EQ(unrecorded.front().attempt, RequestId("a"));
     EXPECT_TRUE(origins.begun(originOf("b", 40s), at(4s)));
@@ -102,6 +102,19 @@
     EXPECT_EQ(origins.find(ServiceId("desk"), RequestId("b")), std::nullopt);
 }
 
+// Guards against take-ups that are refused after the last target of a version has left: the list still has the version,
+// so that the record of the stream is asked for.
+TEST(StreamOriginsTest, StreamsAreRecordedWhileAVersionThatHasLeftIsListed)
+{
+    VersionListing listing = listingOf({older, newer});
+    listing.observe({newer}, at(1s));
+    const auto usable = listing.usable(at(20s));
+    ASSERT_EQ(usable, std::set{newer});
+    StreamOrigins origins;
+    origins.setVersions(ServiceId("hall"), usable, listing.mustRecordOrigins(), at(20s));
+    EXPECT_TRUE(origins.begun(originOf("a", 50s), at(20s)));
+}
+
 // Guards against streams that begin anywhere while an instance does not know the list yet.
 TEST(StreamOriginsTest, NoVersionBeginsStreamsBeforeTheListIsKnown)
 {
@@ -110,7 +123,7 @@
     origins.requireListing();
     ASSERT_NE(origins.versionsToBegin(ServiceId("hall")), nullptr);
     EXPECT_TRUE(origins.versionsToBegin(ServiceId("hall"))->empty());
-    origins.setVersions(ServiceId("hall"), {older}, at(0s));
+    origins.setVersions(ServiceId("hall"), {older}, false, at(0s));
     EXPECT_EQ(*origins.versionsToBegin(ServiceId("hall")), std::set{older});
 }
 
