Test that a holder that reaches no target gives the lease up

Orders do not go through tunnels, because targets tell holders apart by their machine.

PlacementLease.AHolderThatIsNoCandidateGivesTheLeaseUp: another instance holds the lease and may send orders within 8 s, and the first one takes it again when it may.

--- a/tests/unit/PlacementLeaseTest.cpp
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -286,6 +286,35 @@
     }
 }
 
+// Guards against a holder whose orders reach no target and that keeps all others from sending any; and against one that
+// never takes the lease again.
+TEST(PlacementLease, AHolderThatIsNoCandidateGivesTheLeaseUp)
+{
+    Table table;
+    PlacementLease holder(InstanceId("a"), {});
+    PlacementLease other(InstanceId("b"), {});
+    Duration now = 0s;
+    const auto run = [&](Duration time) {
+        for (const Duration end = now + time; now < end; now += 50ms) {
+            step(holder, table, at(now));
+            step(other, table, at(now + 10ms));
+        }
+    };
+    run(1s);
+    ASSERT_TRUE(holder.maySendOrders(at(now)));
+    holder.setCandidate(false);
+    EXPECT_FALSE(holder.maySendOrders(at(now)));
+    run(8s);
+    EXPECT_TRUE(other.maySendOrders(at(now)));
+    EXPECT_EQ(table.row->holder, InstanceId("b"));
+    other.setCandidate(false);
+    run(8s);
+    EXPECT_TRUE(table.row->holder.empty());
+    holder.setCandidate(true);
+    run(8s);
+    EXPECT_TRUE(holder.maySendOrders(at(now)));
+}
+
 // Guards against orders of two holders within one lease, and against a fencing number that is given out twice, after
 // the store was restored from a copy: the row names a former holder, and the last one is not in it.
 TEST(PlacementLease, ARestoredRowGivesNobodyTheRightToSendOrders)
