Send brittle targets no more requests than they have places for

A full target was avoided for 150 ms by the instance that it had turned away, and by no other.

Change: while a target says so, an instance counts on no queue there: it gets a request only while a place is known to be free. One that turns a request away gets none from any instance for 1 s, doubled up to 4 s while it goes on; the instance that was turned away tells its peers (MeshTurnedAway), and refuses at once what no other target can take.

RelayTest.ABrittleTargetThatTurnsARequestAwayGetsNoneForATime and TargetChoiceTest.ABrittleTargetGetsNoMoreThanItHasPlacesFor fail without the change.

--- a/src/fleet/TargetChoice.cpp
+++ b/src/fleet/TargetChoice.cpp
@@ -213,10 +213,20 @@
 
     bool isEligible(const TargetState& state) const
     {
-        return state.acceptsRequests(input_.now) && holdsModel(state)
+        return state.acceptsRequests(input_.now) && holdsModel(state) && !mayTurnAway(state)
             && std::find(input_.excluded.begin(), input_.excluded.end(), state.record.id) == input_.excluded.end();
     }
 
+    // Whether a target that fails when it turns away many requests has no place that is known to be free. It is not
+    // counted on to queue any.
+    bool mayTurnAway(const TargetState& state) const
+    {
+        if (!state.isBrittle(input_.now))
+            return false;
+        const TargetWork work = state.totalWork(input_.now, input_.need ? streamRunTime : plainRunTime);
+        return static_cast<int>(work.running) >= std::max(state.record.slots, 1);
+    }
+
     // The key of requests that should go to the same targets: the adapter, which costs a load and a slot on each target
     // that has it, or else the shared prompt, or the session.
     std::string affinityKey() const
--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -74,6 +74,14 @@
 // Reports of a target's load that are older than this time are not passed on and do not count for the share of slots.
 constexpr Duration maxForwardedLoadAge = std::chrono::seconds(1);
 
+// A target counts as brittle for this time after it has last said so; it does in all its answers.
+constexpr Duration brittleMemory = std::chrono::seconds(5);
+
+// How long a brittle target that has turned a request away gets none. The time doubles up to the limit while it goes on
+// turning requests away.
+constexpr Duration firstTurnAwayPause = std::chrono::seconds(1);
+constexpr Duration maxTurnAwayPause = std::chrono::seconds(4);
+
 // How long a target is avoided after it has reported that it is full.
 constexpr Duration fullAvoidance = std::chrono::milliseconds(150);
 
@@ -323,6 +331,29 @@
     return true;
 }
 
+void TargetRegistry::recordBrittle(const TargetId& id, TargetIncarnation incarnation, bool isBrittle, TimePoint now)
+{
+    const auto found = targets_.find(id);
+    if (found != targets_.end() && found->second->record.incarnation == incarnation)
+        found->second->brittleUntil = isBrittle ? now + brittleMemory : TimePoint();
+}
+
+Duration TargetRegistry::recordTurnedAway(const TargetId& id, TargetIncarnation incarnation, TimePoint now)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end() || found->second->record.incarnation != incarnation)
+        return firstTurnAwayPause;
+    TargetState& state = *found->second;
+    // Requests that were on their way together count once.
+    if (now - state.turnedAwayAt >= state.turnAwayPause) {
+        const bool goesOn = state.turnAwayPause > Duration(0) && now - state.turnedAwayAt < 2 * state.turnAwayPause;
+        state.turnAwayPause = goesOn ? std::min(2 * state.turnAwayPause, maxTurnAwayPause) : firstTurnAwayPause;
+        state.turnedAwayAt = now;
+    }
+    recordDeclined(id, incarnation, state.turnedAwayAt + state.turnAwayPause, std::nullopt);
+    return state.turnedAwayAt + state.turnAwayPause - now;
+}
+
 std::map<TargetId, double> TargetRegistry::limits() const
 {
     std::map<TargetId, double> limits;
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -120,6 +120,11 @@
     TimePoint declinesUntil;
     // Set while the target limits its requests.
     std::optional<RequestLimit> limit;
+    // Until this time the target counts as one that fails when it has to turn away many requests.
+    TimePoint brittleUntil;
+    // When it last turned a request away while brittle, and how long no request was sent to it after that.
+    TimePoint turnedAwayAt;
+    Duration turnAwayPause{0};
     // When each prompt part was last sent to this target, by the hash from promptPartHashes().
     std::unordered_map<std::uint64_t, TimePoint> promptParts;
 
@@ -134,6 +139,8 @@
     // Whether requests may be sent to the target.
     bool acceptsRequests(TimePoint now) const { return isInService() && declinesUntil <= now; }
 
+    bool isBrittle(TimePoint now) const { return now < brittleUntil; }
+
     // Returns the failure share, decayed to `now`.
     double decayedFailureShare(TimePoint now) const;
 };
@@ -172,6 +179,13 @@
     bool recordLimit(const TargetId& id, TargetIncarnation incarnation, std::optional<double> perSecond,
         TimePoint sentAt, TimePoint now);
 
+    // Records whether a target said in an answer that it fails when it has to turn away many requests.
+    void recordBrittle(const TargetId& id, TargetIncarnation incarnation, bool isBrittle, TimePoint now);
+
+    // Records that a brittle target has turned a request away. Returns for how long it gets none from any instance; the
+    // time grows while it goes on turning requests away.
+    Duration recordTurnedAway(const TargetId& id, TargetIncarnation incarnation, TimePoint now);
+
     // Returns the work of this instance and what it knows of paces at first hand, as a report for its peers.
     std::vector<TargetWorkReport> ownWork(TimePoint now) const;
 
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -48,6 +48,8 @@
     std::function<void(const fleet::BlockedTrait&)> traitBlocked;
     // A peer has heard how many requests a target takes, or that it limits them no more.
     std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitReported;
+    // A peer had a request turned away by a brittle target, which gets none for a time.
+    std::function<void(const TargetId&, fleet::TargetIncarnation, Duration pause)> turnedAwayReported;
     // The software versions of a service that may begin streams, and whether the origins of streams are recorded.
     std::function<void(const ServiceId&, const std::set<SoftwareVersion>&, bool mustRecord)> versionsChanged;
     // What this instance knows of crashes, for a peer that joins. Suspends the fiber.
@@ -216,6 +218,12 @@
         mesh_->broadcast(MeshRequestLimit{target, incarnation, perSecond.has_value(), perSecond.value_or(0)});
     }
 
+    // Tells all peers that a brittle target gets no requests for a time.
+    void announceTurnedAway(const TargetId& target, fleet::TargetIncarnation incarnation, Duration pause)
+    {
+        mesh_->broadcast(MeshTurnedAway{target, incarnation, toMilliseconds(pause)});
+    }
+
     // Has the placement owner load an adapter on a target. Suspends the fiber. Fails with
     // TransportError::ConnectionClosed when no owner that may send orders can be reached, with TimedOut when the
     // adapter is not loaded before the deadline although the owner can be reached, and with other errors when the owner
@@ -839,6 +847,11 @@
             message.target, message.incarnation, message.isLimited ? std::optional(message.perSecond) : std::nullopt);
     }
 
+    void handle(const InstanceId&, const MeshTurnedAway& message)
+    {
+        relay_.turnedAwayReported(message.target, message.incarnation, fromMilliseconds(message.pauseMs));
+    }
+
     void handle(const InstanceId&, const MeshVersionList& message) { versions_.handle(message); }
 
     void handle(const InstanceId& peer, const MeshLeaving&)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -125,6 +125,10 @@
             postToControl(
                 [this, target, incarnation, perSecond] { control_->announceLimit(target, incarnation, perSecond); });
         };
+        context_.turnedAway = [this](const TargetId& target, fleet::TargetIncarnation incarnation, Duration pause) {
+            postToControl(
+                [this, target, incarnation, pause] { control_->announceTurnedAway(target, incarnation, pause); });
+        };
         context_.origins.requireListing();
         context_.recordOrigins = [this](std::vector<fleet::StreamOrigin> origins) {
             postToControl([this, origins = std::move(origins)] { control_->recordOrigins(origins); });
@@ -309,6 +313,13 @@
                       context_.registry.recordLimit(target, incarnation, perSecond, currentTime(), currentTime());
                   });
               };
+        port.turnedAwayReported = [this](const TargetId& target, fleet::TargetIncarnation incarnation, Duration pause) {
+            postToRelay([this, target, incarnation, pause] {
+                const TimePoint now = currentTime();
+                context_.registry.recordBrittle(target, incarnation, true, now);
+                context_.registry.recordDeclined(target, incarnation, now + pause, std::nullopt);
+            });
+        };
         port.versionsChanged
             = [this](const ServiceId& service, const std::set<SoftwareVersion>& versions, bool mustRecord) {
                   postToRelay([this, service, versions, mustRecord] {
--- a/src/gateway/MeshMessages.h
+++ b/src/gateway/MeshMessages.h
@@ -306,6 +306,15 @@
     auto fields() { return std::tie(target, incarnation, isLimited, perSecond); }
 };
 
+// A target that fails when it turns away many requests has turned one of the sender away, and gets none for a time.
+struct MeshTurnedAway {
+    TargetId target;
+    fleet::TargetIncarnation incarnation;
+    std::uint64_t pauseMs = 0;
+
+    auto fields() { return std::tie(target, incarnation, pauseMs); }
+};
+
 // The software versions of a service that may begin streams, as of a version of the platform's row.
 struct MeshVersionList {
     ServiceId service;
@@ -318,7 +327,7 @@
 // The position of a type in this list is its tag on the wire, so new types are appended at the end.
 using MeshMessage = std::variant<MeshHello, MeshStatus, MeshRows, MeshHoldings, MeshEnsureAdapter, MeshEnsureResult,
     MeshLeaving, MeshCrash, MeshTraitsCleared, MeshTraitBlocked, MeshConfirmationQuery, MeshConfirmation,
-    MeshGrantQuery, MeshGrant, MeshRequestLimit, MeshVersionList>;
+    MeshGrantQuery, MeshGrant, MeshRequestLimit, MeshVersionList, MeshTurnedAway>;
 
 std::string encodeMeshMessage(const MeshMessage& message);
 
--- a/src/gateway/RelayContext.h
+++ b/src/gateway/RelayContext.h
@@ -53,6 +53,9 @@
     // Tells the peers that a target has stated a limit, or that it has none any more.
     std::function<void(const TargetId&, fleet::TargetIncarnation, std::optional<double> perSecond)> limitChanged
         = [](const TargetId&, fleet::TargetIncarnation, std::optional<double>) {};
+    // Tells the peers that a brittle target has turned a request away and gets none for a time.
+    std::function<void(const TargetId&, fleet::TargetIncarnation, Duration pause)> turnedAway
+        = [](const TargetId&, fleet::TargetIncarnation, Duration) {};
     // Adapters in use, with the number of requests that use each of them, and adapters used since the last status
     // message to the peers.
     using AdapterOnTarget = std::tuple<TargetId, ModelId, AdapterId>;
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -37,6 +37,8 @@
     std::optional<Duration> declinesFor;
     // The requests per second that the target takes from all instances together, if it limits them.
     std::optional<double> requestsPerSecond;
+    // The target fails when it has to turn away many requests in a short time.
+    bool brittle = false;
     // The answer can continue a stream of events.
     bool eventStream = false;
     // The load that the target reports, if it does.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -598,6 +598,8 @@
                 answer.requestsPerSecond.has_value(), answer.requestsPerSecond.value_or(0));
             context_.limitChanged(target.target, target.incarnation, answer.requestsPerSecond);
         }
+        if (!answer.misdirected)
+            context_.registry.recordBrittle(target.target, target.incarnation, answer.brittle, currentTime());
         if (answer.leaving)
             context_.registry.recordLeaving(target.target, target.incarnation, context_.epochTime());
         if (!answer.declinesFor)
@@ -613,6 +615,8 @@
         const int status = attempt.stream->status();
         limitTicket_.notRun();
         attempt.stream->drain(RelayLimits::maxRefusalBytes, RelayLimits::maxRefusalTime);
+        if (answer.brittle && !answer.misdirected)
+            recordTurnedAway(attempt.target);
         const bool adapterStillLoading
             = adapterLoadedAt_ && adapterRetries_ < RelayLimits::maxAdapterRetries && status != 429;
         endSend(attempt,
@@ -635,6 +639,15 @@
         resendOrFinish(attempt, fleet::SendResult::NotRun, fmt::format("the target answered with status {}", status));
     }
 
+    // Has no instance send requests to a brittle target for a time.
+    void recordTurnedAway(const fleet::ChosenTarget& target)
+    {
+        const Duration pause = context_.registry.recordTurnedAway(target.target, target.incarnation, currentTime());
+        relayLog.info("request={} target={} brittle, no requests for ms={}", caller_.attempt, target.target,
+            std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+        context_.turnedAway(target.target, target.incarnation, pause);
+    }
+
     // Sends the request once more after the target reported that it no longer holds the adapter, so that the adapter is
     // loaded again. Returns false when the retry budget does not allow it.
     bool retryWithUnloadedAdapter()
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -87,6 +87,27 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 500ms);
 }
 
+// Guards against a target that says that it fails when it turns away many requests, and gets more of them from this
+// instance or its peers; and against callers who wait for it.
+TEST_F(RelayTest, ABrittleTargetThatTurnsARequestAwayGetsNoneForATime)
+{
+    addTarget(plainService, [](ScriptedTarget&, HttpExchange& exchange) {
+        exchange.respond({503, {{"X-Not-Executed", "1"}, {"Server-Brittle", "3"}}, ""}).IgnoreError();
+    });
+    Duration announced{0};
+    context_.turnedAway = [&](const TargetId&, fleet::TargetIncarnation, Duration pause) { announced = pause; };
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 20; ++i) {
+        const auto answer = client().send(request("/safe/x"));
+        EXPECT_EQ(answer->status, 503);
+        EXPECT_TRUE(answer->headers.find("Retry-After").has_value());
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 900ms);
+    EXPECT_EQ(receivedRequests(), 1u);
+    EXPECT_GE(announced, 900ms);
+}
+
 // Guards against an idempotent request that fails with its first target although another target could answer.
 TEST_F(RelayTest, IdempotentRequestGoesToASecondTarget)
 {
--- a/tests/unit/TargetChoiceTest.cpp
+++ b/tests/unit/TargetChoiceTest.cpp
@@ -514,5 +514,38 @@
     EXPECT_EQ(chosen(registry, &generation), preferred.value());
 }
 
+// Guards against requests that a target has to turn away although each of them makes it fail sooner.
+TEST_F(TargetChoiceTest, ABrittleTargetGetsNoMoreThanItHasPlacesFor)
+{
+    TargetRegistry registry = registryOf(1);
+    const GenerationNeed generation = need(1, 2, 3);
+    constexpr int places = 64;
+    for (int i = 0; i < places; ++i)
+        registry.beginSend(TargetId("t0"), nullptr, now_);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+    registry.recordBrittle(TargetId("t0"), TargetIncarnation(1), true, now_);
+    EXPECT_EQ(reason(registry, &generation), NoTargetReason::TooBusy);
+    registry.recordBrittle(TargetId("t0"), TargetIncarnation(1), false, now_);
+    EXPECT_EQ(chosen(registry, &generation), "t0");
+}
+
+// Guards against instances that all come back to a target at the same pace while it goes on turning requests away.
+TEST_F(TargetChoiceTest, ThePauseOfABrittleTargetGrowsWhileItTurnsRequestsAway)
+{
+    TargetRegistry registry = registryOf(1);
+    const auto turnedAway = [&] { return registry.recordTurnedAway(TargetId("t0"), TargetIncarnation(1), now_); };
+    EXPECT_EQ(turnedAway(), 1s);
+    now_ += 100ms;
+    EXPECT_EQ(turnedAway(), 900ms) << "requests that were on their way together";
+    now_ += 1s;
+    EXPECT_EQ(turnedAway(), 2s);
+    now_ += 2100ms;
+    EXPECT_EQ(turnedAway(), 4s);
+    now_ += 4100ms;
+    EXPECT_EQ(turnedAway(), 4s);
+    now_ += 10s;
+    EXPECT_EQ(turnedAway(), 1s);
+}
+
 } // namespace
 } // namespace lychee::fleet
