Bound the tunnels of an instance by its memory

A detached instance keeps a connection for each request in progress, and idle ones. The instances that help with many detached ones have very different sizes, so that one number for all is too large for small machines and too small for large ones: 256 KB of the process for each tunnel, 448 tunnels with 112 MB. Not measured by itself.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -25,6 +25,8 @@
 struct GatewayLimits {
     // Tasks that may be queued for one duty, and that may run on it at the same time.
     static constexpr std::size_t inboxCapacity = 16384;
+    // Memory of the process for each tunnel that it may open for peers; a tunnel takes a part of it.
+    static constexpr std::size_t memoryPerTunnel = 262144;
     // Time to find out whether a target accepts connections.
     static constexpr Duration crashProbeTime = std::chrono::milliseconds(150);
     // How often a stopping instance checks whether its requests have finished.
@@ -231,6 +233,7 @@
     TunnelServerOptions tunnelOptions()
     {
         TunnelServerOptions options;
+        options.maxTunnels = memoryOf(*settings_) / GatewayLimits::memoryPerTunnel;
         options.buffers = RelayLimits::targetBuffers;
         options.mayOpen = [this](const std::string& address, const Endpoint& target) {
             return !context_.dialer.isDetached() && context_.dialer.isPeer(address)
@@ -419,11 +422,16 @@
         return static_cast<double>(std::hash<InstanceId>()(instance) % steps) / steps;
     }
 
-    void setMemory(const GatewaySettings& settings)
+    static std::size_t memoryOf(const GatewaySettings& settings)
     {
         constexpr std::size_t megabyte = std::size_t{1} << 20;
         const std::size_t configured = settings.process.memoryMegabytes() * megabyte;
-        const std::size_t memory = configured > 0 ? configured : machineMemory();
+        return configured > 0 ? configured : machineMemory();
+    }
+
+    void setMemory(const GatewaySettings& settings)
+    {
+        const std::size_t memory = memoryOf(settings);
         context_.answerMemory.setCapacity(memory / GatewayLimits::answerMemoryDivisor);
         context_.requestMemory->setCapacity(memory / GatewayLimits::requestMemoryDivisor);
         controlDuty_->spawn([memory] { SharedFrame::setMemory(memory / GatewayLimits::frameMemoryDivisor); });
