Close idle connections through a peer that leaves

Found by reading: an instance that stops waits until its tunnels have ended. Idle connections through it stayed in the pool of the detached instance, retired, until their target was next called or they were 20 s old, so that the stop took the whole grace period.

Change: retired idle connections are closed when a peer leaves or is lost and when the instance is detached or reaches its targets again. LostLinksTest.IdleConnectionsThroughAPeerThatLeavesAreClosed: without the call the tunnels of the peer stay open. The look at a target that went silent ends with the dialer.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -108,8 +108,10 @@
         metricsSink_ = std::make_unique<MetricsSink>(*metricsDuty_);
         context_.dataCentre = DataCentreId(settings_->instance.dataCentre());
         context_.dialer.setOptions(context_.dataCentre, std::hash<std::string>()(self_.value()));
-        context_.dialer.setDetachedHandler(
-            [this](bool detached) { postToControl([this, detached] { control_->setReachesTargets(!detached); }); });
+        context_.dialer.setDetachedHandler([this](bool detached) {
+            context_.http.closeRetired();
+            postToControl([this, detached] { control_->setReachesTargets(!detached); });
+        });
         context_.crashes.setConnect([this](const Endpoint& target) {
             return context_.dialer
                 .open(target, GatewayLimits::crashProbeTime, currentTime() + GatewayLimits::crashProbeTime)
@@ -282,8 +284,12 @@
         port.tunnelPeerUpdated = [this](const InstanceId& peer, const TunnelPeer& update) {
             postToRelay([this, peer, update] { context_.dialer.peerUpdated(peer, update); });
         };
-        port.tunnelPeerLost
-            = [this](const InstanceId& peer) { postToRelay([this, peer] { context_.dialer.peerLost(peer); }); };
+        port.tunnelPeerLost = [this](const InstanceId& peer) {
+            postToRelay([this, peer] {
+                context_.dialer.peerLost(peer);
+                context_.http.closeRetired();
+            });
+        };
         port.instancesListed
             = [this](std::size_t listed) { postToRelay([this, listed] { context_.limits.listedUpdated(listed); }); };
         port.connectivityUpdated = [this](bool placementReached, std::size_t instances) {
--- a/src/gateway/TargetDialer.cpp
+++ b/src/gateway/TargetDialer.cpp
@@ -167,7 +167,10 @@
     if (found != silentAt_.end() && now - found->second < silenceInterval)
         return;
     silentAt_[target] = now;
-    Duty::current()->spawn([this, target] { open(target, probeTime, currentTime() + 2 * probeTime).IgnoreError(); });
+    Duty::current()->spawn([this, target, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            open(target, probeTime, currentTime() + 2 * probeTime).IgnoreError();
+    });
 }
 
 void TargetDialer::peerUpdated(const InstanceId& peer, TunnelPeer update) { peers_[peer].known = std::move(update); }
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -149,6 +149,12 @@
 
     void forget(const Endpoint& endpoint) { idle_.erase(endpoint); }
 
+    void closeRetired()
+    {
+        for (auto& [endpoint, idle] : idle_)
+            std::erase_if(idle, [](const auto& connection) { return connection->isRetired(); });
+    }
+
 private:
     std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle_;
 };
@@ -484,4 +490,6 @@
 
 void HttpClient::forget(const Endpoint& endpoint) { pool_->forget(endpoint); }
 
+void HttpClient::closeRetired() { pool_->closeRetired(); }
+
 } // namespace lychee
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -141,6 +141,9 @@
     // Closes the idle connections to an endpoint.
     void forget(const Endpoint& endpoint);
 
+    // Closes the idle connections that are retired.
+    void closeRetired();
+
 private:
     class Connection;
     class Stream;
--- a/tests/gateway/LostLinksTest.cpp
+++ b/tests/gateway/LostLinksTest.cpp
@@ -113,6 +113,26 @@
     targetDuty_->run([&] { healed.clear(); });
 }
 
+// Guards against a peer that cannot stop because idle connections through it stay open.
+TEST_F(LostLinksTest, IdleConnectionsThroughAPeerThatLeavesAreClosed)
+{
+    for (int i = 0; i < 2; ++i)
+        addLostTarget(plainService, answerWhole);
+    startPeer();
+    start();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(client().send(nextRequest("/safe/x"))->status, 200);
+    EXPECT_GT(tunnels_->active(), 0u);
+    relayDuty_->run([&] {
+        context_.dialer.peerLost(InstanceId("peer"));
+        context_.http.closeRetired();
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    while (tunnels_->active() > 0 && std::chrono::steady_clock::now() - begin < 2s)
+        std::this_thread::sleep_for(10ms);
+    EXPECT_EQ(tunnels_->active(), 0u);
+}
+
 // Guards against a target that has crashed and is taken for a lost link.
 TEST_F(LostLinksTest, ATargetThatNoPeerReachesIsNotAskedForTimeAndAgain)
 {
