Start without tunnels when the port after that for peers is in use

Found by reading: the port for tunnels is not in the settings that the platform renders, so the one after the port for peers is taken. Where something else listens there, or it is the port for metrics, the process did not start, though it can do without.

Change: a port that was set has to be free as before; one that was derived is left alone with a warning in the log, and the hello message then names no port, so that no peer asks. No test of its own.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -167,13 +167,11 @@
         // Signals must be handled before the first connection is accepted: from then on, a stop has to let requests
         // finish first.
         controlDuty_->run([this] { watchSignals(); });
+        // The peers are told the port.
+        if (const absl::Status tunnels = listenForTunnels(); !tunnels.ok())
+            return tunnels;
         control_ = std::make_unique<ControlPlane<Platform>>(
             *controlDuty_, controlOptions(), routes_, relayCallbacks(), confirmation_);
-        auto tunnels = TunnelServer::listen(
-            *relayDuty_, {settings_->peers.address(), tunnelPortOf(*settings_)}, tunnelOptions());
-        if (!tunnels.ok())
-            return tunnels.status();
-        tunnels_ = *std::move(tunnels);
         auto callers = HttpServer::listen(*relayDuty_, settings_->callers.endpoint(), serverOptions({}),
             [this](HttpExchange& exchange) { RelayedRequest<typename Platform::Dialect>(context_, exchange).run(); });
         if (!callers.ok())
@@ -198,6 +196,28 @@
         return absl::OkStatus();
     }
 
+    // A port that was not set may be that of something else, and then this instance opens no tunnels for others.
+    absl::Status listenForTunnels()
+    {
+        const bool isSet = settings_->peers.tunnelPort() != 0;
+        if (!isSet && settings_->metrics.port() == settings_->peers.port() + 1) {
+            gatewayLog.warning("no tunnels are opened for peers: the port after that for peers is the one for metrics");
+            return absl::OkStatus();
+        }
+        const auto port
+            = static_cast<std::uint16_t>(isSet ? settings_->peers.tunnelPort() : settings_->peers.port() + 1);
+        auto tunnels = TunnelServer::listen(*relayDuty_, {settings_->peers.address(), port}, tunnelOptions());
+        if (tunnels.ok())
+            tunnels_ = *std::move(tunnels);
+        else if (isSet)
+            return tunnels.status();
+        else
+            gatewayLog.warning("no tunnels are opened for peers: {}", messageOf(tunnels.status()));
+        return absl::OkStatus();
+    }
+
+    std::size_t activeTunnels() const { return tunnels_ ? tunnels_->active() : 0; }
+
     // The setting, or an estimate: machines with a larger processor have more memory, too.
     static double processorShare(const GatewaySettings& settings)
     {
@@ -213,7 +233,7 @@
         options.configuredId = settings_->instance.id();
         options.peerEndpoint = {settings_->peers.address(), settings_->peers.port()};
         options.store = settings_->platform.endpoint();
-        options.tunnelPort = tunnelPortOf(*settings_);
+        options.tunnelPort = tunnels_ ? tunnels_->port() : 0;
         options.dataCentre = settings_->instance.dataCentre();
         options.capacity = processorShare(*settings_);
         options.lease.lease = settings_->placement.lease();
@@ -225,12 +245,6 @@
         return options;
     }
 
-    static std::uint16_t tunnelPortOf(const GatewaySettings& settings)
-    {
-        const std::uint16_t configured = settings.peers.tunnelPort();
-        return configured != 0 ? configured : static_cast<std::uint16_t>(settings.peers.port() + 1);
-    }
-
     // Tunnels lead to listed targets only, and are opened for peers while this instance reaches targets itself.
     TunnelServerOptions tunnelOptions()
     {
@@ -469,7 +483,7 @@
     void answerMetrics(HttpExchange& exchange)
     {
         std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
-            {"instances", static_cast<double>(instances_)}, {"tunnels", static_cast<double>(tunnels_->active())},
+            {"instances", static_cast<double>(instances_)}, {"tunnels", static_cast<double>(activeTunnels())},
             {"log_lines_dropped", static_cast<double>(droppedLogLines())}};
         if (const std::optional<Duration> age = confirmation_.age())
             gauges.push_back({"configuration_age_seconds", std::chrono::duration<double>(*age).count()});
@@ -530,7 +544,8 @@
         const TimePoint limit = began + grace - GatewayLimits::closeTimeReserve;
         gatewayLog.info("instance={} stopping in_flight={}", self_, callers_->activeExchanges());
         callers_->closeAfterAnswers();
-        tunnels_->declineAll();
+        if (tunnels_)
+            tunnels_->declineAll();
         const TimePoint lastAnswersAt = limit - GatewayLimits::lastAnswerReserve;
         postToRelay([this, lastAnswersAt] { context_.stopsAt = lastAnswersAt; });
         control_->leave();
@@ -541,7 +556,7 @@
             sleepFor(GatewayLimits::drainPollInterval);
             if (currentTime() >= lastAnswersAt)
                 postToRelay([this] { context_.endWaits(); });
-        } while (currentTime() < limit && callers_->activeExchanges() + tunnels_->active() > 0);
+        } while (currentTime() < limit && callers_->activeExchanges() + activeTunnels() > 0);
         const std::size_t left = callers_->activeExchanges();
         gatewayLog.info("instance={} stopped cut_off={}", self_, left);
         // Lets the answers that were just written be sent before the process ends.
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -51,7 +51,7 @@
     , tunnelPort(*this,
           {"tunnel_port", "0", "",
               "Port on which peers that have lost their links to targets have connections to them opened. 0 takes the "
-              "port after `port`."},
+              "port after `port`, and opens no connections for peers when that one is in use."},
           anyPort)
 {
 }
