--- a/tests/gateway/RowSendersTest.cpp
+++ b/tests/gateway/RowSendersTest.cpp
@@ -97,8 +97,10 @@
 // others sending the change to it.
 TEST(RowSenders, AFewPassAChangeOnToAnInstanceThatCannotRead)
 {
+    constexpr int count = 80;
     std::vector<InstanceId> readers;
-    for (int i = 0; i < 80; ++i)
+    readers.reserve(count);
+    for (int i = 0; i < count; ++i)
         readers.emplace_back(fmt::format("front-{}", i));
     const InstanceId receiver("front-99");
     EXPECT_EQ(std::count_if(readers.begin(), readers.end(),
