Take no answer for complete that ends with a crash of its target

Cause: an answer with neither a length nor chunks is complete when its connection ends in the regular way. The system ends the connections of a process that is killed in that way, too. The crash watch found the crash out, but only to blame requests for it.

Change: at the end of such an answer, a target that is not leaving and refuses connections has crashed, so the answer is cut: the stream goes on elsewhere or is broken off, and a whole answer is one of unknown outcome. A stream that had ended just before the crash is resumed for nothing. Each such answer costs a connection to its target.

UndelimitedAnswerTest.AnAnswerThatEndsWithACrashOfItsTargetIsCut failed before in all three parts (a resumable stream, another one, a whole answer), and passes now.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -214,6 +214,21 @@
                 caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
     }
 
+    // Whether an answer without a length or chunks, which is complete when its connection ends, has ended with a crash
+    // of its target. Suspends the fiber.
+    bool endedInCrash(const Attempt& attempt)
+    {
+        return !attempt.stream->isDelimited()
+            && !context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)
+            && mayHaveCrashed(attempt);
+    }
+
+    // Not a lost connection, for which the crash would be recorded once more.
+    static absl::Status cutByCrash()
+    {
+        return makeError(TransportError::Stopped, "the target crashed at the end of the answer");
+    }
+
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
     // same number, so that the shares of the route hold across instances.
     static double splitFraction(const RequestId& attempt)
@@ -718,6 +733,10 @@
                 return afterFailedSend(attempt);
             }
         }
+        if (endedInCrash(attempt)) {
+            attempt.status = cutByCrash();
+            return afterFailedSend(attempt);
+        }
         // Held until the answer is delivered.
         std::unique_ptr<MemoryBudget::Share> memory = std::move(attempt.memory);
         memory->keep();
@@ -849,6 +868,8 @@
         if (!attempt.stream->isDelimited() && (!streamStarted_ || !rest.empty()))
             return breakStream(
                 attempt, makeError(TransportError::ConnectionClosed, "the stream ends before the end of an event"));
+        if (endedInCrash(attempt))
+            return breakStream(attempt, cutByCrash());
         if (!streamStarted_ || !rest.empty()) {
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -79,6 +79,38 @@
     }
 }
 
+// Guards against an answer that was cut because its target crashed, and reaches the caller as complete: the connection
+// of a process that is killed ends in the regular way.
+TEST_F(UndelimitedAnswerTest, AnAnswerThatEndsWithACrashOfItsTargetIsCut)
+{
+    const auto addTargets = [this](const ServiceId& service, const std::string& cut) {
+        requests_ = 0;
+        for (int i = 0; i < 2; ++i) {
+            addRawTarget(service,
+                [this, cut, index = rawTargets_.size()](RawTargetConnection& connection, const HttpRequest& request) {
+                    if (++requests_ > 1)
+                        return stream("", End::Close)(connection, request);
+                    connection.write(head("Connection: close\r\n") + cut);
+                    sleepFor(20ms);
+                    rawTargets_[index]->close();
+                });
+        }
+    };
+    addTargets(engineService, expectedEvents(3));
+    start();
+    EXPECT_EQ(bodyOf("/stream/x").value(), expectedEvents(6));
+    EXPECT_GE(requests_, 2);
+    callers_.reset();
+    context_.registry = {};
+    addTargets(engineService, expectedEvents(3));
+    start();
+    EXPECT_FALSE(bodyOf("/once/x").ok());
+    callers_.reset();
+    addTargets(plainService, "a part");
+    start();
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+}
+
 // Guards against a stream that is not resumed, loses or repeats a part, after its target closed or reset it inside or
 // between events.
 TEST_F(UndelimitedAnswerTest, BrokenStreamIsResumedWhereTheRouteAllows)
