Stop a call only after its request has arrived

HttpTest.AStopEndsACallThatMayNotBeGivenUp failed once in the whole suite at a load average of 15: the duty was stopped 100 ms after the call was begun, and the call was still connecting ("connect failed: Operation canceled"), which is another state than the one that the test is about.

--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -347,7 +347,9 @@
 // the silence of its peer.
 TEST_F(HttpTest, AStopEndsACallThatMayNotBeGivenUp)
 {
-    listen({}, [](HttpExchange& exchange) {
+    std::promise<void> received;
+    listen({}, [&](HttpExchange& exchange) {
+        received.set_value();
         sleepFor(3s);
         exchange.abort();
     });
@@ -358,6 +360,7 @@
         limits.mayGiveUp = [] { return false; };
         status = client.call(endpoint_, {}, limits).status;
     });
+    received.get_future().wait();
     std::this_thread::sleep_for(100ms);
     clientDuty_.reset();
     EXPECT_EQ(errorOf<TransportError>(status), TransportError::ConnectionClosed) << status;
