Review: keep the sources of cases 6 to 10 out of the earlier review's build

Cause: review/build.sh compiles every */Case.cpp without the include path of the new cases and failed on them. Change: the sources are called Scenario.cpp; build-2.sh follows.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,8 +8,8 @@
 build review/common-2/Worker.cpp worker &
 jobs=($!)
 for number in 6 7 8 9 10; do
-    [ -f "review/$number/Case.cpp" ] || continue
-    build "review/$number/Case.cpp" "case-$number" &
+    [ -f "review/$number/Scenario.cpp" ] || continue
+    build "review/$number/Scenario.cpp" "case-$number" &
     jobs+=($!)
 done
 for job in "${jobs[@]}"; do
