--- a/review/6/Scenario.cpp
+++ b/review/6/Scenario.cpp
@@ -86,8 +86,8 @@
                     sleepMs(50 + (used * 31 + i * 17) % 100);
                     continue;
                 }
-                note(attempt + " at " + instance.name + ": connection closed without an answer, requests on it before: "
-                    + std::to_string(used));
+                note(attempt + " at " + instance.name
+                    + ": connection closed without an answer, requests on it before: " + std::to_string(used));
                 if (used > 0) {
                     const std::lock_guard lock(mutex);
                     lost.push_back({attempt, instance.name});
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Builds the stand-ins and drivers of the cases 6 to 10 into target/review-2/, after the build of the deploy file. Needs
-# only packages of the deploy file.
+# Builds the stand-ins and drivers of the cases 6 to 10 and of review/other-2 into target/review-2/, after the build of
+# the deploy file. Needs only packages of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
@@ -12,6 +12,10 @@
     build "review/$number/Scenario.cpp" "case-$number" &
     jobs+=($!)
 done
+for other in inside-event crashing-part; do
+    build "review/other-2/$other.cpp" "other-$other" &
+    jobs+=($!)
+done
 for job in "${jobs[@]}"; do
     wait "$job"
 done
--- a/review/common-2/Deployment.h
+++ b/review/common-2/Deployment.h
@@ -220,22 +220,20 @@
         instance->front = freePort();
         instance->ready = freePort();
         // The port after that for peers is the one for tunnels.
-        do
-            instance->peers = freePort();
-        while (!isFree(instance->peers + 1));
+        instance->peers = freePort();
         instance->metrics = freePort();
         instance->settings = scratch_ + "/" + name + ".ini";
         instance->log = scratch_ + "/" + name + ".log";
         const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port); };
-        std::ofstream(instance->settings) << "[instance]\nid = " << name << "\ndata_centre = " << zone
-                                          << "\nregion = cardiff\n\n[callers]\nendpoint = " << address(instance->front)
-                                          << "\n\n[readiness]\nendpoint = " << address(instance->ready)
-                                          << "\n\n[peers]\naddress = 127.0.0.1\nport = " << instance->peers
-                                          << "\n\n[metrics]\nport = " << instance->metrics
-                                          << "\n\n[platform]\nendpoint = " << address(store.port())
-                                          << "\n\n[retries]\npart = 0.2\nslack = 54\nwindow_s = 10\n\n"
-                                          << "[placement]\nlease_ms = 3000\n\n[stop]\ngrace_s = 8\n"
-                                          << sections_;
+        std::ofstream(instance->settings)
+            << "[instance]\nid = " << name << "\ndata_centre = " << zone
+            << "\nregion = cardiff\n\n[callers]\nendpoint = " << address(instance->front)
+            << "\n\n[readiness]\nendpoint = " << address(instance->ready)
+            << "\n\n[peers]\naddress = 127.0.0.1\nport = " << instance->peers
+            << "\n\n[metrics]\nport = " << instance->metrics << "\n\n[platform]\nendpoint = " << address(store.port())
+            << "\n\n[retries]\npart = 0.2\nslack = 54\nwindow_s = 10\n\n"
+            << "[placement]\nlease_ms = 3000\n\n[stop]\ngrace_s = 8\n"
+            << sections_;
         instances.push_back(std::move(instance));
         return *instances.back();
     }
@@ -268,18 +266,6 @@
     std::vector<std::unique_ptr<Instance>> instances;
 
 private:
-    static bool isFree(int port)
-    {
-        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-        ::close(fd);
-        return bound;
-    }
-
     std::string folder_;
     std::string scratch_;
     std::string sections_;
--- a/review/common-2/Net.h
+++ b/review/common-2/Net.h
@@ -8,13 +8,14 @@
 #include <chrono>
 #include <cstdint>
 #include <cstring>
-#include <strings.h>
 #include <functional>
 #include <memory>
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <string>
+#include <strings.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -285,18 +286,29 @@
     int port_ = 0;
 };
 
-// A port that is free now.
-inline int freePort()
+// Whether a port can be bound now.
+inline bool isFree(int port)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    const bool isBound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     ::close(fd);
-    return ntohs(address.sin_port);
+    return isBound;
+}
+
+// The first of two ports that are free now, below the range from which the system takes those of outgoing connections.
+inline int freePort()
+{
+    static std::mt19937 random(std::random_device{}());
+    static int last = 0;
+    while (true) {
+        const int port = std::uniform_int_distribution<int>(10000, 15999)(random) * 2;
+        if (port != last && isFree(port) && isFree(port + 1))
+            return last = port;
+    }
 }
 
 } // namespace review
--- a/review/common-2/Store.h
+++ b/review/common-2/Store.h
@@ -104,8 +104,8 @@
             return false;
         answer["rowVersion"] = version_;
         answer["nowMs"] = std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
-        const std::string text
-            = answerText(status, answer.dump(), {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}});
+        const std::string text = answerText(
+            status, answer.dump(), {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}});
         lock.unlock();
         return connection.write(text);
     }
@@ -179,8 +179,8 @@
 
     static json toJson(const std::pair<const Key, Row>& row)
     {
-        json entry{{"table", row.first.first}, {"part", ""}, {"key", row.first.second},
-            {"rowVersion", row.second.version}};
+        json entry{
+            {"table", row.first.first}, {"part", ""}, {"key", row.first.second}, {"rowVersion", row.second.version}};
         if (row.second.removed)
             entry["tombstone"] = true;
         else
--- a/review/common-2/Worker.cpp
+++ b/review/common-2/Worker.cpp
@@ -1,6 +1,6 @@
 // A worker of the pages as a process of its own: registers itself in the store, runs plain requests and streams, and
-// appends each run to a file. SIGUSR1 has it leave at short notice: it reports that it drains, and how long it has left.
-// Options make it spoil some of its answers, end streams inside an event, or crash on a part of a prompt.
+// appends each run to a file. SIGUSR1 has it leave at short notice: it reports that it drains, and how long it has
+// left. Options make it spoil some of its answers, end streams inside an event, or crash on a part of a prompt.
 #include "review/common-2/Deployment.h"
 
 using namespace review;
@@ -162,8 +162,8 @@
         work(attempt);
         note("spoilt " + attempt);
         connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Seal: " + seal
-            + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("answer to " + attempt) + "0\r\nX-Rest: "
-            + std::string(wrongBytes, '#') + "\r\n\r\n");
+            + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("answer to " + attempt)
+            + "0\r\nX-Rest: " + std::string(wrongBytes, '#') + "\r\n\r\n");
     } else {
         work(attempt);
         kept = connection.write(
