Bound what follows the head of a message, and contain exceptions

Cause: the fields container of the HTTP library throws above 65,533 bytes, the limit for heads does not cover extensions of chunks and the fields behind the last one, and parsing ran inside the event loop of the duty, where nothing catches.

Change: our own parsers on the library's basic_parser keep fields without that limit and drop those behind the last chunk. The buffer bounds what the head limit does not cover, for answers, requests and tunnels. Heads are written without the library's container. Parsing runs on the fiber of the connection. What is thrown all the same ends its connection or call, is logged and counted (exceptions_contained); std::bad_alloc still ends the process. A wait that an exception ends cancels its timer.

--- a/src/coordination/PeerMesh.cpp
+++ b/src/coordination/PeerMesh.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/CoordinationError.h"
 #include "protocol/Digest.h"
+#include "transport/Containment.h"
 #include "transport/Log.h"
 
 namespace lychee {
@@ -223,7 +224,8 @@
                 messageOf(message.status()));
             break;
         }
-        handle(link->peer, *message);
+        if (!runContained("the message of a peer", [&] { handle(link->peer, *message); }))
+            break;
     }
     link->connection->close();
     closedTraffic_.sent += link->connection->bytesSent();
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/ErrorAnswer.h"
 #include "protocol/Digest.h"
+#include "transport/Containment.h"
 #include "transport/Log.h"
 
 #include <csignal>
@@ -362,7 +363,8 @@
     return {{"configuration_version", static_cast<double>(configuration->version.value())},
         {"requests_in_flight", static_cast<double>(callerServer_->activeExchanges())},
         {"open_claims", static_cast<double>(callDependencies_->openClaims->load())},
-        {"platform_up", platformGateway_->isUp() ? 1.0 : 0.0}};
+        {"platform_up", platformGateway_->isUp() ? 1.0 : 0.0},
+        {"exceptions_contained", static_cast<double>(containedExceptions())}};
 }
 
 int Daemon::waitForStop() { return stopped_.get_future().get() == StopOutcome::Graceful ? 0 : exitCutOff; }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/PaceReview.h"
 #include "gateway/RequestRelay.h"
 #include "protocol/Digest.h"
+#include "transport/Containment.h"
 #include "transport/HttpServer.h"
 #include "transport/Tunnel.h"
 
@@ -484,7 +485,8 @@
     {
         std::vector<Gauge> gauges{{"requests_in_flight", static_cast<double>(callers_->activeExchanges())},
             {"instances", static_cast<double>(instances_)}, {"tunnels", static_cast<double>(activeTunnels())},
-            {"log_lines_dropped", static_cast<double>(droppedLogLines())}};
+            {"log_lines_dropped", static_cast<double>(droppedLogLines())},
+            {"exceptions_contained", static_cast<double>(containedExceptions())}};
         if (const std::optional<Duration> age = confirmation_.age())
             gauges.push_back({"configuration_age_seconds", std::chrono::duration<double>(*age).count()});
         const auto paces
--- a/src/gateway/Mesh.cpp
+++ b/src/gateway/Mesh.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Mesh.h"
 
+#include "transport/Containment.h"
 #include "transport/Log.h"
 #include "transport/TransportError.h"
 
@@ -173,7 +174,8 @@
                 "peer={} connection closed, a message cannot be decoded: {}", peer, messageOf(message.status()));
             return message.status();
         }
-        handlers_.received(peer, *message);
+        if (!runContained("the message of a peer", [&] { handlers_.received(peer, *message); }))
+            return makeError(TransportError::MessageMalformed, "the message could not be handled");
     }
 }
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -1,9 +1,12 @@
 #include "transport/HttpClient.h"
 
+#include "transport/Containment.h"
+#include "transport/HttpHead.h"
+#include "transport/HttpParser.h"
 #include "transport/SocketOperation.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 
 #include <absl/strings/numbers.h>
 
@@ -35,39 +38,18 @@
 // Interim answers (status 1xx) that may precede an answer.
 constexpr int maxInterimAnswers = 8;
 constexpr int firstInterimStatus = 100;
+constexpr int switchingProtocolsStatus = 101;
 constexpr int firstFinalStatus = 200;
 constexpr int lastFinalStatus = 599;
 
-constexpr std::size_t readBufferBytes = 16384;
+// Of the head of an answer. Extensions of chunks and the fields behind the last one are held to the same limit by the
+// size of the buffer, in which each must stand whole.
 constexpr std::uint32_t maxHeaderBytes = 32768;
-// The header limit does not cover the extension of a chunk and the trailer after the last one.
-constexpr std::size_t maxBufferBytes = std::size_t{4} * maxHeaderBytes;
+constexpr std::size_t maxBufferBytes = maxHeaderBytes;
 
 // The age of idle connections counts suspension of the machine, in which the peer may have closed them.
 TimePoint poolTime() { return Duty::current()->clock()->nowWithSuspension(); }
 
-// The body is not copied, because it may be held for as long as the peer does not answer.
-using RequestMessage = http::request<http::span_body<const char>>;
-
-// `request` must outlive the message.
-RequestMessage toMessage(const Endpoint& endpoint, const HttpRequest& request)
-{
-    RequestMessage message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
-    if (!request.headers.find("Host"))
-        message.set(http::field::host, endpoint.toString());
-    for (const HttpHeaders::Field& field : request.headers.fields())
-        message.insert(field.name, field.value);
-    message.body() = {request.body.data(), request.body.size()};
-    const bool usuallyHasBody = message.method() == http::verb::post || message.method() == http::verb::put
-        || message.method() == http::verb::patch;
-    if (usuallyHasBody || !request.body.empty())
-        message.content_length(request.body.size());
-    return message;
-}
-
 } // namespace
 
 class HttpClient::Connection {
@@ -79,7 +61,7 @@
     }
 
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_{maxBufferBytes};
+    boost::beast::flat_buffer buffer_;
     // Whether the peer has closed the connection or has sent bytes that nobody asked for.
     bool isSpoiled() { return peekPeer(socket_) != PeerSign::Silent; }
 
@@ -187,12 +169,16 @@
 
     // Sends the request. A peer may answer and stop reading before it has the whole body, so a failed write is not
     // the end of the call.
-    error_code write(const RequestMessage& message)
+    error_code write(const HttpRequest& request)
     {
+        const std::string head = requestHead(request, endpoint_);
+        // The body is not copied, because it may be held for as long as the peer does not answer.
+        const std::array<boost::asio::const_buffer, 2> message{
+            boost::asio::buffer(head), boost::asio::buffer(request.body)};
         const error_code error = runBefore(connection_->socket_, nextDeadline(limits_.interByteTimeout),
-            [&](error_code& result) { http::async_write(connection_->socket_, message, FiberToken{result}); });
+            [&](error_code& result) { boost::asio::async_write(connection_->socket_, message, FiberToken{result}); });
         wholeRequestSent_ = !error;
-        isHead_ = message.method() == http::verb::head;
+        isHead_ = request.method == "HEAD";
         return error;
     }
 
@@ -217,7 +203,7 @@
         return makeError(TransportError::MessageMalformed, "the answers belong to other requests");
     }
 
-    int status() const override { return static_cast<int>(parser_->get().result_int()); }
+    int status() const override { return parser_->status(); }
 
     const HttpHeaders& headers() const override { return headers_; }
 
@@ -255,8 +241,7 @@
     // Whether the header is that of an interim answer, other than a switch to another protocol.
     bool isInterim() const
     {
-        return status() >= firstInterimStatus && status() < firstFinalStatus
-            && parser_->get().result() != http::status::switching_protocols;
+        return status() >= firstInterimStatus && status() < firstFinalStatus && status() != switchingProtocolsStatus;
     }
 
     absl::Status readNextHeader()
@@ -269,13 +254,11 @@
             return cancelled();
         const error_code error
             = awaitPeer(std::min(limits_.interByteTimeout, limits_.headerTimeout), [&](error_code& result) {
-                  http::async_read_header(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
+                  readHead(connection_->socket_, connection_->buffer_, *parser_, maxBufferBytes, result);
               });
         if (error)
             return failure(error, "read header");
-        headers_ = {};
-        for (const auto& field : parser_->get())
-            headers_.add(std::string(field.name_string()), std::string(field.value()));
+        headers_ = parser_->takeHeaders();
         return absl::OkStatus();
     }
 
@@ -299,19 +282,13 @@
         while (!parser_->is_done()) {
             if (isCancelled())
                 return cancelled();
-            auto& body = parser_->get().body();
-            body.data = chunk_.data();
-            body.size = chunk_.size();
-            error_code error = awaitPeer(limits_.interByteTimeout, [&](error_code& result) {
-                http::async_read_some(connection_->socket_, connection_->buffer_, *parser_, FiberToken{result});
+            const error_code error = awaitPeer(limits_.interByteTimeout, [&](error_code& result) {
+                readSome(connection_->socket_, connection_->buffer_, *parser_, maxBufferBytes, result);
             });
-            if (error == http::error::need_buffer)
-                error = {};
             if (error)
                 return failure(error, "read body");
-            const std::size_t count = chunk_.size() - body.size;
-            if (count > 0)
-                return std::string(chunk_.data(), count);
+            if (parser_->hasPiece())
+                return parser_->takePiece();
         }
         // The failed write has taken the error of the socket, so a reset looks like a regular end to the reads after
         // it.
@@ -333,7 +310,11 @@
     template <typename Read> error_code awaitPeer(Duration limit, const Read& read)
     {
         while (true) {
-            const error_code error = runBefore(connection_->socket_, nextDeadline(limit), read);
+            error_code error;
+            const bool sound = runContained(
+                "reading an answer", [&] { error = runBefore(connection_->socket_, nextDeadline(limit), read); });
+            if (!sound)
+                return http::error::bad_field;
             const bool silent = error == boost::asio::error::timed_out && currentTime() < limits_.deadline;
             if (!silent || isCancelled() || !limits_.mayGiveUp || limits_.mayGiveUp())
                 return error;
@@ -395,9 +376,8 @@
     bool wholeRequestSent_ = false;
     // The answers have no body, whatever their headers say.
     bool isHead_ = false;
-    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::optional<HttpResponseParser> parser_;
     HttpHeaders headers_;
-    std::array<char, readBufferBytes> chunk_;
 };
 
 HttpClient::HttpClient(const SocketBuffers& buffers)
@@ -453,11 +433,10 @@
 HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::openOn(std::unique_ptr<Connection> connection,
     const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
-    const RequestMessage message = toMessage(endpoint, request);
     if (limits.cancellation && limits.cancellation->isRequested())
         return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
     auto stream = std::make_unique<Stream>(pool_, opener_, endpoint, std::move(connection), limits);
-    const error_code error = stream->write(message);
+    const error_code error = stream->write(request);
     if (error && error != boost::asio::error::broken_pipe && error != boost::asio::error::connection_reset)
         return {socketError(error, "write request"), true, nullptr};
     // After a failed write an early answer may still wait in the receive buffer.
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,5 +1,8 @@
 #include "transport/HttpServer.h"
 
+#include "transport/Containment.h"
+#include "transport/HttpHead.h"
+#include "transport/HttpParser.h"
 #include "transport/Log.h"
 #include "transport/SocketOperation.h"
 
@@ -7,10 +10,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <sys/socket.h>
 
+#include <array>
 #include <set>
 
 namespace lychee {
@@ -35,17 +40,6 @@
 // Bytes of a next request that are read while another one is handled. A header fits in usually.
 constexpr std::size_t maxEarlyBytes = 16384;
 
-HttpRequest toRequest(http::request<http::string_body>&& message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message)
-        request.headers.add(std::string(field.name_string()), std::string(field.value()));
-    request.body = std::move(message.body());
-    return request;
-}
-
 HttpFault faultOf(const error_code& error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
@@ -66,24 +60,23 @@
         || error == boost::asio::error::connection_reset || error == boost::asio::error::operation_aborted;
 }
 
-template <typename Message> void setHeaders(Message& message, const HttpHeaders& headers)
+std::size_t countOf(const HttpHeaders& headers, std::string_view name)
 {
-    for (const HttpHeaders::Field& field : headers.fields())
-        message.insert(field.name, field.value);
+    const auto& fields = headers.fields();
+    return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [&](const HttpHeaders::Field& field) {
+        return boost::beast::iequals(field.name, {name.data(), name.size()});
+    }));
 }
 
 // HTTP/1.1 requires exactly one Host header; without it the request's route is undefined.
-bool hasValidHost(const http::request<http::string_body>& message)
-{
-    return message.version() < 11 || message.count(http::field::host) == 1;
-}
+bool hasValidHost(HttpRequestParser& parser) { return parser.version() < 11 || countOf(parser.headers(), "Host") == 1; }
 
 // A body in an encoding that is not known here has an unknown end, so what follows could be taken for another request.
-bool hasKnownLength(const http::request<http::string_body>& message)
+bool hasKnownLength(const HttpHeaders& headers)
 {
-    const auto encodings = message.count(http::field::transfer_encoding);
+    const std::size_t encodings = countOf(headers, "Transfer-Encoding");
     return encodings == 0
-        || (encodings == 1 && boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+        || (encodings == 1 && boost::beast::iequals(std::string(*headers.find("Transfer-Encoding")), "chunked"));
 }
 
 } // namespace
@@ -134,13 +127,17 @@
         while (awaitRequest()) {
             // Counted from its first byte, so that a stop waits for a request that is still arriving.
             ++state_->activeExchanges_;
-            const bool received = readRequest();
-            if (received)
+            bool received = false;
+            const bool sound = runContained("reading a request", [&] { received = readRequest(); });
+            if (sound && received)
                 handleRequest();
             memory_.reset();
             request_ = {};
+            // A large head or trailer leaves a large buffer.
+            if (buffer_.size() == 0 && buffer_.capacity() > maxEarlyBytes)
+                buffer_.shrink_to_fit();
             --state_->activeExchanges_;
-            if (!received || !answered_ || !keepAlive_)
+            if (!sound || !received || !answered_ || !keepAlive_)
                 break;
         }
         closeSocket();
@@ -164,29 +161,18 @@
 
     absl::Status respond(const HttpResponse& response) override
     {
-        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
-        setHeaders(message, response.headers);
-        message.body() = response.body;
-        prepare(message);
-        message.prepare_payload();
-        http::response_serializer<http::string_body> serializer(message);
-        serializer.split(isHead());
-        const auto isDone = [&] { return isHead() ? serializer.is_header_done() : serializer.is_done(); };
-        return finish(writeAll("write answer", isDone,
-            [&](error_code& error) { http::async_write_some(socket_, serializer, FiberToken{error}); }));
+        const bool hasBody = mayHaveBody(response.status);
+        const std::string head = responseHead(response.status, response.headers, keepsConnection(), BodyFraming::Length,
+            hasBody ? response.body.size() : 0);
+        const std::array<boost::asio::const_buffer, 2> message{boost::asio::buffer(head),
+            hasBody && !isHead() ? boost::asio::buffer(response.body) : boost::asio::const_buffer()};
+        return finish(writeBuffers("write answer", message));
     }
 
     absl::Status beginStream(int status, const HttpHeaders& headers) override
     {
-        http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-        setHeaders(message, headers);
-        prepare(message);
-        message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
-        serializer.split(true);
-        const auto isDone = [&] { return serializer.is_header_done(); };
-        return writeAll("write header", isDone,
-            [&](error_code& error) { http::async_write_some(socket_, serializer, FiberToken{error}); });
+        const std::string head = responseHead(status, headers, keepsConnection(), BodyFraming::Chunks, 0);
+        return writeBuffers("write header", boost::asio::const_buffer(head.data(), head.size()));
     }
 
     absl::Status write(std::string_view piece) override
@@ -231,12 +217,9 @@
     {
         busy_ = true;
         answered_ = false;
-        try {
-            state_->handler_(*this);
-        } catch (const std::exception& exception) {
-            logChannel.error("handler of {} {} failed: {}", request_.method, request_.path(), exception.what());
+        const std::string doing = fmt::format("the handler of {} {}", request_.method, request_.path());
+        if (!runContained(doing, [&] { state_->handler_(*this); }))
             answered_ = false;
-        }
         stopWatching();
         busy_ = false;
     }
@@ -322,30 +305,33 @@
         return status;
     }
 
-    template <typename Message> void prepare(Message& message)
+    // Whether the connection goes on after the answer that is about to begin.
+    bool keepsConnection()
     {
         if (state_->draining_ || state_->closeAfterAnswers_)
             keepAlive_ = false;
-        message.keep_alive(keepAlive_);
+        return keepAlive_;
     }
 
     // Reads the next request. Answers a request that breaks a limit, and returns false when the connection has to end.
     bool readRequest()
     {
-        http::request_parser<http::string_body> parser;
+        HttpRequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(state_->options_.maxHeaderBytes));
         parser.body_limit(state_->options_.maxBodyBytes);
+        // Bounds what the header limit does not cover: extensions of chunks, and the fields behind the last one.
+        maxBuffered_ = std::max(state_->options_.maxHeaderBytes, maxEarlyBytes);
         startedAt_ = currentTime();
         request_ = {};
         error_code error = runBefore(socket_, currentTime() + state_->options_.headerTimeout,
-            [&](error_code& result) { http::async_read_header(socket_, buffer_, parser, FiberToken{result}); });
-        if (!error && (!hasValidHost(parser.get()) || !hasKnownLength(parser.get())))
+            [&](error_code& result) { readHead(socket_, buffer_, parser, maxBuffered_, result); });
+        if (!error && (!hasValidHost(parser) || !hasKnownLength(parser.headers())))
             error = http::error::bad_field;
         if (!error && !parser.is_done())
             error = readBody(parser);
         if (error) {
             // The memory is free from now on, although the answer may take a while to be read.
-            std::string().swap(parser.get().body());
+            parser.dropBody();
             memory_.reset();
             if (!isClosed(error))
                 rejectRequest(faultOf(error));
@@ -353,12 +339,12 @@
         }
         if (memory_)
             memory_->keep();
-        keepAlive_ = parser.get().keep_alive();
-        request_ = toRequest(parser.release());
+        keepAlive_ = parser.keep_alive();
+        request_ = parser.take();
         return true;
     }
 
-    error_code readBody(http::request_parser<http::string_body>& parser)
+    error_code readBody(HttpRequestParser& parser)
     {
         parser.eager(true);
         if (requestMemory_) {
@@ -370,9 +356,9 @@
         const TimePoint limit = currentTime() + state_->options_.readTimeout;
         error_code error;
         while (!error && !parser.is_done()) {
-            error = runBefore(socket_, limit,
-                [&](error_code& result) { http::async_read_some(socket_, buffer_, parser, FiberToken{result}); });
-            if (memory_ && (memory_->isRevoked() || !memory_->resize(parser.get().body().size())))
+            error = runBefore(
+                socket_, limit, [&](error_code& result) { readSome(socket_, buffer_, parser, maxBuffered_, result); });
+            if (memory_ && (memory_->isRevoked() || !memory_->resize(parser.bodySize())))
                 return boost::asio::error::no_memory;
         }
         return error;
@@ -426,6 +412,7 @@
     std::unique_ptr<MemoryBudget::Share> memory_;
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
+    std::size_t maxBuffered_ = 0;
     HttpRequest request_;
     bool busy_ = false;
     // A write waits for the peer to read.
--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -5,6 +5,8 @@
 #include "transport/FiberToken.h"
 #include "transport/TransportError.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -27,8 +29,11 @@
         });
     }
     boost::system::error_code error;
-    operation(error);
-    timers.cancel(timer);
+    {
+        // Also after an exception, because the timer refers to this frame.
+        const absl::Cleanup cancelTimer = [&] { timers.cancel(timer); };
+        operation(error);
+    }
     if (!expired || !error)
         return error;
     return Duty::current()->isStopping() ? boost::asio::error::operation_aborted : boost::asio::error::timed_out;
--- a/src/transport/Timers.h
+++ b/src/transport/Timers.h
@@ -34,6 +34,9 @@
     // Drops a callback that has not run yet.
     void cancel(TimerId id);
 
+    // Number of callbacks that have not run yet.
+    std::size_t pending() const { return callbacks_.size(); }
+
     // Runs every callback now, as if its time had come; used to end waiting fibers when the duty stops.
     void expireAll();
 
--- a/src/transport/Tunnel.cpp
+++ b/src/transport/Tunnel.cpp
@@ -1,11 +1,13 @@
 #include "transport/Tunnel.h"
 
+#include "transport/Containment.h"
 #include "transport/FiberEvent.h"
+#include "transport/HttpHead.h"
+#include "transport/HttpParser.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 
 #include <absl/strings/numbers.h>
 
@@ -16,7 +18,6 @@
 
 namespace {
 
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
@@ -35,9 +36,10 @@
 
 constexpr const char* connectTimeHeader = "Connect-Timeout-Ms";
 
-constexpr http::status refusedStatus = http::status::bad_gateway;
-constexpr http::status timedOutStatus = http::status::gateway_timeout;
-constexpr http::status declinedStatus = http::status::service_unavailable;
+constexpr int openedStatus = 200;
+constexpr int refusedStatus = 502;
+constexpr int declinedStatus = 503;
+constexpr int timedOutStatus = 504;
 
 void resetSocket(tcp::socket& socket)
 {
@@ -110,16 +112,16 @@
     FiberEvent ended_;
 };
 
-std::optional<Endpoint> readEndpoint(const http::request<http::empty_body>& request)
+std::optional<Endpoint> readEndpoint(const HttpRequest& request)
 {
-    if (request.method() != http::verb::connect)
+    if (request.method != "CONNECT")
         return std::nullopt;
-    return Endpoint::parse(std::string(request.target()));
+    return Endpoint::parse(request.target);
 }
 
-Duration readConnectTime(const http::request<http::empty_body>& request, Duration limit)
+Duration readConnectTime(const HttpRequest& request, Duration limit)
 {
-    const auto text = request[connectTimeHeader];
+    const std::string_view text = request.headers.find(connectTimeHeader).value_or(std::string_view());
     std::uint32_t milliseconds = 0;
     if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &milliseconds))
         return limit;
@@ -151,7 +153,8 @@
                 continue;
             }
             duty_.spawn([self = shared_from_this(), near = std::make_shared<tcp::socket>(std::move(socket))] {
-                self->serve(*near);
+                if (!runContained("a request for a tunnel", [&] { self->serve(*near); }))
+                    resetSocket(*near);
             });
         }
     }
@@ -176,13 +179,16 @@
         error_code ignored;
         near.set_option(tcp::no_delay(true), ignored);
         setBuffers(near, options_.buffers);
-        boost::beast::flat_buffer buffer(maxHeadBytes);
-        http::request_parser<http::empty_body> parser;
+        boost::beast::flat_buffer buffer;
+        HttpRequestParser parser;
         const error_code error = runBefore(near, currentTime() + requestTimeout,
-            [&](error_code& result) { http::async_read_header(near, buffer, parser, FiberToken{result}); });
-        const std::optional<Endpoint> endpoint = error ? std::nullopt : readEndpoint(parser.get());
+            [&](error_code& result) { readHead(near, buffer, parser, maxHeadBytes, result); });
         // Nothing may follow before the answer.
-        if (!endpoint || buffer.size() != 0)
+        if (error || !parser.is_done() || buffer.size() != 0)
+            return resetSocket(near);
+        const HttpRequest request = parser.take();
+        const std::optional<Endpoint> endpoint = readEndpoint(request);
+        if (!endpoint)
             return resetSocket(near);
         const auto remote = near.remote_endpoint(ignored);
         const bool mayOpen = !declines_.load() && active_.load() < options_.maxTunnels
@@ -192,7 +198,7 @@
             return;
         }
         ++active_;
-        open(near, *endpoint, readConnectTime(parser.get(), options_.maxConnectTime));
+        open(near, *endpoint, readConnectTime(request, options_.maxConnectTime));
         --active_;
     }
 
@@ -204,16 +210,17 @@
             answer(near, refused ? refusedStatus : timedOutStatus);
             return;
         }
-        if (!answer(near, http::status::ok))
+        if (!answer(near, openedStatus))
             return resetSocket(*far);
         std::make_shared<Tunnel>(std::move(near), *std::move(far), options_.maxIdle)->run();
     }
 
-    static bool answer(tcp::socket& near, http::status status)
+    // A tunnel has no body, so its head names no length.
+    static bool answer(tcp::socket& near, int status)
     {
-        http::response<http::empty_body> response(status, 11);
+        const std::string head = responseHead(status, {}, true, BodyFraming::None, 0);
         const error_code error = runBefore(near, currentTime() + requestTimeout,
-            [&](error_code& result) { http::async_write(near, response, FiberToken{result}); });
+            [&](error_code& result) { boost::asio::async_write(near, boost::asio::buffer(head), FiberToken{result}); });
         return !error;
     }
 
@@ -256,31 +263,32 @@
     absl::StatusOr<tcp::socket> socket = connectSocket(server.address, server.port, deadline, buffers);
     if (!socket.ok())
         return declined(messageOf(socket.status()));
-    http::request<http::empty_body> request(http::verb::connect, endpoint.toString(), 11);
-    request.set(http::field::host, endpoint.toString());
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(connectTime).count();
-    request.set(connectTimeHeader, std::to_string(milliseconds));
-    error_code error = runBefore(
-        *socket, deadline, [&](error_code& result) { http::async_write(*socket, request, FiberToken{result}); });
-    boost::beast::flat_buffer buffer(maxHeadBytes);
-    http::response_parser<http::empty_body> parser;
+    const std::string name = endpoint.toString();
+    const std::string request = requestHead(
+        {"CONNECT", name, {{"Host", name}, {connectTimeHeader, std::to_string(milliseconds)}}, {}}, endpoint);
+    error_code error = runBefore(*socket, deadline, [&](error_code& result) {
+        boost::asio::async_write(*socket, boost::asio::buffer(request), FiberToken{result});
+    });
+    boost::beast::flat_buffer buffer;
+    HttpResponseParser parser;
     // The answer has no body, whatever its header says.
     parser.skip(true);
     if (!error) {
-        error = runBefore(*socket, deadline,
-            [&](error_code& result) { http::async_read_header(*socket, buffer, parser, FiberToken{result}); });
+        error = runBefore(
+            *socket, deadline, [&](error_code& result) { readHead(*socket, buffer, parser, maxHeadBytes, result); });
     }
     if (error)
         return declined(error.message());
-    switch (parser.get().result()) {
-    case http::status::ok:
+    switch (parser.status()) {
+    case openedStatus:
         break;
     case refusedStatus:
-        return makeError(TransportError::ConnectFailed, fmt::format("{} through a tunnel", endpoint.toString()));
+        return makeError(TransportError::ConnectFailed, fmt::format("{} through a tunnel", name));
     case timedOutStatus:
-        return makeError(TransportError::TimedOut, fmt::format("{} through a tunnel", endpoint.toString()));
+        return makeError(TransportError::TimedOut, fmt::format("{} through a tunnel", name));
     default:
-        return declined(fmt::format("the tunnel server answered with status {}", parser.get().result_int()));
+        return declined(fmt::format("the tunnel server answered with status {}", parser.status()));
     }
     if (buffer.size() != 0)
         return makeError(TransportError::ConnectFailed, "bytes arrived before the first request");
--- a/tests/gateway/CallerInputTest.cpp
+++ b/tests/gateway/CallerInputTest.cpp
@@ -84,6 +84,20 @@
     expectInstanceServes();
 }
 
+// Guards against fields behind the last chunk, which the limit for the header does not cover by itself: they ended the
+// process.
+TEST(CallerInput, LongFieldsBehindTheLastChunkAreRefused)
+{
+    const std::string body = head("long-trailer", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n";
+    for (const std::size_t length : {std::size_t{65534}, std::size_t{1} << 20}) {
+        const auto answer = answerTo(body + "X-Late: " + std::string(length, 'v') + "\r\n\r\n");
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_TRUE(answer->starts_with("HTTP/1.1 431")) << answer->substr(0, 100);
+    }
+    EXPECT_EQ(deployment().executions("long-trailer"), 0);
+    expectInstanceServes();
+}
+
 // Guards against a rejection that never reaches the caller, because the connection is reset while the caller still
 // sends.
 TEST(CallerInput, RejectionReachesACallerThatStillSends)
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -104,6 +104,21 @@
     expectAnswer("/unsafe/x", 502, 1300ms);
 }
 
+// Guards against a field behind the last chunk, longer than the HTTP library can keep, that ends the process.
+TEST_F(EndlessAnswerTest, LongFieldBehindTheLastChunk)
+{
+    const std::string answer = fmt::format(
+        "{}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Late: {}\r\n\r\n", sealed, std::string(70000, 'v'));
+    addRawTarget(plainService, [this, answer](RawTargetConnection& connection, const HttpRequest&) {
+        ++received_;
+        connection.write(answer);
+        if (!connection.readRequest())
+            ++closed_;
+    });
+    start();
+    expectAnswer("/unsafe/x", 502, 800ms);
+}
+
 class ManyEndlessAnswersTest : public EndlessAnswerTest {
 protected:
     // Sends many requests to targets that answer without end, and sound ones beside them, and expects that the sound
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -1,10 +1,13 @@
 #include "tests/support/RawConnection.h"
+#include "transport/Containment.h"
 #include "transport/FrameConnection.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/SocketOperation.h"
 #include "transport/TransportError.h"
 
+#include <boost/asio/write.hpp>
+
 #include <gtest/gtest.h>
 
 #include <future>
@@ -131,6 +134,106 @@
     });
 }
 
+// Guards against a field behind the last chunk of a request that ends the process.
+TEST_F(HttpTest, ALongFieldBehindTheLastChunkIsRejectedAndTheServerSurvives)
+{
+    listen({}, [](HttpExchange& exchange) { exchange.respond({200, {}, exchange.request().body}).IgnoreError(); });
+    const std::string chunks = "1\r\nx\r\n0\r\n";
+    for (const std::size_t length : {std::size_t{65533}, std::size_t{65534}, std::size_t{70000}}) {
+        test::RawConnection connection(endpoint_);
+        connection.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+            + "X-Late: " + std::string(length, 'v') + "\r\n\r\n");
+        const auto answer = connection.readUntilClosed();
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_TRUE(answer->starts_with("HTTP/1.1 400 ")) << length << ": " << answer->substr(0, 40);
+    }
+    onClient([&](HttpClient& client) {
+        EXPECT_EQ(client.call(endpoint_, {"POST", "/", {}, "x"}, {}).answer.body, "x");
+    });
+    EXPECT_EQ(containedExceptions(), 0U);
+}
+
+// Guards against a limit for heads above 64 KiB that cannot be used, and against a field of that size that ends the
+// process.
+TEST_F(HttpTest, AFieldOfMoreThan64KilobytesIsServedWhereTheLimitAllowsIt)
+{
+    HttpServerOptions options;
+    options.maxHeaderBytes = 262144;
+    listen(options, [](HttpExchange& exchange) {
+        const std::string value(exchange.request().headers.find("X-Long").value_or(std::string_view()));
+        exchange.respond({200, {}, value}).IgnoreError();
+    });
+    onClient([&](HttpClient& client) {
+        for (const std::size_t length : {65533U, 65534U, 65536U, 70000U, 200000U}) {
+            const HttpRequest request{"GET", "/", {{"X-Long", std::string(length, 'v')}}};
+            EXPECT_EQ(client.call(endpoint_, request, {}).answer.body.size(), length);
+        }
+    });
+    EXPECT_EQ(containedExceptions(), 0U);
+}
+
+// Guards against wrong bytes of a peer behind its answer that end the process: the answer has no end that can be read,
+// and its connection is not used again.
+TEST_F(HttpTest, ALongFieldBehindTheLastChunkOfAnAnswerFailsItsCallOnly)
+{
+    std::atomic<int> connections{0};
+    tcp::acceptor acceptor(serverDuty_->io(), tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    endpoint_ = {"127.0.0.1", acceptor.local_endpoint().port()};
+    const std::string wrong = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Late: "
+        + std::string(70000, 'v') + "\r\n\r\n";
+    serverDuty_->spawn([&] {
+        boost::system::error_code error;
+        std::array<char, 4096> bytes{};
+        while (connections < 2) {
+            tcp::socket socket(serverDuty_->io());
+            acceptor.async_accept(socket, FiberToken{error});
+            socket.async_read_some(boost::asio::buffer(bytes), FiberToken{error});
+            const std::string answer
+                = connections == 0 ? wrong : std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny");
+            boost::asio::async_write(socket, boost::asio::buffer(answer), FiberToken{error});
+            ++connections;
+        }
+    });
+    onClient([&](HttpClient& client) {
+        const auto outcome = client.call(endpoint_, {}, {});
+        EXPECT_EQ(errorOf<TransportError>(outcome.status), TransportError::MessageTooLarge) << outcome.status;
+        EXPECT_TRUE(outcome.sent);
+        EXPECT_EQ(client.call(endpoint_, {}, {}).answer.body, "y");
+    });
+    EXPECT_EQ(connections, 2);
+    EXPECT_EQ(containedExceptions(), 0U);
+}
+
+// Guards against an exception that ends more than the connection on which it was caused, or that leaves no trace.
+TEST_F(HttpTest, AnExceptionEndsItsConnectionAndIsCounted)
+{
+    listen({}, [](HttpExchange& exchange) {
+        if (exchange.request().target == "/throw")
+            throw std::length_error("too long");
+        exchange.respond({200, {}, "served"}).IgnoreError();
+    });
+    const std::uint64_t before = containedExceptions();
+    test::RawConnection connection(endpoint_);
+    connection.write("GET /throw HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(connection.readUntilClosed(), "");
+    EXPECT_EQ(containedExceptions(), before + 1);
+    onClient([&](HttpClient& client) { EXPECT_EQ(client.call(endpoint_, {}, {}).answer.body, "served"); });
+    awaitActiveExchanges(0);
+}
+
+// Guards against a timer that outlives the wait which an exception has ended, and that refers to its frame.
+TEST_F(HttpTest, AnExceptionCancelsTheTimerOfItsWait)
+{
+    clientDuty_->run([&] {
+        tcp::socket socket(clientDuty_->io());
+        EXPECT_FALSE(runContained("a wait", [&] {
+            runBefore(
+                socket, currentTime() + 20ms, [](boost::system::error_code&) { throw std::length_error("too long"); });
+        }));
+        EXPECT_EQ(clientDuty_->timers().pending(), 0U);
+    });
+}
+
 // Guards against frames that are reordered, cut or accepted beyond the limit.
 TEST_F(HttpTest, FramesArriveWholeAndOversizedOnesEndTheConnection)
 {
