Take endpoints by value where a function suspends

Cause: TargetDialer::openThroughPeers handed openTunnel a reference into its map of peers and suspended; peerLost erased the entry, and the text of the failed connection was built from the freed address. The same could happen to any endpoint that a call of HttpClient, FrameConnection or connectSocket was given: the entry of a target is replaced while its report is being read.

Change: all functions that suspend and are given an endpoint own it. Read for the same class, without another find: Mesh, PeerMesh, ControlPlane, GrantExchange, StreamVersions, LeaseManager, TableWatch, OrderDispatcher, PlacementOwner, CrashWatch, RequestRelay, Tunnel, StoreClient, EngineClient.

Tests, which failed before ("dropped:39209: Connection refused", Host "dropped:1"): TunnelTest.TheEndpointOfTheServerMayBeDroppedMeanwhile, HttpTest.AnEndpointMayBeDroppedDuringACall.

--- a/src/gateway/TargetDialer.cpp
+++ b/src/gateway/TargetDialer.cpp
@@ -55,7 +55,7 @@
     random_ = seed;
 }
 
-absl::StatusOr<OpenedConnection> TargetDialer::open(const Endpoint& target, Duration connectTime, TimePoint deadline)
+absl::StatusOr<OpenedConnection> TargetDialer::open(Endpoint target, Duration connectTime, TimePoint deadline)
 {
     Verdict verdict;
     if (!paths_.startsAtPeer(target) || !hasPeers()) {
@@ -72,7 +72,7 @@
     return openThroughPeers(target, deadline, verdict);
 }
 
-absl::StatusOr<boost::asio::ip::tcp::socket> TargetDialer::connectDirectly(const Endpoint& target, TimePoint deadline)
+absl::StatusOr<boost::asio::ip::tcp::socket> TargetDialer::connectDirectly(Endpoint target, TimePoint deadline)
 {
     auto socket = connectSocket(target.address, target.port, deadline, buffers_);
     if (socket.ok())
@@ -83,8 +83,7 @@
     return socket;
 }
 
-absl::StatusOr<OpenedConnection> TargetDialer::openThroughPeers(
-    const Endpoint& target, TimePoint deadline, Verdict& verdict)
+absl::StatusOr<OpenedConnection> TargetDialer::openThroughPeers(Endpoint target, TimePoint deadline, Verdict& verdict)
 {
     int verdicts = 0;
     const TimePoint end = std::min(deadline, currentTime() + maxAskTime);
--- a/src/gateway/TargetDialer.h
+++ b/src/gateway/TargetDialer.h
@@ -36,7 +36,7 @@
     // Called when this instance is detached from the targets, and when it reaches them again.
     void setDetachedHandler(std::function<void(bool detached)> handler) { detachedChanged_ = std::move(handler); }
 
-    absl::StatusOr<OpenedConnection> open(const Endpoint& target, Duration connectTime, TimePoint deadline) override;
+    absl::StatusOr<OpenedConnection> open(Endpoint target, Duration connectTime, TimePoint deadline) override;
 
     // Finds out whether the links to the target are broken.
     void wentSilent(const Endpoint& target) override;
@@ -55,7 +55,7 @@
     bool isPeer(const std::string& address) const;
 
     // Connects to a target on the direct way, and learns from the outcome whether that way works.
-    absl::StatusOr<boost::asio::ip::tcp::socket> connectDirectly(const Endpoint& target, TimePoint deadline);
+    absl::StatusOr<boost::asio::ip::tcp::socket> connectDirectly(Endpoint target, TimePoint deadline);
 
 private:
     struct Peer {
@@ -72,7 +72,7 @@
         int timedOut = 0;
     };
 
-    absl::StatusOr<OpenedConnection> openThroughPeers(const Endpoint& target, TimePoint deadline, Verdict& verdict);
+    absl::StatusOr<OpenedConnection> openThroughPeers(Endpoint target, TimePoint deadline, Verdict& verdict);
     static bool mayBeAsked(const Peer& peer);
     bool hasPeers() const;
     // All peers that may be asked, in the order in which they are.
--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -359,7 +359,7 @@
 
 void SharedFrame::setMemory(std::size_t bytes) { frameMemory()->capacity = bytes; }
 
-absl::StatusOr<std::shared_ptr<FrameConnection>> FrameConnection::connect(const Endpoint& endpoint, TimePoint deadline)
+absl::StatusOr<std::shared_ptr<FrameConnection>> FrameConnection::connect(Endpoint endpoint, TimePoint deadline)
 {
     absl::StatusOr<tcp::socket> socket = connectSocket(endpoint.address, endpoint.port, deadline);
     if (!socket.ok())
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -33,7 +33,7 @@
 class FrameConnection {
 public:
     // Connects to a peer.
-    static absl::StatusOr<std::shared_ptr<FrameConnection>> connect(const Endpoint& endpoint, TimePoint deadline);
+    static absl::StatusOr<std::shared_ptr<FrameConnection>> connect(Endpoint endpoint, TimePoint deadline);
 
     virtual ~FrameConnection() = default;
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -395,7 +395,7 @@
 HttpClient::~HttpClient() = default;
 
 absl::StatusOr<std::unique_ptr<HttpClient::Connection>> HttpClient::connect(
-    const Endpoint& endpoint, const HttpCallLimits& limits)
+    Endpoint endpoint, const HttpCallLimits& limits)
 {
     if (opener_) {
         absl::StatusOr<OpenedConnection> opened = opener_->open(endpoint, limits.connectTimeout, limits.deadline);
@@ -411,7 +411,7 @@
 }
 
 HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::open(
-    const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
+    Endpoint endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
     if (!limits.freshConnection) {
         if (std::unique_ptr<Connection> connection = pool_->take(endpoint, limits.maxIdle)) {
@@ -430,8 +430,8 @@
     return openOn(*std::move(connection), endpoint, request, limits);
 }
 
-HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::openOn(std::unique_ptr<Connection> connection,
-    const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
+HttpOutcome<std::unique_ptr<HttpStream>> HttpClient::openOn(
+    std::unique_ptr<Connection> connection, Endpoint endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
     if (limits.cancellation && limits.cancellation->isRequested())
         return {makeError(TransportError::Stopped, "the call was cancelled"), false, nullptr};
@@ -446,8 +446,7 @@
     return {absl::OkStatus(), true, std::move(stream)};
 }
 
-HttpOutcome<HttpResponse> HttpClient::call(
-    const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits)
+HttpOutcome<HttpResponse> HttpClient::call(Endpoint endpoint, const HttpRequest& request, const HttpCallLimits& limits)
 {
     auto opened = open(endpoint, request, limits);
     if (!opened.status.ok())
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -115,8 +115,7 @@
     // Connects to an endpoint. `connectTime` is the limit for one way to it; another way may be tried until the
     // deadline. Fails with TransportError::ConnectFailed when the endpoint refuses connections, and with TimedOut when
     // it cannot be reached.
-    virtual absl::StatusOr<OpenedConnection> open(const Endpoint& endpoint, Duration connectTime, TimePoint deadline)
-        = 0;
+    virtual absl::StatusOr<OpenedConnection> open(Endpoint endpoint, Duration connectTime, TimePoint deadline) = 0;
 
     // A call to the endpoint was given up because nothing arrived. Does not suspend.
     virtual void wentSilent(const Endpoint& endpoint) = 0;
@@ -133,10 +132,10 @@
 
     // Sends a request and reads the header of the answer.
     HttpOutcome<std::unique_ptr<HttpStream>> open(
-        const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits);
+        Endpoint endpoint, const HttpRequest& request, const HttpCallLimits& limits);
 
     // Sends a request and reads the whole answer.
-    HttpOutcome<HttpResponse> call(const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits);
+    HttpOutcome<HttpResponse> call(Endpoint endpoint, const HttpRequest& request, const HttpCallLimits& limits);
 
     // Closes the idle connections to an endpoint.
     void forget(const Endpoint& endpoint);
@@ -149,10 +148,10 @@
     class Stream;
     class Pool;
 
-    HttpOutcome<std::unique_ptr<HttpStream>> openOn(std::unique_ptr<Connection> connection, const Endpoint& endpoint,
+    HttpOutcome<std::unique_ptr<HttpStream>> openOn(std::unique_ptr<Connection> connection, Endpoint endpoint,
         const HttpRequest& request, const HttpCallLimits& limits);
 
-    absl::StatusOr<std::unique_ptr<Connection>> connect(const Endpoint& endpoint, const HttpCallLimits& limits);
+    absl::StatusOr<std::unique_ptr<Connection>> connect(Endpoint endpoint, const HttpCallLimits& limits);
 
     std::shared_ptr<Pool> pool_;
     SocketBuffers buffers_;
--- a/src/transport/SocketOperation.cpp
+++ b/src/transport/SocketOperation.cpp
@@ -52,7 +52,7 @@
 }
 
 absl::StatusOr<tcp::socket> connectSocket(
-    const std::string& address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers)
+    std::string address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers)
 {
     const absl::StatusOr<tcp::endpoint> endpoint = toEndpoint(address, port);
     if (!endpoint.ok())
--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -72,9 +72,10 @@
 // Whether the system takes bytes for the peer now.
 bool isWritable(boost::asio::ip::tcp::socket& socket);
 
-// Connects to a numeric address. The socket has Nagle's algorithm off, because tokens are small and must not wait.
+// Connects to a numeric address. The socket has Nagle's algorithm off, because tokens are small and must not wait. Like
+// all functions that suspend, it takes by value what its caller may not own: another fiber can end the owner meanwhile.
 absl::StatusOr<boost::asio::ip::tcp::socket> connectSocket(
-    const std::string& address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers = {});
+    std::string address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers = {});
 
 // Opens a listening socket; port 0 takes any free port.
 absl::StatusOr<boost::asio::ip::tcp::acceptor> openAcceptor(
--- a/src/transport/Tunnel.cpp
+++ b/src/transport/Tunnel.cpp
@@ -257,7 +257,7 @@
 void TunnelServer::declineAll() { state_->declineAll(); }
 
 absl::StatusOr<tcp::socket> openTunnel(
-    const Endpoint& server, const Endpoint& endpoint, Duration connectTime, const SocketBuffers& buffers)
+    Endpoint server, Endpoint endpoint, Duration connectTime, const SocketBuffers& buffers)
 {
     const TimePoint deadline = currentTime() + connectTime + serverTime;
     absl::StatusOr<tcp::socket> socket = connectSocket(server.address, server.port, deadline, buffers);
--- a/src/transport/Tunnel.h
+++ b/src/transport/Tunnel.h
@@ -60,6 +60,6 @@
 // TransportError::ConnectFailed when the endpoint refuses connections, TimedOut when it does not answer, and Stopped
 // when the server cannot be reached or declines.
 absl::StatusOr<boost::asio::ip::tcp::socket> openTunnel(
-    const Endpoint& server, const Endpoint& endpoint, Duration connectTime, const SocketBuffers& buffers = {});
+    Endpoint server, Endpoint endpoint, Duration connectTime, const SocketBuffers& buffers = {});
 
 } // namespace lychee
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -204,6 +204,26 @@
     EXPECT_EQ(containedExceptions(), 0U);
 }
 
+// Guards against an endpoint that is read after its owner has dropped it, while a connection is being opened.
+TEST_F(HttpTest, AnEndpointMayBeDroppedDuringACall)
+{
+    listen({}, [](HttpExchange& exchange) {
+        exchange.respond({200, {}, std::string(*exchange.request().headers.find("Host"))}).IgnoreError();
+    });
+    onClient([&](HttpClient& client) {
+        Endpoint endpoint = endpoint_;
+        HttpOutcome<HttpResponse> outcome;
+        FiberEvent ended;
+        clientDuty_->spawn([&] {
+            outcome = client.call(endpoint, {}, {});
+            ended.notify();
+        });
+        clientDuty_->spawn([&] { endpoint = {"dropped", 1}; });
+        ended.wait();
+        EXPECT_EQ(outcome.answer.body, endpoint_.toString());
+    });
+}
+
 // Guards against an exception that ends more than the connection on which it was caused, or that leaves no trace.
 TEST_F(HttpTest, AnExceptionEndsItsConnectionAndIsCounted)
 {
--- a/tests/transport/TunnelTest.cpp
+++ b/tests/transport/TunnelTest.cpp
@@ -76,6 +76,28 @@
     }();
 };
 
+// Guards against an endpoint that is read after its owner has dropped it: a peer may be lost while a tunnel through it
+// is being opened.
+TEST_F(TunnelTest, TheEndpointOfTheServerMayBeDroppedMeanwhile)
+{
+    duty_->run([&] {
+        error_code ignored;
+        tcp::acceptor closed(duty_->io(), tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        const std::uint16_t refusingPort = closed.local_endpoint().port();
+        closed.close(ignored);
+        Endpoint server{"127.0.0.1", refusingPort};
+        absl::Status status;
+        FiberEvent ended;
+        duty_->spawn([&] {
+            status = openTunnel(server, endpoint(), 200ms).status();
+            ended.notify();
+        });
+        duty_->spawn([&] { server = {"dropped", 1}; });
+        ended.wait();
+        EXPECT_NE(status.message().find(fmt::format("127.0.0.1:{}", refusingPort)), std::string::npos) << status;
+    });
+}
+
 // Guards against bytes that are lost, changed or reordered on the way, and against an end that is not passed on while
 // the other direction goes on.
 TEST_F(TunnelTest, PassesBytesAndEndsOfBothDirections)
