Void a lease of this instance from before a restoration

Cause: with a new era the holder dropped its name from the row, but the next read of the same row in the same era put it back, and the branch for a write whose answer was lost made this instance the holder with its old fence. That happens whenever a read comes before the instance may take the lease anew, so not in the earlier test, which has no delay.

Change: a row that names this instance with a fence of an earlier era counts as released, at each read and also for a process that starts after the restoration under the same name.

Test: PlacementLease.AFormerHolderStaysWithoutRightWhileItReadsTheRestoredRow.

--- a/src/fleet/PlacementLease.cpp
+++ b/src/fleet/PlacementLease.cpp
@@ -78,6 +78,14 @@
     return std::max(fence(), FencingNumber(era_.value_or(0) * fencesOfEra)).next();
 }
 
+std::optional<LeaseRow> PlacementLease::withoutVoidLease(std::optional<LeaseRow> row) const
+{
+    const std::uint64_t lastEarlierFence = era_.value_or(0) * fencesOfEra;
+    if (row && row->holder == self_ && row->fence.value() <= lastEarlierFence)
+        row->holder = InstanceId();
+    return row;
+}
+
 void PlacementLease::observed(
     const std::optional<LeaseRow>& row, RowVersion version, std::uint64_t era, TimePoint answeredAt)
 {
@@ -87,10 +95,7 @@
         era_ = era;
         wasRestored_ = true;
         rowKnown_ = true;
-        row_ = row;
-        // Another instance may have taken the lease from this one in the time that the store has lost.
-        if (isHolder())
-            row_->holder = InstanceId();
+        row_ = withoutVoidLease(row);
         rowVersion_ = version;
         versionSeenAt_ = answeredAt;
         versionConfirmedAt_ = answeredAt;
@@ -106,7 +111,7 @@
         versionSeenAt_ = answeredAt;
     versionConfirmedAt_ = answeredAt;
     rowKnown_ = true;
-    row_ = row;
+    row_ = withoutVoidLease(row);
     rowVersion_ = version;
     if (!wasHolder && isHolder()) {
         // A write of this instance took effect although its answer was lost. The next renewal opens the order window.
--- a/src/fleet/PlacementLease.h
+++ b/src/fleet/PlacementLease.h
@@ -114,6 +114,9 @@
     bool givesUp() const { return releasing_ || !isCandidate_; }
     bool mayAcquire() const;
     FencingNumber nextFence() const;
+    // The row as it counts here: a lease of this instance from before the store was restored is void, because another
+    // one may have taken it in the time that the store has lost.
+    std::optional<LeaseRow> withoutVoidLease(std::optional<LeaseRow> row) const;
     Duration acquireDelay() const { return options_.acquireDelay + options_.smallMachineDelay; }
     bool heardFromHolderRecently(TimePoint now) const;
 
--- a/tests/unit/PlacementLeaseTest.cpp
+++ b/tests/unit/PlacementLeaseTest.cpp
@@ -358,5 +358,38 @@
     EXPECT_TRUE(resumed) << "the lease is never taken again";
 }
 
+// Guards against a former holder that takes the restored row for a lease of its own when it reads it once more, before
+// it may take the lease anew; and against the same of one that starts after the restoration under the name in the row.
+TEST(PlacementLease, AFormerHolderStaysWithoutRightWhileItReadsTheRestoredRow)
+{
+    for (const bool restarts : {false, true}) {
+        Table table;
+        PlacementLeaseOptions options;
+        options.acquireDelay = 2s;
+        PlacementLease former(InstanceId("a"), options);
+        step(former, table, at(1s));
+        step(former, table, at(1s));
+        ASSERT_TRUE(former.maySendOrders(at(1s)));
+        const FencingNumber formerFence = former.fence();
+        // In the time that is lost, another instance takes the lease with the next fence and sends orders.
+        ++table.era;
+        std::uint64_t knownEra = 0;
+        if (restarts) {
+            former = PlacementLease(InstanceId("a"), options);
+            knownEra = table.era;
+        }
+        bool resumed = false;
+        for (TimePoint now = at(2s); now < at(20s); now += 50ms) {
+            step(former, table, now, std::exchange(knownEra, table.era));
+            // Until its next call to the store.
+            if (!former.maySendOrders(now) || now < at(4s))
+                continue;
+            resumed = true;
+            ASSERT_GT(former.fence(), formerFence.next()) << restarts;
+        }
+        EXPECT_TRUE(resumed) << "the lease is never taken again";
+    }
+}
+
 } // namespace
 } // namespace lychee::fleet
