Take no answer for complete that ends with its leaving target

Cause: the end of such an answer was checked for a crash of its target only if the target was not leaving.

Change: the end of a leaving target is checked too. It is no evidence against the request, so nothing is recorded of it. An answer that a target ended itself just before it left for good is then taken for a cut one: streams go on elsewhere where they may, others are broken off. What is whole can't be told from what is cut there.

Test: UndelimitedAnswerTest.AnAnswerThatEndsWithItsLeavingTargetIsCut.

--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -61,6 +61,9 @@
     // Finds out whether the target has crashed, which suspends the fiber, and returns it.
     bool connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
 
+    // Whether no process listens at the endpoint. Suspends the fiber.
+    bool refusesConnections(const Endpoint& endpoint) const;
+
     // Records that a target answered the request from its beginning to its end.
     void answerCompleted(const fleet::RequestTraits& request);
 
@@ -83,7 +86,6 @@
         std::shared_ptr<bool> crashed = std::make_shared<bool>(false);
     };
 
-    bool refusesConnections(const Endpoint& endpoint) const;
     bool probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
     void recordOwn(const std::vector<fleet::CrashSuspect>& suspects);
     void record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation);
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -214,19 +214,22 @@
                 caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
     }
 
-    // Whether an answer without a length or chunks, which is complete when its connection ends, has ended with a crash
-    // of its target. Suspends the fiber.
-    bool endedInCrash(const Attempt& attempt)
+    // Whether an answer without a length or chunks, which is complete when its connection ends, may have been cut by
+    // the end of its target. Suspends the fiber.
+    bool endedWithTarget(const Attempt& attempt)
     {
-        return !attempt.stream->isDelimited()
-            && !context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)
-            && mayHaveCrashed(attempt);
+        if (attempt.stream->isDelimited())
+            return false;
+        // A target that leaves may be taken away in the middle of its answers. That is no evidence against a request.
+        if (context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation))
+            return context_.crashes.refusesConnections(attempt.target.endpoint);
+        return mayHaveCrashed(attempt);
     }
 
     // Not a lost connection, for which the crash would be recorded once more.
-    static absl::Status cutByCrash()
+    static absl::Status cutByTarget()
     {
-        return makeError(TransportError::Stopped, "the target crashed at the end of the answer");
+        return makeError(TransportError::Stopped, "the target ended at the end of the answer");
     }
 
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
@@ -733,8 +736,8 @@
                 return afterFailedSend(attempt);
             }
         }
-        if (endedInCrash(attempt)) {
-            attempt.status = cutByCrash();
+        if (endedWithTarget(attempt)) {
+            attempt.status = cutByTarget();
             return afterFailedSend(attempt);
         }
         // Held until the answer is delivered.
@@ -868,8 +871,8 @@
         if (!attempt.stream->isDelimited() && (!streamStarted_ || !rest.empty()))
             return breakStream(
                 attempt, makeError(TransportError::ConnectionClosed, "the stream ends before the end of an event"));
-        if (endedInCrash(attempt))
-            return breakStream(attempt, cutByCrash());
+        if (endedWithTarget(attempt))
+            return breakStream(attempt, cutByTarget());
         if (!streamStarted_ || !rest.empty()) {
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -111,6 +111,51 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
 }
 
+// Guards against an answer that was cut because its target was taken away while it was leaving, and reaches the caller
+// as complete. A target that leaves and still listens has ended its answer itself.
+TEST_F(UndelimitedAnswerTest, AnAnswerThatEndsWithItsLeavingTargetIsCut)
+{
+    bool isTakenAway = true;
+    const auto addTargets = [&](const ServiceId& service, const std::string& cut) {
+        requests_ = 0;
+        for (int i = 0; i < 2; ++i) {
+            const std::size_t index = rawTargets_.size();
+            addRawTarget(service, [&, cut, index](RawTargetConnection& connection, const HttpRequest& request) {
+                if (++requests_ > 1)
+                    return stream("", End::Close)(connection, request);
+                connection.write(head("Connection: close\r\n") + cut);
+                relayDuty_->run([&] {
+                    fleet::TargetRecord record = context_.registry.find(TargetId(fmt::format("raw{}", index)))->record;
+                    record.draining = true;
+                    context_.registry.update(record);
+                });
+                sleepFor(20ms);
+                if (isTakenAway)
+                    rawTargets_[index]->close();
+                else
+                    connection.close();
+            });
+        }
+    };
+    const auto restart = [&](const ServiceId& service, const std::string& cut) {
+        callers_.reset();
+        context_.registry = {};
+        addTargets(service, cut);
+        start();
+    };
+    restart(engineService, expectedEvents(3));
+    EXPECT_EQ(bodyOf("/stream/x").value(), expectedEvents(6));
+    restart(engineService, expectedEvents(3));
+    EXPECT_FALSE(bodyOf("/once/x").ok());
+    restart(plainService, "a part");
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+    isTakenAway = false;
+    restart(engineService, expectedEvents(3));
+    EXPECT_EQ(bodyOf("/once/x").value(), expectedEvents(3));
+    restart(plainService, "the whole");
+    EXPECT_EQ(client().send(request("/unsafe/x"))->body, "the whole");
+}
+
 // Guards against a stream that is not resumed, loses or repeats a part, after its target closed or reset it inside or
 // between events.
 TEST_F(UndelimitedAnswerTest, BrokenStreamIsResumedWhereTheRouteAllows)
