Count a restoration as recent when a process starts after it

Cause: only an era that rises while the process runs counted as a restoration, so a new process took the copy for all that had been acknowledged.

Change: the first answer of a store that was ever restored counts as the moment of the restoration: reads confirm the configuration 1 s later, and lists of software versions are not trusted for 3 s. Each start of a process has that cost once the store was restored.

Test: TableWatchTest.AProcessThatStartsAfterARestorationCountsItAsRecent.

--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -101,7 +101,8 @@
     // sent. The time includes suspension of the machine. May be empty.
     std::function<void(TimePoint sentAt)> readAnswered;
 
-    // Called when the store was restored from a copy, which may lack rows that this instance has written. May be empty.
+    // Called when the store was restored from a copy, or may have been just before this process started. The copy may
+    // lack rows that this instance has written. May be empty.
     std::function<void()> storeRestored;
 
     // Limits how long the platform may hold a read while no changes are forwarded. May be empty.
@@ -138,14 +139,15 @@
         return begin + std::max(wait, options_.wait) + answerTimeout;
     }
 
-    // Compares the era of an answer with the one that was known.
+    // Compares the era of an answer with the one that was known. A process that has just started cannot tell how long
+    // ago the store was restored, so the first answer of a restored store counts as the moment of it.
     void noteEra(StoreEra era)
     {
-        const std::optional<StoreEra> before = std::exchange(era_, std::max(era, era_.value_or(era)));
-        if (!before || era <= *before)
+        const StoreEra before = std::exchange(era_, std::max(era, era_));
+        if (era <= before)
             return;
-        watchLog.warning(
-            "table={} version={} store_era={} store restored from a copy", options_.table, replica_.version(), era);
+        watchLog.warning("table={} version={} store_era={} known_era={} store restored from a copy", options_.table,
+            replica_.version(), era, before);
         restoredAt_ = currentTime();
         availability_.restored(*restoredAt_);
         if (storeRestored)
@@ -207,8 +209,8 @@
     RowReplica replica_;
     bool historyLost_ = false;
     bool complete_ = false;
-    // The highest era of the store that was seen.
-    std::optional<StoreEra> era_;
+    // The highest era of the store that was seen; zero for a store that was never restored.
+    StoreEra era_;
     std::optional<TimePoint> restoredAt_;
 };
 
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -19,7 +19,7 @@
         ++calls;
         if (calls > 1)
             return laterList;
-        return RowPage{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
+        return firstList;
     }
 
     absl::StatusOr<RowPage> changes(const std::string&, RowVersion, Duration wait, TimePoint deadline,
@@ -53,8 +53,9 @@
     Duration lastTimeLimit{0};
     // Number of further calls of changes() that fail.
     int failing = 0;
-    // The first answers of changes(), and that of list() after the first call.
+    // The first answers of changes(), that of list() to the first call, and after it.
     std::deque<absl::StatusOr<RowPage>> nextChanges;
+    RowPage firstList{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
     RowPage laterList;
 };
 
@@ -283,5 +284,30 @@
     EXPECT_TRUE(wasUnavailable);
 }
 
+// Guards against a process that starts after a restoration and takes the copy for all that was acknowledged: it
+// accepted a key that had been taken away, and went on with streams at another software version.
+TEST_F(TableWatchTest, AProcessThatStartsAfterARestorationCountsItAsRecent)
+{
+    const RowVersion restored = rowVersionIn(StoreEra(1), 1);
+    store_.firstList = {{{"key", restored, false, "older"}}, restored};
+    for (int i = 0; i < 20; ++i)
+        store_.nextChanges.emplace_back(RowPage{{}, restored});
+    std::vector<TimePoint> confirmedAt;
+    int restorations = 0;
+    const TimePoint begin = clock_->now();
+    watch_.emplace(
+        store_, availability_, TableWatchOptions{"table", 200ms, 200ms, 200ms, 200ms}, [] { return false; },
+        [](const std::vector<StoredRow>&) {});
+    watch_->readAnswered = [&](TimePoint) { confirmedAt.push_back(currentTime()); };
+    watch_->storeRestored = [&] { ++restorations; };
+    duty_->spawn([this] { watch_->run(); });
+    duty_->run([] {});
+    callsDuring(3s);
+    duty_->run([this] { watch_->readAnswered = nullptr; });
+    EXPECT_EQ(restorations, 1);
+    ASSERT_FALSE(confirmedAt.empty());
+    EXPECT_GE(confirmedAt.front() - begin, Duration(1s));
+}
+
 } // namespace
 } // namespace lychee::gateway
