Send no request whose caller left before it was read

A request reached a target although its caller had closed the connection before the request was read, as callers of an instance that is behind do.

Cause: the watch of the caller's connection reports only once the fiber of the request suspends. Where an idle connection to the target exists, the request is sent before.

Change: the connection is looked at once before the request is handled. A request of a caller that left is dropped without a route, a limit or a send, so an instance that is behind catches up sooner.

Test: RelayTest.ARequestOfACallerThatLeftBeforeItWasReadIsNotSent.

--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -41,7 +41,9 @@
             isStopping_ = true;
             cancellation_->cancel();
         });
-        if (accept())
+        // The watch of the connection tells of a caller only once this fiber suspends, which may be after the request
+        // was sent.
+        if (!exchange_.isPeerGone() && accept())
             sendUntilAnswered();
         record();
     }
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -1,4 +1,5 @@
 #include "tests/gateway/RelayFixture.h"
+#include "tests/support/RawConnection.h"
 
 namespace lychee::gateway {
 namespace {
@@ -39,6 +40,27 @@
     EXPECT_EQ(client().send(request("/added/x"))->status, 404);
 }
 
+// Guards against a request that reaches a target although its caller left before it was read, as callers of a busy
+// instance do: an idle connection to the target takes it before the end of the caller's connection is noticed.
+TEST_F(RelayTest, ARequestOfACallerThatLeftBeforeItWasReadIsNotSent)
+{
+    addTarget(plainService, answerWhole);
+    start();
+    ASSERT_EQ(client().send(request("/safe/x"))->status, 200);
+    for (const char* path : {"/safe/late", "/unsafe/late"}) {
+        relayDuty_->run([&] {
+            test::RawConnection connection({"127.0.0.1", callers_->port()});
+            connection.write(fmt::format("POST {} HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: left\r\n"
+                                         "X-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody",
+                path));
+            connection.finishSending();
+            std::this_thread::sleep_for(20ms);
+        });
+        std::this_thread::sleep_for(100ms);
+    }
+    targetDuty_->run([&] { EXPECT_EQ(receivedRequests(), 1u); });
+}
+
 // Guards against a non-idempotent request that is sent twice, and against one that is reported as not run after it was
 // sent. Both targets close the connection without an answer.
 TEST_F(RelayTest, NonIdempotentRequestIsSentOnlyOnce)
