Vouch for no row of a restored store by an earlier confirmation

Cause: a peer states the age of its knowledge together with the row that it has. After a restoration the row is that of the copy, while the age is that of the configuration which it has had in force since before.

Change: what was confirmed before a restoration is not stated for the row of the copy, and a statement about a row of another era is ignored. The instance's own knowledge stays as it was.

--- a/src/gateway/ConfigurationConfirmation.cpp
+++ b/src/gateway/ConfigurationConfirmation.cpp
@@ -1,5 +1,6 @@
 #include "gateway/ConfigurationConfirmation.h"
 
+#include "gateway/StoreEra.h"
 #include "transport/Duty.h"
 #include "transport/Log.h"
 
@@ -29,13 +30,24 @@
 
 void ConfigurationConfirmation::handle(const InstanceId& peer, const MeshConfirmationQuery& query)
 {
-    const fleet::ConfigurationStatement own{age().value_or(Duration::max()), handlers_.ownRow()};
+    const fleet::ConfigurationStatement own{ageOfRow(), handlers_.ownRow()};
     handlers_.send(peer, toMessage(query.call, own));
 }
 
 void ConfigurationConfirmation::handle(const InstanceId& peer, const MeshConfirmation& answer)
 {
-    age_.peerAnswered(peer, answer.call, fromMessage(answer), handlers_.ownRow());
+    const fleet::ConfigurationStatement statement = fromMessage(answer);
+    const RowVersion ownRow = handlers_.ownRow();
+    // A row of another era may have been acknowledged before or after the one that this instance has.
+    if (eraOf(statement.row) == eraOf(ownRow))
+        age_.peerAnswered(peer, answer.call, statement, ownRow);
+}
+
+Duration ConfigurationConfirmation::ageOfRow() const
+{
+    const Duration known = age().value_or(Duration::max());
+    const bool concernsRow = !restoredAt_ || known < clock_->nowWithSuspension() - *restoredAt_;
+    return concernsRow ? known : Duration::max();
 }
 
 void ConfigurationConfirmation::query(TimePoint now)
--- a/src/gateway/ConfigurationConfirmation.h
+++ b/src/gateway/ConfigurationConfirmation.h
@@ -40,6 +40,10 @@
 
     void readAnswered(TimePoint sentAt) { age_.readAnswered(sentAt); }
 
+    // The store was restored from a copy. What was confirmed before holds for the configuration in force here, but says
+    // nothing of the row in the copy, which peers compare.
+    void storeRestored() { restoredAt_ = clock_->nowWithSuspension(); }
+
     Duration maxReadWait() const { return age_.maxReadWait(clock_->nowWithSuspension()); }
 
     bool needsOwnRead() const { return age_.needsOwnRead(clock_->nowWithSuspension()); }
@@ -55,8 +59,12 @@
     InstanceId choosePeer();
     void logChange(TimePoint now);
 
+    // The age of the knowledge of the row that this instance has.
+    Duration ageOfRow() const;
+
     std::shared_ptr<RuntimeClock> clock_;
     fleet::ConfigurationAge age_;
+    std::optional<TimePoint> restoredAt_;
     Handlers handlers_;
     // Chooses among the other peers in turn.
     std::size_t turn_ = 0;
--- a/src/gateway/ControlPlane.h
+++ b/src/gateway/ControlPlane.h
@@ -147,6 +147,7 @@
         configurationWatch_.storeRestored = [this] {
             registrationDue_.notify();
             versions_.storeRestored();
+            confirmation_.storeRestored();
         };
         configurationWatch_.maxWait = [this] { return confirmation_.maxReadWait(); };
         duty_.spawn([this] { configurationWatch_.run(); });
