--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -77,7 +77,8 @@
     std::thread operatorThread([this] { changeConfigurations(); });
     playTroubles();
     operatorThread.join();
-    checkRunning();
+    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i)
+        checkRunning(i);
     awaitRecovery();
     record_.takeUps = takeUps.stop();
     if (features_.twoVersions)
@@ -218,10 +219,13 @@
     Standin& store = deployment_.store();
     switch (trouble.kind) {
     case TroubleKind::InstanceKilled:
+        checkRunning(trouble.subject);
         return deployment_.instance(trouble.subject).process->kill();
     case TroubleKind::InstanceStopped:
+        checkRunning(trouble.subject);
         return terminateInstance(trouble.subject);
     case TroubleKind::InstanceFrozen:
+        checkRunning(trouble.subject);
         return deployment_.instance(trouble.subject).process->freeze();
     case TroubleKind::InstanceReloaded:
         return deployment_.instance(trouble.subject).process->reload();
@@ -366,12 +370,10 @@
     }
 }
 
-void SoakRun::checkRunning()
+void SoakRun::checkRunning(std::size_t instance)
 {
-    for (std::size_t i = 0; i < deployment_.instanceCount(); ++i) {
-        if (!deployment_.instance(i).process->isRunning())
-            record_.badEnds.push_back(fmt::format("instance {} ended by itself", i));
-    }
+    if (!deployment_.instance(instance).process->isRunning())
+        record_.badEnds.push_back(fmt::format("instance {} ended by itself", instance));
 }
 
 void SoakRun::awaitRecovery()
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -49,7 +49,8 @@
     void pauseAnswers(const Trouble& trouble);
     void refuseRequests(const Trouble& trouble);
     void endAnswersWithConnection(const Trouble& trouble, bool broken);
-    void checkRunning();
+    // Records an instance that has ended by itself.
+    void checkRunning(std::size_t instance);
     void awaitRecovery();
     bool servesEverything(std::size_t instance);
     void readWorkers();
