Keep a start at a store with an era apart from a restoration

A store may state an era without ever having been restored, as the stand-in does from its start, and after a restoration each later start paid for it.

Telling the two apart needs a record of when the last restoration was.

--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -101,8 +101,7 @@
     // sent. The time includes suspension of the machine. May be empty.
     std::function<void(TimePoint sentAt)> readAnswered;
 
-    // Called when the store was restored from a copy, or may have been just before this process started. The copy may
-    // lack rows that this instance has written. May be empty.
+    // Called when the store was restored from a copy, which may lack rows that this instance has written. May be empty.
     std::function<void()> storeRestored;
 
     // Limits how long the platform may hold a read while no changes are forwarded. May be empty.
@@ -140,15 +139,17 @@
     }
 
     // Compares the era of an answer with the one that was known. A process that has just started cannot tell how long
-    // ago the store was restored, so the first answer of a restored store counts as the moment of it.
+    // ago the store was restored, if ever; for what its own reads confirm, the first answer counts as the moment of it.
     void noteEra(StoreEra era)
     {
-        const StoreEra before = std::exchange(era_, std::max(era, era_));
-        if (era <= before)
+        const std::optional<StoreEra> before = std::exchange(era_, std::max(era, era_.value_or(era)));
+        if (era <= before.value_or(StoreEra()))
             return;
-        watchLog.warning("table={} version={} store_era={} known_era={} store restored from a copy", options_.table,
-            replica_.version(), era, before);
         restoredAt_ = currentTime();
+        if (!before)
+            return;
+        watchLog.warning("table={} version={} store_era={} known_era={} store restored from a copy", options_.table,
+            replica_.version(), era, *before);
         availability_.restored(*restoredAt_);
         if (storeRestored)
             storeRestored();
@@ -209,8 +210,8 @@
     RowReplica replica_;
     bool historyLost_ = false;
     bool complete_ = false;
-    // The highest era of the store that was seen; zero for a store that was never restored.
-    StoreEra era_;
+    // The highest era of the store that was seen.
+    std::optional<StoreEra> era_;
     std::optional<TimePoint> restoredAt_;
 };
 
