Give the parser an empty chunked body whole

HttpParserTest ended under the sanitizers: an assertion of the library failed when a body that has only its last chunk arrived in pieces. Programs built with NDEBUG, as the deployed one is, go on soundly there; ones with assertions end.

Cause: the library asserts that it sees the last chunk with at least five bytes, which holds only behind another chunk.

Change: the first bytes of a chunked body are parsed once there are five, which every body has.

Test: HttpParserTest.AnEmptyChunkedBodyMayArriveInPieces, and the drawn conversations that found it.

--- a/src/transport/HttpParser.h
+++ b/src/transport/HttpParser.h
@@ -19,6 +19,14 @@
     using ErrorCode = boost::system::error_code;
     using Text = boost::beast::string_view;
 
+    // Whether it may be given this many bytes. The library asserts that it sees the last chunk with all five bytes that
+    // an empty body has, also where no chunk came before.
+    bool mayParse(std::size_t bytes) const
+    {
+        constexpr std::size_t emptyBodyBytes = 5;
+        return bytes >= emptyBodyBytes || (bytes > 0 && !(headEnded_ && this->chunked() && !chunkBegan_));
+    }
+
 protected:
     HttpHeaders& fields() { return fields_; }
 
@@ -33,7 +41,7 @@
 
     void on_header_impl(ErrorCode&) final { headEnded_ = true; }
 
-    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) final { }
+    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) final { chunkBegan_ = true; }
 
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, ErrorCode& error) final
     {
@@ -45,6 +53,7 @@
 
     HttpHeaders fields_;
     bool headEnded_ = false;
+    bool chunkBegan_ = false;
 };
 
 // Holds the whole body.
@@ -131,14 +140,14 @@
 // than `maxBuffered` bytes; what the parser needs at once beyond that fails with buffer_overflow. Parsing happens on
 // the calling fiber, so that an exception of the library reaches the owner of the connection.
 template <bool isRequest, typename Read>
-void readSome(const Read& read, boost::beast::flat_buffer& buffer, boost::beast::http::basic_parser<isRequest>& parser,
+void readSome(const Read& read, boost::beast::flat_buffer& buffer, HttpParser<isRequest>& parser,
     std::size_t maxBuffered, boost::system::error_code& error)
 {
     namespace http = boost::beast::http;
     constexpr std::size_t minReadBytes = 512;
     constexpr std::size_t maxReadBytes = 65536;
     while (true) {
-        if (buffer.size() > 0) {
+        if (parser.mayParse(buffer.size())) {
             buffer.consume(parser.put(buffer.data(), error));
             if (error != http::error::need_more)
                 return;
@@ -166,8 +175,8 @@
 
 // Reads from a socket.
 template <bool isRequest>
-void readSome(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer,
-    boost::beast::http::basic_parser<isRequest>& parser, std::size_t maxBuffered, boost::system::error_code& error)
+void readSome(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer, HttpParser<isRequest>& parser,
+    std::size_t maxBuffered, boost::system::error_code& error)
 {
     const auto read = [&](const boost::asio::mutable_buffer& space, boost::system::error_code& result) {
         return socket.async_read_some(space, FiberToken{result});
@@ -177,8 +186,8 @@
 
 // Parses until the end of the head.
 template <bool isRequest, typename Source>
-void readHead(Source& source, boost::beast::flat_buffer& buffer, boost::beast::http::basic_parser<isRequest>& parser,
-    std::size_t maxBuffered, boost::system::error_code& error)
+void readHead(Source& source, boost::beast::flat_buffer& buffer, HttpParser<isRequest>& parser, std::size_t maxBuffered,
+    boost::system::error_code& error)
 {
     do
         readSome(source, buffer, parser, maxBuffered, error);
--- a/tests/unit/HttpParserTest.cpp
+++ b/tests/unit/HttpParserTest.cpp
@@ -207,6 +207,17 @@
     EXPECT_GT(done, rounds / 4);
 }
 
+// Guards against an assertion of the library that ends a process with assertions when the only chunk, an empty one,
+// arrives in pieces.
+TEST_F(HttpParserTest, AnEmptyChunkedBodyMayArriveInPieces)
+{
+    const std::string_view conversation = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    for (int round = 0; round < rounds; ++round) {
+        HttpRequestParser parser;
+        EXPECT_TRUE(read(parser, conversation, 4096, [] { return std::string(); }).done) << round;
+    }
+}
+
 // Guards against a field behind the last chunk that acts as one of the head.
 TEST_F(HttpParserTest, FieldsBehindTheLastChunkAreDropped)
 {
