Have no read of the stand-in of the store miss a change

Cause: the stand-in of the store collected the rows of an answer, waited for a change, and then stated the version of that moment. A change that was made when the wait was over, before it returned, raised the version without being among the rows, so every later read began behind it. Instances of a store with an era read without a pause for their first second, in which the test writes its configuration, so reads ended all the time then; that is a fault of its own.

Change: the rows are collected once more when the wait is over.

Test: StandinsTest.ReadsOfTheFleetStoreMissNoChange.

--- a/tests/gateway/KeyRevocationTest.cpp
+++ b/tests/gateway/KeyRevocationTest.cpp
@@ -19,7 +19,13 @@
         writeKeys(2, {"kept", "removed"});
         for (const std::size_t instance : {0, 1}) {
             // The configuration before had no customers and asked for no key.
-            ASSERT_TRUE(eventually([&] { return statusOf(instance, "unknown") == 401; }));
+            std::map<int, int> statuses;
+            const auto isRefused = [&] {
+                const int status = statusOf(instance, "unknown");
+                ++statuses[status];
+                return status == 401;
+            };
+            ASSERT_TRUE(eventually(isRefused)) << "instance " << instance << " gave" << textOf(statuses) << logs();
             ASSERT_EQ(statusOf(instance, "removed"), 200);
         }
     }
@@ -39,6 +45,23 @@
         return answer.ok() ? answer->status : 0;
     }
 
+    // How often each status was given.
+    static std::string textOf(const std::map<int, int>& statuses)
+    {
+        std::string text;
+        for (const auto& [status, count] : statuses)
+            text += fmt::format(" {} ({} times)", status, count);
+        return text;
+    }
+
+    std::string logs()
+    {
+        std::string text;
+        for (std::size_t i = 0; i < deployment_.instanceCount(); ++i)
+            text += fmt::format("\nlog of instance {}:\n{}", i, deployment_.instance(i).process->logText());
+        return text;
+    }
+
     bool hasLogged(std::size_t instance, std::string_view text)
     {
         return deployment_.instance(instance).process->logText().find(text) != std::string::npos;
--- a/tests/process/StandinsTest.cpp
+++ b/tests/process/StandinsTest.cpp
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <thread>
+
 namespace lychee::test {
 namespace {
 
@@ -456,6 +459,39 @@
     EXPECT_EQ(call(engine, makeRequest("GET", "/control/report")).status, 200);
 }
 
+// Guards against a change that no reader ever sees, because it was written while a read without changes ended, whose
+// answer then had the version of the change without its row.
+TEST_F(StandinsTest, ReadsOfTheFleetStoreMissNoChange)
+{
+    constexpr std::size_t changes = 500;
+    Standin& store = standins_.startFleetStore();
+    std::array<std::size_t, 4> seen{};
+    std::vector<std::jthread> readers;
+    for (std::size_t& count : seen) {
+        readers.emplace_back([&store, &count] {
+            TestHttpClient client = store.client();
+            for (std::size_t version = 0; version < changes;) {
+                const auto answer = client.send(
+                    makeRequest("GET", fmt::format("/v1/rows-feed?table=t&part=&after={}&waitMs=0", version)));
+                if (!answer.ok())
+                    return;
+                const json page = json::parse(answer->body);
+                count += page["rows"].size();
+                version = page["rowVersion"];
+            }
+        });
+    }
+    TestHttpClient writer = store.client();
+    for (std::size_t i = 0; i < changes; ++i) {
+        const json row{{"table", "t"}, {"part", ""}, {"key", std::to_string(i)}, {"value", ""}};
+        const json body{{"expected", json::array()}, {"setKeys", {row}}, {"remove", json::array()}};
+        ASSERT_EQ(writer.send(makeRequest("POST", "/v1/rows-tx", body.dump()))->status, 200);
+    }
+    readers.clear();
+    for (const std::size_t count : seen)
+        EXPECT_EQ(count, changes);
+}
+
 // Guards against a frozen process that still answers and a process that does not exit cleanly when stopped.
 TEST_F(StandinsTest, ProcessFreezesContinuesAndStops)
 {
--- a/tests/standins/fleet_store_standin/Store.cpp
+++ b/tests/standins/fleet_store_standin/Store.cpp
@@ -117,6 +117,7 @@
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(queryNumber(request, "waitMs"));
     std::unique_lock lock(mutex_);
     ++reads_;
+    bool isOver = false;
     while (true) {
         if (after > version_)
             return Response::json(410, {{"error", "no such version"}});
@@ -125,8 +126,10 @@
             if (key.first == table && row.version > after)
                 rows.push_back(toJson(key, row));
         }
-        if (!rows.empty() || changed_.wait_until(lock, deadline) == std::cv_status::timeout)
+        if (!rows.empty() || isOver)
             return Response::json(200, page(rows));
+        // A change may be made before the wait that is over returns.
+        isOver = changed_.wait_until(lock, deadline) == std::cv_status::timeout;
     }
 }
 
