Hold the reads that confirm nothing after a start

Each call to the store costs money.

Cause: an instance whose knowledge of the configuration is not confirmed asks for reads that are answered at once, as one answer confirms it. In the second in which the operator may yet write again what a restoration has lost, no answer does.

Change: in that second, reads are held to its end. A change still ends them at once. The first answer after it confirms the configuration as of when the read was sent, a second before at most.

Test: TableWatchTest.AStartDoesNotRepeatReadsThatConfirmNothing. Before, with a clock that advances by 50 ms:

Expected: (callsDuring(900ms)) <= (1), actual: 18 vs 1 Expected: (store_.calls) <= (4), actual: 22 vs 4

--- a/src/gateway/TableWatch.h
+++ b/src/gateway/TableWatch.h
@@ -129,7 +129,13 @@
     // outage.
     bool mayReadRarely() const { return receivesForwardedChanges_() && !availability_.isFailing(); }
 
-    Duration shortWait() const { return maxWait ? std::min(options_.wait, maxWait()) : options_.wait; }
+    // A read that confirms nothing is not repeated at once, however much a confirmation is needed.
+    Duration shortWait() const
+    {
+        if (mayLackLostWrites())
+            return std::min<Duration>(options_.wait, std::chrono::ceil<std::chrono::milliseconds>(lostWritesTime()));
+        return maxWait ? std::min(options_.wait, maxWait()) : options_.wait;
+    }
 
     // A read that is held for less than usual may take as long as any other, so that a store that does not answer gets
     // no more calls.
@@ -155,7 +161,13 @@
             storeRestored();
     }
 
-    bool mayLackLostWrites() const { return restoredAt_ && currentTime() - *restoredAt_ < rewriteTime; }
+    bool mayLackLostWrites() const { return lostWritesTime() > Duration(0); }
+
+    // For how long the table may yet lack what a restoration has lost.
+    Duration lostWritesTime() const
+    {
+        return restoredAt_ ? std::max(*restoredAt_ + rewriteTime - currentTime(), Duration(0)) : Duration(0);
+    }
 
     // Ends early when the other instance stops forwarding changes, or a call fails.
     void pause()
--- a/tests/gateway/TableWatchTest.cpp
+++ b/tests/gateway/TableWatchTest.cpp
@@ -39,11 +39,11 @@
         }
         FiberEvent ended;
         cancellation->setAbort([&ended] { ended.notify(); });
-        ended.waitUntil(Duty::current()->timers(), currentTime() + wait);
+        ended.waitUntil(Duty::current()->timers(), currentTime() + std::max(wait, answerTime));
         cancellation->setAbort(nullptr);
         if (cancellation->isRequested())
             return makeError(CoordinationError::PlatformUnreachable, "cancelled");
-        return RowPage{{}, RowVersion(1)};
+        return RowPage{{}, quietVersion};
     }
 
     RowWrite write(const std::string&, const std::string&, RowVersion, const std::string&, TimePoint) { return {}; }
@@ -57,6 +57,9 @@
     std::deque<absl::StatusOr<RowPage>> nextChanges;
     RowPage firstList{{{"key", RowVersion(1), false, "value"}}, RowVersion(1)};
     RowPage laterList;
+    // The shortest time until changes() is answered, and the version of an answer without changes.
+    Duration answerTime{0};
+    RowVersion quietVersion{1};
 };
 
 class TableWatchTest : public testing::Test {
@@ -309,5 +312,29 @@
     EXPECT_GE(confirmedAt.front() - begin, Duration(1s));
 }
 
+// Guards against an instance that reads the store without a pause for the second in which its reads confirm nothing
+// yet: about a thousand calls at each start, which cost money.
+TEST_F(TableWatchTest, AStartDoesNotRepeatReadsThatConfirmNothing)
+{
+    const RowVersion restored = rowVersionIn(StoreEra(1), 1);
+    store_.firstList = {{{"key", restored, false, "value"}}, restored};
+    store_.quietVersion = restored;
+    store_.answerTime = 1ms;
+    fleet::ConfigurationAge age({true, 3s});
+    watch_.emplace(
+        store_, availability_, TableWatchOptions{"table", 1500ms, 0ms, 30s, 0ms},
+        [&] { return !age.needsOwnRead(clock_->nowWithSuspension()); }, [](const std::vector<StoredRow>&) {});
+    watch_->readAnswered = [&](TimePoint sentAt) { age.readAnswered(sentAt); };
+    watch_->maxWait = [&] { return age.maxReadWait(clock_->nowWithSuspension()); };
+    duty_->spawn([this] { watch_->run(); });
+    duty_->run([] {});
+    EXPECT_LE(callsDuring(900ms), 1);
+    EXPECT_FALSE(age.acceptsKeys(clock_->now()));
+    callsDuring(300ms);
+    EXPECT_TRUE(age.acceptsKeys(clock_->now()));
+    EXPECT_LE(store_.calls, 4);
+    duty_->run([this] { watch_->readAnswered = nullptr; });
+}
+
 } // namespace
 } // namespace lychee::gateway
