Let a connection say whether its endpoint ended it

An answer with neither length nor chunks ends with its connection. Through a tunnel that end may be that of the process in between, so the opener of a connection may now state how to find out: OpenedConnection::confirmEnd is asked once such an answer has ended, and an end that it does not confirm fails as a reset does. HttpStream::isDirect tells whether another process lies between. No opener sets confirmEnd yet.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -57,6 +57,7 @@
     explicit Connection(OpenedConnection opened)
         : socket_(std::move(opened.socket))
         , retired_(std::move(opened.retired))
+        , confirmEnd_(std::move(opened.confirmEnd))
     {
     }
 
@@ -92,6 +93,7 @@
     Duration announcedIdle_ = Duration::max();
     ConnectionUse use_ = ConnectionUse::First;
     std::shared_ptr<const bool> retired_;
+    std::function<bool()> confirmEnd_;
 };
 
 class HttpClient::Pool {
@@ -150,6 +152,7 @@
         , endpoint_(std::move(endpoint))
         , connection_(std::move(connection))
         , limits_(std::move(limits))
+        , isDirect_(!connection_->confirmEnd_)
     {
         if (limits_.cancellation) {
             limits_.cancellation->setAbort([this] {
@@ -209,6 +212,8 @@
 
     bool isDelimited() const override { return !parser_->need_eof(); }
 
+    bool isDirect() const override { return isDirect_; }
+
     void drain(std::size_t maxBytes, Duration maxTime) override
     {
         limits_.deadline = std::min(limits_.deadline, currentTime() + maxTime);
@@ -294,6 +299,8 @@
         // it.
         if (!isDelimited() && !wholeRequestSent_)
             return failure(boost::asio::error::connection_reset, "read body");
+        if (!isDelimited() && !isDirect_ && !connection_->confirmEnd_())
+            return failure(boost::asio::error::connection_reset, "read body");
         return std::nullopt;
     }
 
@@ -373,6 +380,7 @@
     Endpoint endpoint_;
     std::unique_ptr<Connection> connection_;
     HttpCallLimits limits_;
+    bool isDirect_;
     bool wholeRequestSent_ = false;
     // The answers have no body, whatever their headers say.
     bool isHead_ = false;
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -87,6 +87,9 @@
     // Whether the body has a length or chunks. Otherwise it ends with its connection, and may have been cut.
     virtual bool isDelimited() const = 0;
 
+    // Whether no other process of this system lies between this one and the endpoint.
+    virtual bool isDirect() const = 0;
+
     // Reads the rest of a body that is not needed, so that its connection can be reused. Gives up a body that is longer
     // or takes longer.
     virtual void drain(std::size_t maxBytes, Duration maxTime) = 0;
@@ -105,6 +108,9 @@
     boost::asio::ip::tcp::socket socket;
     // Once this is set, the connection carries no further request. May be null.
     std::shared_ptr<const bool> retired;
+    // Finds out, after a regular end of the connection, whether the endpoint itself ended it and all its bytes have
+    // arrived. Suspends the fiber. Null for a direct connection, whose end is that of the endpoint.
+    std::function<bool()> confirmEnd = nullptr;
 };
 
 // Opens the connections of an HttpClient.
