Keep the error of an operation that ends at its deadline

A caller could get a cut answer as complete: a reset that arrived together with the deadline of a read was lost.

Cause: runBefore() replaced any error by timed_out once the deadline had passed, also that of an operation that had ended by itself while the timer was due in the same round of the duty. The system reports a reset once, so a caller that reads on after a timeout (Tunnel::pass while the other direction is in use, HttpClient while a silent target is not given up) saw a regular end next. A process that was frozen, or has had much to do, finds both events at once.

Change: only an operation that the deadline has cancelled counts as timed out. All others keep their error.

Test: Runtime.AResetAtTheDeadlineOfAReadIsNoTimeout.

--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -14,7 +14,8 @@
 
 // Runs `operation(error)`, which suspends the fiber on `socket`, and cancels it at `deadline`. Returns timed_out then,
 // or operation_aborted when the duty is being stopped: the stop ends every timed wait early, and callers that wait
-// again after a timeout would keep the duty from stopping.
+// again after a timeout would keep the duty from stopping. An operation that ended at the deadline by itself keeps its
+// error: the system reports a reset once, and the next read would see a regular end.
 template <typename Operation>
 boost::system::error_code runBefore(boost::asio::ip::tcp::socket& socket, TimePoint deadline, Operation&& operation)
 {
@@ -34,7 +35,7 @@
         const absl::Cleanup cancelTimer = [&] { timers.cancel(timer); };
         operation(error);
     }
-    if (!expired || !error)
+    if (!expired || error != boost::asio::error::operation_aborted)
         return error;
     return Duty::current()->isStopping() ? boost::asio::error::operation_aborted : boost::asio::error::timed_out;
 }
--- a/tests/transport/RuntimeTest.cpp
+++ b/tests/transport/RuntimeTest.cpp
@@ -1,6 +1,9 @@
 #include "transport/Duty.h"
 #include "transport/FiberEvent.h"
 #include "transport/Ring.h"
+#include "transport/SocketOperation.h"
+
+#include <boost/fiber/operations.hpp>
 
 #include <gtest/gtest.h>
 
@@ -84,5 +87,29 @@
     duty->run([&] { EXPECT_FALSE(ring->pop(currentTime() + 5ms).has_value()); });
 }
 
+// Guards against a reset that arrives together with a deadline and looks like a regular end to the next read.
+TEST(Runtime, AResetAtTheDeadlineOfAReadIsNoTimeout)
+{
+    const auto duty = Duty::start("test", RuntimeClock::createRunning()).value();
+    duty->run([&] {
+        auto acceptor = openAcceptor(duty->io(), "127.0.0.1", 0).value();
+        auto socket = connectSocket("127.0.0.1", acceptor.local_endpoint().port(), currentTime() + 1s).value();
+        auto peer = acceptor.accept();
+        // Nothing runs on the duty while both come, and it does not wait for events afterwards.
+        duty->spawn([&] {
+            peer.set_option(boost::asio::socket_base::linger(true, 0));
+            peer.close();
+            std::this_thread::sleep_for(50ms);
+            for (int i = 0; i < 100; ++i)
+                boost::this_fiber::yield();
+        });
+        char byte = 0;
+        const auto error = runBefore(socket, currentTime() + 20ms, [&](boost::system::error_code& result) {
+            socket.async_read_some(boost::asio::buffer(&byte, 1), FiberToken{result});
+        });
+        EXPECT_EQ(error, boost::asio::error::connection_reset) << error.message();
+    });
+}
+
 } // namespace
 } // namespace lychee
