Reproduce answers without length that are cut and look whole

Real processes, with answers that have neither a length nor chunks and are cut because a process on their way ends.

An instance is parted from single targets by a library that leads its connections to a proxy of its own for each target, so that all instances still know a target by one address, as tunnels require.

Children of tests no longer inherit the sockets of the test: a proxy that stopped listening went on accepting, because a child held its socket.

--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -88,6 +88,8 @@
 
     void setAnswerFault(const AnswerFault& fault) override { fault_ = fault; }
 
+    bool answersWithoutLength() const override { return fault_.noLength; }
+
     bool write(const Response& response) override
     {
         if (fault_.drop && fault_.noLength)
@@ -101,7 +103,16 @@
         if (!fault_.noLength)
             message.prepare_payload();
         error_code error;
-        http::write(socket_, message, error);
+        if (fault_.noLength && fault_.pauseInside.count() > 0) {
+            const std::string rest = message.body().substr(message.body().size() / 2);
+            message.body().resize(message.body().size() / 2);
+            http::write(socket_, message, error);
+            std::this_thread::sleep_for(fault_.pauseInside);
+            if (!error)
+                asio::write(socket_, asio::buffer(rest), error);
+        } else {
+            http::write(socket_, message, error);
+        }
         return finish(error, !keepAlive_ || fault_.noLength);
     }
 
@@ -241,10 +252,17 @@
 
 class TcpListener final : public Listener {
 public:
-    TcpListener(const std::string& address, std::uint16_t port)
+    TcpListener(const std::string& address, std::uint16_t port, bool sharesPort)
         : context_(std::make_shared<asio::io_context>())
-        , acceptor_(*context_, Tcp::endpoint(asio::ip::make_address(address), port))
+        , acceptor_(*context_)
     {
+        const Tcp::endpoint endpoint(asio::ip::make_address(address), port);
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+        if (sharesPort)
+            acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+        acceptor_.bind(endpoint);
+        acceptor_.listen();
     }
 
     std::uint16_t port() const override { return acceptor_.local_endpoint().port(); }
@@ -311,9 +329,9 @@
     return response;
 }
 
-std::shared_ptr<Listener> Listener::bind(const std::string& address, std::uint16_t port)
+std::shared_ptr<Listener> Listener::bind(const std::string& address, std::uint16_t port, bool sharesPort)
 {
-    return std::make_shared<TcpListener>(address, port);
+    return std::make_shared<TcpListener>(address, port, sharesPort);
 }
 
 namespace {
--- a/tests/standins/common/Http.h
+++ b/tests/standins/common/Http.h
@@ -58,6 +58,8 @@
     // The answer has neither a length nor chunks and ends with its connection. `drop` then resets the connection,
     // unless it ends inside an event, because its end would make the answer complete.
     bool noLength = false;
+    // Pause in the middle of a plain answer that has no length.
+    std::chrono::milliseconds pauseInside{0};
     // Headers that are added to the answer.
     std::vector<HeaderField> headers;
 };
@@ -73,6 +75,9 @@
     // Sets the fault of the next answer.
     virtual void setAnswerFault(const AnswerFault& fault) = 0;
 
+    // Whether the next answer has neither a length nor chunks.
+    virtual bool answersWithoutLength() const = 0;
+
     // The writing functions return false when the connection is closed.
     virtual bool write(const Response& response) = 0;
     virtual bool beginStream(const std::vector<HeaderField>& headers) = 0;
@@ -92,8 +97,8 @@
 // A bound port. Every accepted connection gets a thread of its own.
 class Listener {
 public:
-    // Throws std::system_error when the port cannot be bound.
-    static std::shared_ptr<Listener> bind(const std::string& address, std::uint16_t port);
+    // A shared port may be bound by another process too. Throws std::system_error when the port cannot be bound.
+    static std::shared_ptr<Listener> bind(const std::string& address, std::uint16_t port, bool sharesPort);
 
     virtual ~Listener() = default;
 
--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -14,6 +15,10 @@
 ABSL_FLAG(std::string, address, "127.0.0.1", "Address of both ports.");
 ABSL_FLAG(std::uint16_t, port, 0, "Port of the service; 0 binds any free port.");
 ABSL_FLAG(std::uint16_t, fault_port, 0, "Port for faults and statistics; 0 binds any free port.");
+ABSL_FLAG(bool, share_ports, false, "Lets another process bind the same ports, which takes over when this one ends.");
+ABSL_FLAG(int, without_length_every, 0,
+    "One answer in so many has neither a length nor chunks and ends with its connection; 0 for none.");
+ABSL_FLAG(int, pause_inside_ms, 0, "Pause in the middle of each plain answer of that kind.");
 ABSL_FLAG(std::string, ports_file, "", "File that receives the bound ports.");
 
 namespace lychee::standin {
@@ -78,6 +83,10 @@
     bool applyFaults(const Request& request, Connection& connection)
     {
         AnswerFault answerFault;
+        if (isWithoutLength(request.path())) {
+            answerFault.noLength = true;
+            answerFault.pauseInside = std::chrono::milliseconds(absl::GetFlag(FLAGS_pause_inside_ms));
+        }
         bool handled = true;
         for (const Fault& fault : faults_.take(request.path(), request.body)) {
             switch (fault.kind) {
@@ -96,6 +105,7 @@
                 break;
             case FaultKind::NoLength:
                 answerFault.noLength = true;
+                answerFault.pauseInside = fault.delay;
                 break;
             case FaultKind::Silence:
                 answerFault.silence = true;
@@ -127,6 +137,15 @@
         return handled;
     }
 
+    // Orders, reports and health checks always have a length.
+    bool isWithoutLength(const std::string& path)
+    {
+        const int every = absl::GetFlag(FLAGS_without_length_every);
+        if (every == 0 || path.starts_with("/v1/") || path == "/health")
+            return false;
+        return answers_++ % static_cast<std::uint64_t>(every) == 0;
+    }
+
     void refuse(const Request& request, const Fault& fault, Connection& connection)
     {
         application_.refused(request, fault.retryAfterSeconds);
@@ -189,6 +208,7 @@
 
     Application& application_;
     FaultTable faults_;
+    std::atomic<std::uint64_t> answers_{0};
     OpenConnections connections_;
 };
 
@@ -232,8 +252,9 @@
     std::shared_ptr<Listener> requests;
     std::shared_ptr<Listener> faults;
     try {
-        requests = Listener::bind(absl::GetFlag(FLAGS_address), absl::GetFlag(FLAGS_port));
-        faults = Listener::bind(absl::GetFlag(FLAGS_address), absl::GetFlag(FLAGS_fault_port));
+        const bool share = absl::GetFlag(FLAGS_share_ports);
+        requests = Listener::bind(absl::GetFlag(FLAGS_address), absl::GetFlag(FLAGS_port), share);
+        faults = Listener::bind(absl::GetFlag(FLAGS_address), absl::GetFlag(FLAGS_fault_port), share);
     } catch (const std::exception& error) {
         fmt::print(stderr, "standin: cannot bind the service port or the fault port: {}\n", error.what());
         return 1;
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -174,17 +174,19 @@
         ++executions_[attempt];
         ++running_;
         headers = answerHeaders(attempt);
-        appendRecord(fmt::format("run {} {}", attempt, steadyMillis()));
+        const std::string_view form = connection.answersWithoutLength() ? "undelimited" : "delimited";
+        appendRecord(fmt::format("run {} {} {}", attempt, steadyMillis(), form));
     }
-    if (servesModels())
-        stream(request, connection, std::move(headers));
-    else
-        connection.write(Response::json(200, {{"body", request.body}, {"target", request.target}}, std::move(headers)));
+    const bool isWhole = servesModels() ? stream(request, connection, std::move(headers))
+                                        : connection.write(Response::json(200,
+                                            {{"body", request.body}, {"target", request.target}}, std::move(headers)));
     const std::lock_guard lock(mutex_);
     --running_;
+    if (isWhole && !connection.isSilent())
+        appendRecord(fmt::format("whole {} {}", attempt, steadyMillis()));
 }
 
-void Worker::stream(const Request& request, Connection& connection, std::vector<HeaderField> headers)
+bool Worker::stream(const Request& request, Connection& connection, std::vector<HeaderField> headers)
 {
     // Events may be made longer, so that a slow caller leaves more unread than sockets hold.
     const std::string padding(std::stoul(request.query("pad").value_or("0")), '.');
@@ -197,10 +199,10 @@
             || !connection.writeEvent(fmt::format("id: {}\ndata: token-{}{}\n\n", id, id, padding))) {
             const std::lock_guard lock(mutex_);
             ++cancelled_;
-            return;
+            return false;
         }
     }
-    connection.endStream();
+    return connection.endStream();
 }
 
 void Worker::order(const Request& request, Connection& connection)
--- a/tests/standins/fleet_worker_standin/Worker.h
+++ b/tests/standins/fleet_worker_standin/Worker.h
@@ -62,7 +62,8 @@
 
     void order(const Request& request, Connection& connection);
     void serve(const Request& request, Connection& connection);
-    void stream(const Request& request, Connection& connection, std::vector<HeaderField> headers);
+    // Returns whether the whole answer was written.
+    bool stream(const Request& request, Connection& connection, std::vector<HeaderField> headers);
     // Whether the model and adapter that the request names are loaded.
     bool holds(const Request& request);
     Response applyOrder(const nlohmann::json& order);
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -19,7 +19,8 @@
 
 constexpr std::chrono::milliseconds pollPeriod{2};
 
-// The child starts with default signal handling, whatever the test's own is.
+// The child starts with default signal handling, whatever the test's own is, and without the test's sockets, which
+// would stay open in it after the test has closed them.
 class SpawnSettings {
 public:
     explicit SpawnSettings(const std::filesystem::path& log)
@@ -28,6 +29,7 @@
         posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
         posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         posix_spawnattr_init(&attributes);
         sigset_t none;
         sigemptyset(&none);
--- a/tests/support/FaultProxy.cpp
+++ b/tests/support/FaultProxy.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/FaultProxy.h"
 
+#include "tests/support/FreePort.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,13 +25,20 @@
 constexpr std::chrono::milliseconds heldBack{250};
 constexpr std::size_t bufferBytes = 16384;
 
+// Connections that fill the queue of a listening socket whose limit is 0, so that the kernel drops further attempts.
+constexpr int fillers = 2;
+
+bool acceptsAt(LinkFault fault) { return fault != LinkFault::Refuse && fault != LinkFault::Unanswered; }
+
 } // namespace
 
 // Everything runs on one thread.
 class FaultProxy::State : public std::enable_shared_from_this<State> {
 public:
+    // The port lies outside the range of outgoing connections, so that it stays free while nothing listens on it.
     State()
-        : acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        : address_(asio::ip::address_v4::loopback(), freePort())
+        , acceptor_(context_, address_)
         , work_(asio::make_work_guard(context_))
     {
     }
@@ -47,19 +56,23 @@
         links_.clear();
     }
 
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::uint16_t port() const { return address_.port(); }
 
     template <typename Task> void post(Task task) { asio::post(context_, std::move(task)); }
 
     void accept();
     void setFault(LinkFault fault);
+    void listen();
 
     asio::io_context context_;
+    const tcp::endpoint address_;
     tcp::acceptor acceptor_;
+    std::vector<tcp::socket> fillers_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::thread thread_;
     Endpoint target_;
     LinkFault fault_ = LinkFault::None;
+    bool closesWithoutTarget_ = false;
     std::set<std::shared_ptr<Link>> links_;
 };
 
@@ -78,7 +91,7 @@
         const tcp::endpoint target(asio::ip::make_address(state_.target_.address), state_.target_.port);
         far_.async_connect(target, [self = shared_from_this()](const error_code& error) {
             if (error)
-                return self->reset();
+                return self->state_.closesWithoutTarget_ ? self->close() : self->reset();
             error_code ignored;
             self->near_.set_option(tcp::no_delay(true), ignored);
             self->far_.set_option(tcp::no_delay(true), ignored);
@@ -87,6 +100,18 @@
         });
     }
 
+    // Ends both connections so that their peers see a regular end.
+    void close()
+    {
+        const auto self = shared_from_this();
+        for (tcp::socket* socket : {&near_, &far_}) {
+            error_code ignored;
+            socket->shutdown(tcp::socket::shutdown_both, ignored);
+            socket->close(ignored);
+        }
+        state_.links_.erase(self);
+    }
+
     // Ends both connections so that their peers see a reset.
     void reset()
     {
@@ -125,7 +150,8 @@
 
     bool isSilenced(const Way& way) const
     {
-        return silent_ || state_.fault_ == LinkFault::Silence || state_.fault_ == way.silence;
+        return silent_ || state_.fault_ == LinkFault::Silence || state_.fault_ == LinkFault::Unanswered
+            || state_.fault_ == way.silence;
     }
 
     void take(Way& way, std::size_t size)
@@ -182,6 +208,8 @@
         links_.insert(link);
         if (fault_ == LinkFault::Reset || target_.port == 0)
             link->reset();
+        else if (fault_ == LinkFault::Close)
+            link->close();
         else
             link->start();
         accept();
@@ -190,10 +218,40 @@
 
 void FaultProxy::State::setFault(LinkFault fault)
 {
+    const bool listened = acceptsAt(fault_);
     fault_ = fault;
     for (const auto& link : std::set<std::shared_ptr<Link>>(links_)) {
         if (fault == LinkFault::Reset || link->hasDropped())
             link->reset();
+        else if (fault == LinkFault::Close)
+            link->close();
+    }
+    if (!listened || !acceptsAt(fault))
+        listen();
+}
+
+// Opens the listening socket anew, or leaves it closed, as the fault requires.
+void FaultProxy::State::listen()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+    fillers_.clear();
+    if (fault_ == LinkFault::Refuse)
+        return;
+    acceptor_ = tcp::acceptor(context_);
+    acceptor_.open(address_.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(address_);
+    if (fault_ != LinkFault::Unanswered) {
+        acceptor_.listen();
+        return accept();
+    }
+    acceptor_.listen(0);
+    for (int i = 0; i < fillers; ++i) {
+        tcp::socket& filler = fillers_.emplace_back(context_);
+        filler.open(address_.protocol());
+        filler.non_blocking(true);
+        filler.connect(address_, ignored);
     }
 }
 
@@ -212,6 +270,11 @@
     state_->post([state = state_.get(), target] { state->target_ = target; });
 }
 
+void FaultProxy::closeWithoutTarget()
+{
+    state_->post([state = state_.get()] { state->closesWithoutTarget_ = true; });
+}
+
 void FaultProxy::silenceOpenConnections()
 {
     state_->post([state = state_.get()] {
--- a/tests/support/FaultProxy.h
+++ b/tests/support/FaultProxy.h
@@ -18,12 +18,18 @@
     SilenceDown,
     // Connections are reset, new ones too.
     Reset,
+    // New connections are refused; open ones live on.
+    Refuse,
+    // Connections are closed regularly, new ones after they were accepted.
+    Close,
+    // Attempts to connect get no answer, and bytes of open connections are dropped.
+    Unanswered,
 };
 
 // All functions are thread-safe.
 class FaultProxy {
 public:
-    // Listens on a free port. Throws std::system_error when that fails.
+    // Listens on a free port. Throws std::exception when that fails.
     FaultProxy();
 
     // Closes all connections and ends the threads.
@@ -35,6 +41,9 @@
     // Connections that are accepted before the target is set are reset.
     void setTarget(const Endpoint& target);
 
+    // Closes connections regularly when the target cannot be reached, instead of resetting them.
+    void closeWithoutTarget();
+
     // Applies to open connections too. A connection on which bytes were dropped is reset when the fault ends, as its
     // peers would have given it up.
     void setFault(LinkFault fault);
--- a/tests/support/GatewayDeployment.cpp
+++ b/tests/support/GatewayDeployment.cpp
@@ -50,6 +50,12 @@
         flags.push_back("--software_version=" + version->second);
     if (options_.plainRequestLimit > 0 && models.empty())
         flags.push_back(fmt::format("--request-limit={}", options_.plainRequestLimit));
+    if (options_.withoutLengthEvery > 0) {
+        flags.push_back(fmt::format("--without-length-every={}", options_.withoutLengthEvery));
+        flags.push_back(fmt::format("--pause-inside-ms={}", options_.pauseInside.count()));
+    }
+    if (options_.workersSharePorts)
+        flags.emplace_back("--share-ports");
     if (options_.paceSeed != 0) {
         flags.emplace_back("--report-load");
         if (workers_.size() % 2 == 0)
@@ -132,15 +138,16 @@
     if (!options_.exemptPrefix.empty())
         all.push_back(options_.exemptPrefix);
     for (const std::string& prefix : all) {
-        const bool stream = prefix.starts_with("/stream/");
+        const bool once = prefix.starts_with("/once/");
+        const bool stream = once || prefix.starts_with("/stream/");
         routes.push_back({{"name", "r" + std::to_string(routes.size())}, {"host", "a"}, {"prefix", prefix},
             {"kind",
                 stream                     ? "streaming"
                     : prefix == "/unsafe/" ? "non_idempotent"
                                            : "idempotent"},
-            {"timeoutMs", 5000}, {"targetLatencyMs", 500}, {"priority", priorityOf(prefix)},
-            {"service", stream ? "hall" : "desk"}, {"attempts", 2}, {"resumable", stream}, {"gapTargetMs", 600},
-            {"authExempt", prefix == "/open/" || prefix == options_.exemptPrefix}});
+            {"timeoutMs", options_.routeTimeout.count()}, {"targetLatencyMs", 500}, {"priority", priorityOf(prefix)},
+            {"service", stream ? "hall" : "desk"}, {"attempts", 2}, {"resumable", stream && !once},
+            {"gapTargetMs", 600}, {"authExempt", prefix == "/open/" || prefix == options_.exemptPrefix}});
     }
     json models = json::array();
     for (const char* model : {"m0", "m1", "m2"})
@@ -175,23 +182,58 @@
         "[instance]\nid = front-{0}\ndata_centre = a\n[callers]\nendpoint = {1}\n[readiness]\nendpoint = {2}\n"
         "[peers]\naddress = 127.0.0.1\nport = {3}\ntunnel_port = {7}\n[metrics]\nport = {4}\n[platform]\nendpoint = "
         "{5}\n"
-        "[retries]\nwindow_s = {6}\n[placement]\nlease_ms = 500\n[stop]\ngrace_s = 8\n",
+        "[retries]\nwindow_s = {6}\n[placement]\nlease_ms = 500\n[stop]\ngrace_s = {8}\n",
         index, instance.callers.toString(), instance.readiness.toString(), freePort(), instance.metrics.port,
-        store.toString(), options_.retryWindow.count(), freePort());
+        store.toString(), options_.retryWindow.count(), freePort(), options_.grace.count());
     if (options_.revocationLimit) {
         std::ofstream(settings, std::ios::app)
             << fmt::format("[revocation]\nstrict = true\nlimit_ms = {}\n", options_.revocationLimit->count());
     }
+    if (options_.targetLinks)
+        addTargetLinks(instance, redirectTable(index));
     instances_.push_back(std::move(instance));
     launchInstance(instances_.size() - 1);
 }
 
+std::filesystem::path GatewayDeployment::redirectTable(std::size_t index) const
+{
+    return standins_.directory().file(fmt::format("instance-{}.redirects", index));
+}
+
+void GatewayDeployment::addTargetLinks(GatewayInstance& instance, const std::filesystem::path& table)
+{
+    std::ofstream file(table);
+    for (const auto& [id, worker] : workers_) {
+        const auto proxy = workerProxies_.find(id);
+        const Endpoint listed = proxy == workerProxies_.end() ? worker->endpoint() : proxy->second->endpoint();
+        auto& link = instance.targetLinks[id] = std::make_unique<FaultProxy>();
+        link->setTarget(listed);
+        file << fmt::format("{} {}\n", listed.port, link->endpoint().port);
+    }
+}
+
+void GatewayDeployment::setTargetLinks(std::size_t instance, LinkFault fault)
+{
+    for (const auto& [id, link] : instances_[instance].targetLinks)
+        link->setFault(fault);
+}
+
 void GatewayDeployment::launchInstance(std::size_t index)
 {
     const auto settings = standins_.directory().file(fmt::format("instance-{}.ini", index));
-    auto process = ChildProcess::start(buildDirectory_ / "lycheecoursed",
-        {"--interface=platform", "--settings=" + settings.string()},
-        standins_.directory().file(fmt::format("instance-{}.log", index)));
+    const auto log = standins_.directory().file(fmt::format("instance-{}.log", index));
+    std::filesystem::path program = buildDirectory_ / "lycheecoursed";
+    std::vector<std::string> arguments{"--interface=platform", "--settings=" + settings.string()};
+    if (options_.targetLinks) {
+        // The sanitizers' runtime wants to be loaded first.
+        const char* sanitizer = std::getenv("ASAN_OPTIONS");
+        arguments.insert(arguments.begin(),
+            {"LD_PRELOAD=" + std::filesystem::absolute(buildDirectory_ / "connect_redirect.so").string(),
+                "CONNECT_REDIRECTS=" + redirectTable(index).string(),
+                fmt::format("ASAN_OPTIONS={}:verify_asan_link_order=0", sanitizer ? sanitizer : ""),
+                std::exchange(program, "/usr/bin/env").string()});
+    }
+    auto process = ChildProcess::start(program, std::move(arguments), log);
     if (!process.ok())
         throw std::runtime_error("the daemon process cannot be started");
     instances_[index].process = std::move(*process);
--- a/tests/support/GatewayDeployment.h
+++ b/tests/support/GatewayDeployment.h
@@ -16,6 +16,8 @@
     Endpoint metrics;
     // Proxy between the instance and the store; null without `proxies`.
     std::unique_ptr<FaultProxy> storeProxy;
+    // Proxies on the ways from this instance alone to each worker; empty without `targetLinks`.
+    std::map<std::string, std::unique_ptr<FaultProxy>> targetLinks;
 };
 
 struct GatewayDeploymentOptions {
@@ -23,6 +25,18 @@
     int plainWorkers = 1;
     // Puts a FaultProxy between each instance and the store, and in front of each worker.
     bool proxies = false;
+    // Puts a FaultProxy on the way from each instance to each worker. The library connect_redirect leads the
+    // connections of the instance there; all instances know a worker by the same address.
+    bool targetLinks = false;
+    // Workers let another process bind their ports (Standin::replace).
+    bool workersSharePorts = false;
+    std::chrono::milliseconds routeTimeout{5000};
+    // Time for which an instance that is stopped goes on with its requests.
+    std::chrono::seconds grace{8};
+    // One answer in so many of each worker has neither a length nor chunks; 0 for none. Plain ones of them pause in
+    // their middle.
+    int withoutLengthEvery = 0;
+    std::chrono::milliseconds pauseInside{0};
     // Number of events of a stream, and the time between two events.
     int events = 20;
     std::chrono::milliseconds eventPause{20};
@@ -51,8 +65,9 @@
     // Starts the deployment and waits until all instances serve requests.
     explicit GatewayDeployment(std::filesystem::path buildDirectory, GatewayDeploymentOptions options = {});
 
-    // Writes a configuration with these route prefixes to the store, as the operator does. "/stream/" leads to the
-    // engines, all others to the plain workers; "/unsafe/" is not idempotent and "/open/" needs no key.
+    // Writes a configuration with these route prefixes to the store, as the operator does. "/stream/" and "/once/" lead
+    // to the engines, all others to the plain workers; streams of "/once/" are not resumable, "/unsafe/" is not
+    // idempotent and "/open/" needs no key.
     void writeConfiguration(
         int version, const std::vector<std::string>& prefixes, const nlohmann::json& tenants = nlohmann::json::array());
 
@@ -104,10 +119,14 @@
 
     std::vector<std::string> workerIds() const;
 
+    // Applies a fault to the ways from an instance to all workers.
+    void setTargetLinks(std::size_t instance, LinkFault fault);
+
     // The proxy in front of a worker.
     FaultProxy& workerProxy(const std::string& id) { return *workerProxies_.at(id); }
 
-    // Lines that a worker has recorded since its first start: "run ATTEMPT MILLISECONDS", "refused ATTEMPT
+    // Lines that a worker has recorded since its first start: "run ATTEMPT MILLISECONDS FORM" with the form "delimited"
+    // or "undelimited", "whole ATTEMPT MILLISECONDS" for an answer that it has written to its end, "refused ATTEMPT
     // MILLISECONDS RETRY_AFTER_SECONDS", "order MILLISECONDS HOLDER FENCE", "overcommit" and "violation ATTEMPT TEXT".
     std::vector<std::string> readRecord(const std::string& worker) const;
 
@@ -121,7 +140,9 @@
     void transact(const nlohmann::json& body);
     void writeEncodedRow(const std::string& table, const std::string& key, const std::string& encoded);
     void startInstance(int index);
+    void addTargetLinks(GatewayInstance& instance, const std::filesystem::path& table);
     int priorityOf(const std::string& prefix) const;
+    std::filesystem::path redirectTable(std::size_t index) const;
     std::filesystem::path recordPath(const std::string& worker) const;
 
     std::filesystem::path buildDirectory_;
--- a/tests/support/Standins.cpp
+++ b/tests/support/Standins.cpp
@@ -25,13 +25,22 @@
     launch();
 }
 
-void Standin::restart()
+void Standin::restart(const std::vector<std::string>& flags)
 {
     if (process_->isRunning())
         throw std::runtime_error(name_ + " still runs");
+    flags_.insert(flags_.end(), flags.begin(), flags.end());
     launch();
 }
 
+void Standin::replace(const std::vector<std::string>& flags)
+{
+    flags_.insert(flags_.end(), flags.begin(), flags.end());
+    std::optional<ChildProcess> replaced = std::exchange(process_, std::nullopt);
+    launch();
+    replaced->kill();
+}
+
 void Standin::postFault(const nlohmann::json& fault) { callFaultPort("POST", "/faults", fault.dump()); }
 
 void Standin::clearFaults() { callFaultPort("DELETE", "/faults", ""); }
--- a/tests/support/Standins.h
+++ b/tests/support/Standins.h
@@ -23,8 +23,13 @@
 
     ChildProcess& process() { return *process_; }
 
-    // Starts the program anew on the same ports, after its process has ended.
-    void restart();
+    // Starts the program anew on the same ports, after its process has ended. `flags` come after those of before, from
+    // now on.
+    void restart(const std::vector<std::string>& flags = {});
+
+    // Starts a second process on the same ports and then kills the first one, so that the ports never refuse a
+    // connection. The flags must contain `--share-ports`.
+    void replace(const std::vector<std::string>& flags = {});
 
     // Posts a fault: the JSON of section 4.5.
     void postFault(const nlohmann::json& fault);
