Take only a refusal for a refusal

A target could be taken for crashed, and a request for one that crashes targets, because the instance itself had no descriptor left, was being stopped, or had no route to the target: every failed connection was ConnectFailed, which the crash watch, the tunnels and the own interface take for a proof that nothing listens at the endpoint.

Now only a connection that the endpoint refuses is ConnectFailed; others that do not time out are Unreachable.

--- a/src/transport/SocketOperation.cpp
+++ b/src/transport/SocketOperation.cpp
@@ -61,14 +61,17 @@
     boost::system::error_code error;
     socket.open(endpoint->protocol(), error);
     if (error)
-        return makeError(TransportError::ConnectFailed, error.message());
+        return makeError(TransportError::Unreachable, error.message());
     setBuffers(socket, buffers);
     error = runBefore(socket, deadline,
         [&](boost::system::error_code& result) { socket.async_connect(*endpoint, FiberToken{result}); });
     if (error == boost::asio::error::timed_out)
         return makeError(TransportError::TimedOut, fmt::format("connect to {}:{}", address, port));
-    if (error)
-        return makeError(TransportError::ConnectFailed, fmt::format("{}:{}: {}", address, port, error.message()));
+    if (error) {
+        const bool isRefused = error == boost::asio::error::connection_refused;
+        return makeError(isRefused ? TransportError::ConnectFailed : TransportError::Unreachable,
+            fmt::format("{}:{}: {}", address, port, error.message()));
+    }
     socket.set_option(tcp::no_delay(true), error);
     return socket;
 }
--- a/src/transport/SocketOperation.h
+++ b/src/transport/SocketOperation.h
@@ -75,6 +75,8 @@
 
 // Connects to a numeric address. The socket has Nagle's algorithm off, because tokens are small and must not wait. Like
 // all functions that suspend, it takes by value what its caller may not own: another fiber can end the owner meanwhile.
+// Fails with TransportError::ConnectFailed only when the endpoint refuses the connection, which shows that nothing
+// listens there.
 absl::StatusOr<boost::asio::ip::tcp::socket> connectSocket(
     std::string address, std::uint16_t port, TimePoint deadline, const SocketBuffers& buffers = {});
 
--- a/src/transport/TransportError.h
+++ b/src/transport/TransportError.h
@@ -9,7 +9,10 @@
 enum class TransportError {
     AddressInvalid,
     BindFailed,
+    // The endpoint refuses connections.
     ConnectFailed,
+    // No connection could be tried, or it failed on the way.
+    Unreachable,
     ConnectionClosed,
     TimedOut,
     FrameTooLong,
@@ -32,6 +35,8 @@
             return "bind failed";
         case TransportError::ConnectFailed:
             return "connect failed";
+        case TransportError::Unreachable:
+            return "unreachable";
         case TransportError::ConnectionClosed:
             return "connection closed";
         case TransportError::TimedOut:
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 #include <future>
 #include <thread>
 
@@ -122,6 +124,22 @@
     });
 }
 
+// Guards against an endpoint that is taken for one where nothing listens, because this process could not try it.
+TEST_F(HttpTest, AConnectionThatCannotBeTriedIsNoRefusal)
+{
+    listen({}, [](HttpExchange&) {});
+    rlimit limit{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &limit), 0);
+    onClient([&](HttpClient& client) {
+        const rlimit none{0, limit.rlim_max};
+        ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+        const auto outcome = client.call(endpoint_, {}, {});
+        ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &limit), 0);
+        EXPECT_EQ(errorOf<TransportError>(outcome.status), TransportError::Unreachable);
+        EXPECT_FALSE(outcome.sent);
+    });
+}
+
 // Guards against unbounded input.
 TEST_F(HttpTest, OversizedBodyIsRejectedAndTheServerSurvives)
 {
