Take an answer without length for complete only if its target answers on

Cause: an answer with neither length nor chunks ends with its connection, also when its target is killed. The end counted as the target's own unless a probe of the target's address was refused, so that whatever accepted connections there (a relay, the next start of the target, another process at its address), a probe that timed out, and a way through a peer all counted as proof of life.

Change: the end of such an answer is the target's own only if the process that was addressed answers a request for its identity afterwards: its name, and its start where it states it, on the same way as the answer. All else makes it a cut answer: a stream goes on at another target where its route allows it and is broken off otherwise, a plain answer is a failed send. The crash watch draws its conclusions from the same probe, and still only from a refusal or another process. Each such end is logged with its way and what the probe showed; a whole answer is not asked for twice any more.

--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fleet/CrashAttribution.h"
-#include "fleet/TargetChoice.h"
+#include "gateway/TargetProbe.h"
 #include "transport/Duty.h"
 #include "transport/FiberEvent.h"
 
@@ -34,12 +34,6 @@
 // Accessed on the relay duty only.
 class CrashWatch {
 public:
-    CrashWatch();
-
-    // Sets how it is found out whether a target accepts connections. `connect` fails with TransportError::ConnectFailed
-    // only when the target refuses them, whichever instance asks.
-    void setConnect(std::function<absl::Status(const Endpoint&)> connect) { connect_ = std::move(connect); }
-
     void setOutputs(CrashWatchOutputs outputs) { outputs_ = std::move(outputs); }
 
     // Whether nothing is suspected or blocked, so that the traits of requests need not be computed.
@@ -57,12 +51,18 @@
         return attribution_.blockedFor(request, currentTime());
     }
 
-    // Records that the connection to a target was lost before the end of its answer, or where the end cannot be told.
-    // Finds out whether the target has crashed, which suspends the fiber, and returns it.
-    bool connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
+    // Records that the connection to a target was lost before the end of its answer. Finds out by `probe`, which
+    // suspends the fiber, whether the target has crashed.
+    void connectionLost(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run,
+        const std::function<TargetLife()>& probe);
+
+    // Records that a target has crashed while it was working on a request.
+    void targetCrashed(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
 
-    // Whether no process listens at the endpoint. Suspends the fiber.
-    bool refusesConnections(const Endpoint& endpoint) const;
+    bool hasCrashed(const fleet::ChosenTarget& target) const
+    {
+        return attribution_.knows({target.target, target.incarnation});
+    }
 
     // Records that a target answered the request from its beginning to its end.
     void answerCompleted(const fleet::RequestTraits& request);
@@ -81,19 +81,18 @@
     // Requests that were lost on the same target wait for one probe of it.
     struct Probe {
         std::vector<fleet::CrashSuspect> suspects;
-        // Requests that wait for the result, which is set before they are woken.
+        // Of the requests that wait for the result.
         std::vector<FiberEvent*> waiters;
-        std::shared_ptr<bool> crashed = std::make_shared<bool>(false);
     };
 
-    bool probe(const fleet::ChosenTarget& target, const fleet::CrashSuspect& suspect);
+    static fleet::CrashSuspect suspectOf(
+        const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
     void recordOwn(const std::vector<fleet::CrashSuspect>& suspects);
     void record(std::span<const fleet::CrashSuspect> suspects, bool ownObservation);
 
     fleet::CrashAttribution attribution_;
     std::map<fleet::TargetCrash, Probe> probes_;
     CrashWatchOutputs outputs_;
-    std::function<absl::Status(const Endpoint&)> connect_;
 };
 
 } // namespace lychee::gateway
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,8 +28,6 @@
     static constexpr std::size_t inboxCapacity = 16384;
     // Memory of the process for each tunnel that it may open for peers; a tunnel takes a part of it.
     static constexpr std::size_t memoryPerTunnel = 262144;
-    // Time to find out whether a target accepts connections.
-    static constexpr Duration crashProbeTime = std::chrono::milliseconds(150);
     // How often a stopping instance checks whether its requests have finished.
     static constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
     // How long the load balancer keeps sending new connections to an instance that is no longer ready: it checks every
@@ -113,11 +111,6 @@
             context_.http.closeRetired();
             postToControl([this, detached] { control_->setReachesTargets(!detached); });
         });
-        context_.crashes.setConnect([this](const Endpoint& target) {
-            return context_.dialer
-                .open(target, GatewayLimits::crashProbeTime, currentTime() + GatewayLimits::crashProbeTime)
-                .status();
-        });
         context_.routes = routes_;
         context_.metrics = metricsSink_.get();
         context_.ensureAdapter = [this](const TargetId& target, const ModelId& model, const AdapterId& adapter,
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -1,6 +1,7 @@
 // Translation between the HTTP headers of a platform and the types of the relay. A dialect takes no decisions.
 #pragma once
 
+#include "fleet/RouteTable.h"
 #include "fleet/TargetRegistry.h"
 #include "fleet/UrgencyPolicy.h"
 #include "transport/HttpClient.h"
@@ -45,6 +46,17 @@
     std::optional<fleet::ReportedLoad> load;
 };
 
+// What the answer to a request for the identity of a target says about who gave it.
+struct TargetIdentity {
+    // The answer is that of a target, not of something before it.
+    bool isStated = false;
+    // The process is not the target that was addressed.
+    bool misdirected = false;
+    // Absent where the answer does not state them.
+    std::optional<TargetId> target;
+    std::optional<fleet::TargetIncarnation> incarnation;
+};
+
 // An answer that the gateway generates itself instead of forwarding one from a target.
 struct LocalResponse {
     int status = 503;
@@ -55,7 +67,8 @@
 
 template <typename Dialect>
 concept RelayDialect = requires(const HttpRequest& request, const HttpHeaders& headers,
-    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response, ConnectionUse use)
+    const ForwardParameters& parameters, const RequestId& attempt, const LocalResponse& response, ConnectionUse use,
+    const fleet::Service& service, const TargetId& target, const HttpResponse& answer)
 {
     {
         Dialect::readRequest(request)
@@ -69,6 +82,12 @@
     {
         Dialect::belongs(headers, attempt, use)
         } -> std::same_as<bool>;
+    {
+        Dialect::identityRequest(service, target)
+        } -> std::same_as<HttpRequest>;
+    {
+        Dialect::readIdentity(answer)
+        } -> std::same_as<TargetIdentity>;
     {
         Dialect::callerHeaders(headers)
         } -> std::same_as<HttpHeaders>;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -11,6 +11,7 @@
 #include "gateway/RelayDialect.h"
 #include "gateway/RelayLimits.h"
 #include "gateway/StreamBinding.h"
+#include "gateway/TargetProbe.h"
 #include "protocol/EventSplitter.h"
 #include "transport/Log.h"
 #include "transport/TransportError.h"
@@ -202,36 +203,60 @@
     {
         if (!attempt.isWhole || context_.crashes.isQuiet())
             return;
-        // An answer without a length or chunks ends with its connection, also when the target crashes.
-        if (!attempt.stream->isDelimited() && mayHaveCrashed(attempt))
-            return;
         context_.crashes.answerCompleted(traits());
     }
 
-    // Finds out whether a target has crashed after its connection ended, and records it. Suspends the fiber.
-    bool mayHaveCrashed(const Attempt& attempt)
+    LostRun lostRun(const Attempt& attempt) { return {traits(), attempt.startedAt, attempt.begun}; }
+
+    bool isLeaving(const Attempt& attempt) const
+    {
+        return context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation);
+    }
+
+    TargetProbe probeOf(const Attempt& attempt, Duration timeout) const
+    {
+        return {Dialect::identityRequest(*service_, attempt.target.target), attempt.target,
+            std::min(deadline_, currentTime() + timeout)};
+    }
+
+    // Finds out whether a target has crashed after its connection was lost, and records it. Suspends the fiber.
+    void recordLostConnection(const Attempt& attempt)
     {
-        return context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation)
-            || context_.crashes.connectionLost(
-                caller_.attempt, attempt.target, {traits(), attempt.startedAt, attempt.begun});
+        // The end of a target that leaves is no evidence against a request.
+        if (isLeaving(attempt))
+            return;
+        context_.crashes.connectionLost(caller_.attempt, attempt.target, lostRun(attempt),
+            [&] { return probeTarget<Dialect>(context_.http, probeOf(attempt, RelayLimits::crashProbeTimeout)); });
     }
 
     // Whether an answer without a length or chunks, which is complete when its connection ends, may have been cut by
-    // the end of its target. Suspends the fiber.
-    bool endedWithTarget(const Attempt& attempt)
+    // the end of its target or of the way to it. It is complete only if the same process still answers on the same way.
+    // Suspends the fiber.
+    bool mayBeCut(const Attempt& attempt)
     {
         if (attempt.stream->isDelimited())
             return false;
-        // A target that leaves may be taken away in the middle of its answers. That is no evidence against a request.
-        if (context_.registry.isLeaving(attempt.target.target, attempt.target.incarnation))
-            return context_.crashes.refusesConnections(attempt.target.endpoint);
-        return mayHaveCrashed(attempt);
+        const TimePoint endedAt = currentTime();
+        const bool isDirect = attempt.stream->isDirect();
+        TargetLife life = TargetLife::Ended;
+        if (!context_.crashes.hasCrashed(attempt.target)) {
+            TargetProbe probe = probeOf(attempt, RelayLimits::identityTimeout);
+            probe.directOnly = isDirect;
+            probe.cancellation = cancellation_;
+            life = probeTarget<Dialect>(context_.http, std::move(probe));
+        }
+        relayLog.info("request={} target={} born={} direct={} answer ended with its connection, life={} probe_ms={}",
+            caller_.attempt, attempt.target.target, attempt.target.incarnation, isDirect, nameOf(life),
+            std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - endedAt).count());
+        if (life == TargetLife::Ended && !isLeaving(attempt))
+            context_.crashes.targetCrashed(caller_.attempt, attempt.target, lostRun(attempt));
+        return life != TargetLife::Alive;
     }
 
     // Not a lost connection, for which the crash would be recorded once more.
-    static absl::Status cutByTarget()
+    static absl::Status cutAnswer()
     {
-        return makeError(TransportError::Stopped, "the target ended at the end of the answer");
+        return makeError(TransportError::Stopped, "the answer may have been cut by the end of its target");
     }
 
     // A number in [0, 1) derived from the attempt id, by which a split route picks a service. All instances derive the
@@ -570,7 +595,7 @@
         endSend(attempt, timedOut ? fleet::SendOutcome::NoAnswer : fleet::SendOutcome::Failed);
         isTrial_ = false;
         if (errorOf<TransportError>(attempt.status) == TransportError::ConnectionClosed)
-            mayHaveCrashed(attempt);
+            recordLostConnection(attempt);
         if (timedOut && currentTime() >= deadline_) {
             history_.add(fleet::SendResult::OutcomeUnknown);
             return finishAtDeadline();
@@ -738,8 +763,11 @@
                 return afterFailedSend(attempt);
             }
         }
-        if (endedWithTarget(attempt)) {
-            attempt.status = cutByTarget();
+        const bool isCut = mayBeCut(attempt);
+        if (cancellation_->isRequested())
+            return abandon(attempt);
+        if (isCut) {
+            attempt.status = cutAnswer();
             return afterFailedSend(attempt);
         }
         // Held until the answer is delivered.
@@ -873,8 +901,11 @@
         if (!attempt.stream->isDelimited() && (!streamStarted_ || !rest.empty()))
             return breakStream(
                 attempt, makeError(TransportError::ConnectionClosed, "the stream ends before the end of an event"));
-        if (endedWithTarget(attempt))
-            return breakStream(attempt, cutByTarget());
+        const bool isCut = mayBeCut(attempt);
+        if (cancellation_->isRequested())
+            return abandon(attempt);
+        if (isCut)
+            return breakStream(attempt, cutAnswer());
         if (!streamStarted_ || !rest.empty()) {
             if (!forward(attempt, rest))
                 return endSend(attempt, fleet::SendOutcome::Abandoned);
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -459,7 +459,7 @@
     auto opened = open(endpoint, request, limits);
     if (!opened.status.ok())
         return {opened.status, opened.sent, {}};
-    HttpOutcome<HttpResponse> outcome{absl::OkStatus(), true, {}};
+    HttpOutcome<HttpResponse> outcome{absl::OkStatus(), true, {}, opened.answer->isDirect()};
     outcome.answer.status = opened.answer->status();
     outcome.answer.headers = opened.answer->headers();
     while (true) {
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -101,6 +101,8 @@
     // Whether a byte of the request may have reached the peer.
     bool sent = false;
     Answer answer;
+    // Whether no other process of this system lies between this one and the endpoint that has answered.
+    bool isDirect = true;
 };
 
 // A connection for an HttpClient.
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -22,6 +22,9 @@
 inline const ServiceId engineService("hall");
 inline const ServiceId plainService("desk");
 
+// Whether a request asks a target who it is. Targets answer it besides what the script of the test does.
+inline bool isIdentityRequest(const HttpRequest& request) { return request.target == "/v1/report"; }
+
 // A target whose answers are defined by the test.
 struct ScriptedTarget {
     std::unique_ptr<HttpServer> server;
@@ -131,12 +134,19 @@
             connections_.push_back(connection);
             duty_.spawn([self = shared_from_this(), connection] {
                 while (const auto request
-                    = self->reads_ == Reads::Head ? connection->readHead() : connection->readRequest())
-                    self->script_(*connection, *request);
+                    = self->reads_ == Reads::Head ? connection->readHead() : connection->readRequest()) {
+                    if (isIdentityRequest(*request))
+                        self->identify_(*connection, *request);
+                    else
+                        self->script_(*connection, *request);
+                }
             });
         }
     }
 
+    // Sets how requests for the identity of the target are answered from now on.
+    void setIdentify(Script identify) { identify_ = std::move(identify); }
+
     void close()
     {
         boost::system::error_code ignored;
@@ -146,9 +156,16 @@
     }
 
 private:
+    static void stateAddressed(RawTargetConnection& connection, const HttpRequest& request)
+    {
+        connection.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Instance-Id: {}\r\n\r\n",
+            request.headers.find("X-Target-Instance").value_or("")));
+    }
+
     Duty& duty_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Script script_;
+    Script identify_ = stateAddressed;
     Reads reads_;
     std::vector<std::shared_ptr<RawTargetConnection>> connections_;
 };
@@ -178,6 +195,10 @@
         options.buffers = targetBuffers_;
         target.server
             = HttpServer::listen(*targetDuty_, {"127.0.0.1", 0}, options, [&target, script](HttpExchange& exchange) {
+                  if (isIdentityRequest(exchange.request())) {
+                      exchange.respond({200, {}, {}}).IgnoreError();
+                      return;
+                  }
                   target.requests.push_back(exchange.request());
                   script(target, exchange);
               }).value();
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -156,6 +156,68 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->body, "the whole");
 }
 
+// Guards against an answer that was cut because its target crashed, and reaches the caller as complete because
+// something else accepts connections at the address: a relay, or a process that took the place of the target.
+TEST_F(UndelimitedAnswerTest, AnAnswerOfATargetThatDoesNotAnswerAnyMoreIsCut)
+{
+    const auto respond = [](const std::string& answer) {
+        return [answer](RawTargetConnection& connection, const HttpRequest&) {
+            connection.write(answer);
+            connection.close();
+        };
+    };
+    const std::map<std::string, RawTarget::Script> successors{
+        {"closes", [](RawTargetConnection& connection, const HttpRequest&) { connection.close(); }},
+        {"resets", [](RawTargetConnection& connection, const HttpRequest&) { connection.reset(); }},
+        {"is silent", [](RawTargetConnection&, const HttpRequest&) {}},
+        {"declines", respond(rawAnswer("421 Misdirected\r\n", ""))},
+        {"has another name", respond(rawAnswer("200 OK\r\nX-Instance-Id: other\r\n", ""))},
+        {"has started later", respond(rawAnswer("200 OK\r\n", R"({"models":[],"sequence":0,"born":2})"))},
+        {"is a proxy", respond(rawAnswer("502 Bad Gateway\r\n", ""))},
+    };
+    for (const auto& [what, successor] : successors) {
+        const auto addTargets = [&, successor = successor](const ServiceId& service, const std::string& cut) {
+            callers_.reset();
+            context_.registry = {};
+            context_.crashes = {};
+            requests_ = 0;
+            for (int i = 0; i < 2; ++i) {
+                addRawTarget(service,
+                    [this, cut, successor, index = rawTargets_.size()](
+                        RawTargetConnection& connection, const HttpRequest& request) {
+                        if (++requests_ > 1)
+                            return stream("", End::Close)(connection, request);
+                        connection.write(head("Connection: close\r\n") + cut);
+                        sleepFor(20ms);
+                        rawTargets_[index]->setIdentify(successor);
+                        connection.close();
+                    });
+            }
+            start();
+        };
+        addTargets(engineService, expectedEvents(3));
+        EXPECT_EQ(bodyOf("/stream/x").value(), expectedEvents(6)) << what;
+        addTargets(engineService, expectedEvents(3));
+        EXPECT_FALSE(bodyOf("/once/x").ok()) << what;
+        addTargets(plainService, "a part");
+        EXPECT_GE(client().send(request("/unsafe/x"))->status, 502) << what;
+    }
+}
+
+// Guards against a whole answer that is taken for a cut one because its target is silent for a moment when it is asked
+// who it is.
+TEST_F(UndelimitedAnswerTest, AnAnswerOfATargetThatAnswersLateIsComplete)
+{
+    addRawTarget(engineService, stream(expectedEvents(4), End::Close));
+    rawTargets_.back()->setIdentify([](RawTargetConnection& connection, const HttpRequest&) {
+        sleepFor(900ms);
+        connection.write(rawAnswer("200 OK\r\n", R"({"models":[],"sequence":0,"born":1})"));
+    });
+    start();
+    EXPECT_EQ(bodyOf("/once/x").value(), expectedEvents(4));
+    EXPECT_EQ(requests_, 1);
+}
+
 // Guards against a stream that is not resumed, loses or repeats a part, after its target closed or reset it inside or
 // between events.
 TEST_F(UndelimitedAnswerTest, BrokenStreamIsResumedWhereTheRouteAllows)
--- a/tests/standins/fleet_worker_standin/Worker.cpp
+++ b/tests/standins/fleet_worker_standin/Worker.cpp
@@ -72,6 +72,10 @@
         connection.write(Response::json(200, state()));
         return;
     }
+    if (path == "/health") {
+        connection.write(Response::json(200, json::object(), {{"X-Instance-Id", options_.id}}));
+        return;
+    }
     if (request.method == "POST" && path == "/v1/order")
         return order(request, connection);
     if (servesModels() && !holds(request)) {
