Count only a stated end of a tunnel as the end of an answer

Callers of an instance that had lost its links to targets got cut answers and streams as complete (MIXED, ORDER), when the peer that carried their connection was killed or reached the end of its grace period.

Cause: an answer with neither length nor chunks ends with its connection. Through a tunnel, the end of the peer's process is a regular end (FIN), because the system closes the sockets of a process that is killed or exits so, and so it could not be told from the end of the target. The probe of the crash watch does not help: the target is alive. The class of fault is an end that is inferred from the form in which a connection closes, across a process that is not the sender.

Change: - The answer to CONNECT names the tunnel (Tunnel-Id). Once the target has ended regularly and its bytes are written, the server remembers the number of bytes, bounded in number and age, before the near side can see the end. After a regular end of an answer without delimiter, the near side asks with GET /tunnels/ID on a new connection, for 0.3 s in all, and only a yes with the bytes that have arrived makes the end regular. No answer, another start of the process, an unknown tunnel, an older build or another count: it fails like a reset. So it does not matter what a relay in between makes of an end. Only the address that opened a tunnel, a peer then, is told of it; the rule does not ask whether it still is one, because a server that stops has left its peers while its tunnels go on. - HttpClient counts the bytes that it reads from such a connection; answers with a length or chunks never ask. - The server sets linger 0 on the near socket before it answers CONNECT, so that its death resets the connection, also for near sides of older builds. The regular end is an explicit shutdown; linger is taken back once both sides have ended, so that what the near side has not taken yet still reaches it.

Evidence: TunnelTest, LostLinksTest.

--- a/src/gateway/TargetDialer.cpp
+++ b/src/gateway/TargetDialer.cpp
@@ -101,7 +101,8 @@
         if (tunnel.ok()) {
             paths_.peerOpened(target, currentTime());
             review();
-            return OpenedConnection{*std::move(tunnel), retired};
+            tunnel->retired = retired;
+            return tunnel;
         }
         if (errorOf<TransportError>(tunnel.status()) == TransportError::Stopped) {
             if (const auto known = peers_.find(id); known != peers_.end())
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -58,6 +58,7 @@
         : socket_(std::move(opened.socket))
         , retired_(std::move(opened.retired))
         , confirmEnd_(std::move(opened.confirmEnd))
+        , received_(std::move(opened.received))
     {
     }
 
@@ -66,6 +67,17 @@
     // Whether the peer has closed the connection or has sent bytes that nobody asked for.
     bool isSpoiled() { return peekPeer(socket_) != PeerSign::Silent; }
 
+    // Reads from the socket and counts the bytes. For readSome() and readHead().
+    auto source()
+    {
+        return [this](const boost::asio::mutable_buffer& space, error_code& error) {
+            const std::size_t count = socket_.async_read_some(space, FiberToken{error});
+            if (received_)
+                *received_ += count;
+            return count;
+        };
+    }
+
     // Closes without delivering what is still on its way. After a plain close the system goes on sending, and a request
     // that was held up by a cut would reach its peer long after it was given up.
     void reset()
@@ -94,6 +106,7 @@
     ConnectionUse use_ = ConnectionUse::First;
     std::shared_ptr<const bool> retired_;
     std::function<bool()> confirmEnd_;
+    std::shared_ptr<std::uint64_t> received_;
 };
 
 class HttpClient::Pool {
@@ -257,10 +270,9 @@
         parser_->body_limit(limits_.maxBodyBytes);
         if (isCancelled())
             return cancelled();
-        const error_code error
-            = awaitPeer(std::min(limits_.interByteTimeout, limits_.headerTimeout), [&](error_code& result) {
-                  readHead(connection_->socket_, connection_->buffer_, *parser_, maxBufferBytes, result);
-              });
+        const auto source = connection_->source();
+        const error_code error = awaitPeer(std::min(limits_.interByteTimeout, limits_.headerTimeout),
+            [&](error_code& result) { readHead(source, connection_->buffer_, *parser_, maxBufferBytes, result); });
         if (error)
             return failure(error, "read header");
         headers_ = parser_->takeHeaders();
@@ -287,9 +299,9 @@
         while (!parser_->is_done()) {
             if (isCancelled())
                 return cancelled();
-            const error_code error = awaitPeer(limits_.interByteTimeout, [&](error_code& result) {
-                readSome(connection_->socket_, connection_->buffer_, *parser_, maxBufferBytes, result);
-            });
+            const auto source = connection_->source();
+            const error_code error = awaitPeer(limits_.interByteTimeout,
+                [&](error_code& result) { readSome(source, connection_->buffer_, *parser_, maxBufferBytes, result); });
             if (error)
                 return failure(error, "read body");
             if (parser_->hasPiece())
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -113,6 +113,8 @@
     // Finds out, after a regular end of the connection, whether the endpoint itself ended it and all its bytes have
     // arrived. Suspends the fiber. Null for a direct connection, whose end is that of the endpoint.
     std::function<bool()> confirmEnd = nullptr;
+    // Counts the bytes that are read from the socket. May be null.
+    std::shared_ptr<std::uint64_t> received = nullptr;
 };
 
 // Opens the connections of an HttpClient.
--- a/src/transport/Tunnel.h
+++ b/src/transport/Tunnel.h
@@ -1,8 +1,13 @@
 // Tunnels: TCP connections that another process opens to an endpoint on behalf of this one, with the CONNECT method of
 // HTTP. After the answer the bytes of both sides pass unchanged, with the way in which each side ends.
+//
+// A regular end may also be that of the other process, so it counts as the end of the endpoint only once the other
+// process has stated it: the answer to CONNECT names the tunnel (Tunnel-Id), and GET /tunnels/ID then tells how many
+// bytes (Tunnel-Bytes) an endpoint that has ended regularly had sent.
 #pragma once
 
 #include "transport/Duty.h"
+#include "transport/HttpClient.h"
 #include "transport/HttpMessage.h"
 #include "transport/SocketOperation.h"
 
@@ -59,7 +64,7 @@
 // Has the tunnel server at `server` connect to `endpoint`, which it may try until `connectTime` is over. Fails with
 // TransportError::ConnectFailed when the endpoint refuses connections, TimedOut when it does not answer, and Stopped
 // when the server cannot be reached or declines.
-absl::StatusOr<boost::asio::ip::tcp::socket> openTunnel(
+absl::StatusOr<OpenedConnection> openTunnel(
     Endpoint server, Endpoint endpoint, Duration connectTime, const SocketBuffers& buffers = {});
 
 } // namespace lychee
--- a/tests/gateway/LostLinksTest.cpp
+++ b/tests/gateway/LostLinksTest.cpp
@@ -6,6 +6,14 @@
 
 class LostLinksTest : public RelayFixture {
 protected:
+    LostLinksTest()
+    {
+        // As in Gateway: a target that a peer reaches has not crashed.
+        context_.crashes.setConnect([this](const Endpoint& target) {
+            return context_.dialer.open(target, 150ms, currentTime() + 150ms).status();
+        });
+    }
+
     ~LostLinksTest() override
     {
         callers_.reset();
@@ -32,12 +40,38 @@
             return connectSocket(endpoint.address, endpoint.port, deadline);
         };
         tunnels_ = TunnelServer::listen(*targetDuty_, {"127.0.0.1", 0}, options).value();
+        announcePeer(tunnels_->port());
+    }
+
+    // Makes a peer known whose tunnel server listens on this port.
+    void announcePeer(std::uint16_t port)
+    {
         relayDuty_->run([&] {
-            context_.dialer.peerUpdated(
-                InstanceId("peer"), {{"127.0.0.1", tunnels_->port()}, DataCentreId("b"), 1, 0, true});
+            context_.dialer.peerUpdated(InstanceId("peer"), {{"127.0.0.1", port}, DataCentreId("b"), 1, 0, true});
         });
     }
 
+    // Adds targets that only a peer reaches, which writes `body` as the answer of any of them, without a length. The
+    // peer then ends the connection regularly and confirms the end with `confirmation`.
+    void startPeerThatAnswers(const ServiceId& service, const std::string& body, const std::string& confirmation)
+    {
+        for (int i = 0; i < 2; ++i)
+            registerTarget(service, fmt::format("lost{}", i), unusedPort());
+        const auto script = [body, confirmation, head = undelimitedHead_](
+                                RawTargetConnection& connection, const HttpRequest& request) {
+            if (request.method == "CONNECT") {
+                connection.write("HTTP/1.1 200 OK\r\nTunnel-Id: a-1\r\n\r\n");
+                return;
+            }
+            connection.write(request.target.starts_with("/tunnels/") ? confirmation : head + body);
+            connection.close();
+        };
+        const auto peer = std::make_shared<RawTarget>(*targetDuty_, script, RawTarget::Reads::Whole);
+        rawTargets_.push_back(peer);
+        targetDuty_->spawn([peer] { peer->acceptLoop(); });
+        announcePeer(peer->port());
+    }
+
     bool isDetached()
     {
         bool detached = false;
@@ -56,14 +90,19 @@
     // A port on which nothing listens.
     std::uint16_t unusedPort()
     {
-        const auto acceptor = openAcceptor(targetDuty_->io(), "127.0.0.1", 0).value();
-        return acceptor.local_endpoint().port();
+        std::uint16_t port = 0;
+        // On the duty, whose fibers may be opening sockets meanwhile.
+        targetDuty_->run(
+            [&] { port = openAcceptor(targetDuty_->io(), "127.0.0.1", 0).value().local_endpoint().port(); });
+        return port;
     }
 
     std::map<Endpoint, Endpoint> reached_;
     std::atomic<int> asked_{0};
     int sent_ = 0;
     std::unique_ptr<TunnelServer> tunnels_;
+    const std::string undelimitedHead_
+        = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: seal\r\nConnection: close\r\n\r\n";
 };
 
 // Guards against callers who are refused because the instance that they reach has lost its links to the targets, and
@@ -164,5 +203,39 @@
     EXPECT_EQ(targets_[0]->cancelled, 1);
 }
 
+// Guards against a stream and an answer that were cut by the end of the peer and reach the caller as complete.
+TEST_F(LostLinksTest, AnAnswerThatEndsWithItsPeerIsCut)
+{
+    startPeerThatAnswers(engineService, expectedEvents(3), "HTTP/1.1 404 Not Found\r\n\r\n");
+    start();
+    const auto stream = client().open(request("/once/x"));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_FALSE((*stream)->readBody().ok());
+    callers_.reset();
+    startPeerThatAnswers(plainService, "a part", "HTTP/1.1 404 Not Found\r\n\r\n");
+    start();
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+}
+
+// Guards against a whole answer without a length that is taken for a cut one because it came through a peer.
+TEST_F(LostLinksTest, AWholeAnswerWithoutLengthThroughAPeerIsComplete)
+{
+    for (int i = 0; i < 2; ++i) {
+        addRawTarget(engineService, [this](RawTargetConnection& connection, const HttpRequest&) {
+            connection.write(undelimitedHead_ + expectedEvents(6));
+            connection.close();
+        });
+        const Endpoint unreachable{"127.0.0.1", unusedPort()};
+        reached_[unreachable] = {"127.0.0.1", rawTargets_.back()->port()};
+        registerTarget(engineService, fmt::format("raw{}", i), unreachable.port);
+    }
+    startPeer();
+    start();
+    const auto stream = client().open(request("/once/x"));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_EQ((*stream)->readBody().value_or("cut"), expectedEvents(6));
+    EXPECT_GT(asked_.load(), 0);
+}
+
 } // namespace
 } // namespace lychee::gateway
--- a/tests/transport/TunnelTest.cpp
+++ b/tests/transport/TunnelTest.cpp
@@ -1,11 +1,19 @@
 // Tunnels through another process.
 #include "transport/Tunnel.h"
 
+#include "transport/HttpClient.h"
+
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
 namespace lychee {
 namespace {
 
@@ -13,8 +21,145 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+// Opens all connections through the tunnel server on one port.
+class TunnelOpener final : public ConnectionOpener {
+public:
+    explicit TunnelOpener(std::uint16_t port)
+        : port_(port)
+    {
+    }
+
+    absl::StatusOr<OpenedConnection> open(Endpoint endpoint, Duration connectTime, TimePoint) override
+    {
+        return openTunnel({"127.0.0.1", port_}, std::move(endpoint), connectTime);
+    }
+
+    void wentSilent(const Endpoint&) override { }
+
+private:
+    std::uint16_t port_;
+};
+
+constexpr std::string_view undelimitedHead = "HTTP/1.1 200 OK\r\n\r\n";
+
 class TunnelTest : public testing::Test {
 protected:
+    void TearDown() override
+    {
+        duty_->run([&] {
+            acceptor_.close();
+            relay_.close();
+        });
+    }
+
+    // Serves the next `count` connections of a listening socket with `serve`, and closes them and the socket then.
+    void serveNext(tcp::acceptor& acceptor, int count, std::function<void(tcp::socket&)> serve)
+    {
+        duty_->spawn([this, &acceptor, count, serve = std::move(serve)] {
+            for (int i = 0; i < count; ++i) {
+                tcp::socket socket(duty_->io());
+                error_code error;
+                acceptor.async_accept(socket, FiberToken{error});
+                if (error)
+                    return;
+                serve(socket);
+            }
+            acceptor.close();
+        });
+    }
+
+    static std::string readHeadOf(tcp::socket& socket)
+    {
+        std::string text;
+        error_code error;
+        boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", FiberToken{error});
+        EXPECT_FALSE(error) << error.message();
+        return text;
+    }
+
+    // Has the target answer one request with a body that ends with the connection.
+    void answerUndelimited(std::string body, bool endsByReset = false)
+    {
+        serveNext(acceptor_, 1, [body = std::move(body), endsByReset](tcp::socket& socket) {
+            readHeadOf(socket);
+            write(socket, undelimitedHead);
+            write(socket, body);
+            if (!endsByReset)
+                return;
+            sleepFor(100ms);
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+    }
+
+    // Passes the connections to the tunnel server on as a middlebox does that turns each end into a regular one. Of
+    // the bytes of the server it passes on the first `limit` for each connection.
+    std::uint16_t startRelay(std::size_t limit = std::numeric_limits<std::size_t>::max())
+    {
+        duty_->spawn([this, limit] {
+            while (true) {
+                auto near = std::make_shared<tcp::socket>(duty_->io());
+                error_code error;
+                relay_.async_accept(*near, FiberToken{error});
+                if (error)
+                    return;
+                auto connected = connectSocket("127.0.0.1", server_->port(), currentTime() + 1s);
+                if (!connected.ok())
+                    continue;
+                auto far = std::make_shared<tcp::socket>(*std::move(connected));
+                duty_->spawn([=] { passRegularly(*near, *far, std::numeric_limits<std::size_t>::max()); });
+                duty_->spawn([=] { passRegularly(*far, *near, limit); });
+            }
+        });
+        return relay_.local_endpoint().port();
+    }
+
+    static void passRegularly(tcp::socket& from, tcp::socket& to, std::size_t limit)
+    {
+        error_code error;
+        std::array<char, 4096> piece{};
+        while (!error) {
+            std::size_t count = from.async_read_some(boost::asio::buffer(piece), FiberToken{error});
+            count = std::min(count, limit);
+            limit -= count;
+            error_code ignored;
+            boost::asio::async_write(to, boost::asio::buffer(piece.data(), count), FiberToken{ignored});
+        }
+        to.shutdown(tcp::socket::shutdown_send, error);
+    }
+
+    // Calls the target through the tunnel server on this port.
+    HttpOutcome<HttpResponse> call(std::uint16_t port)
+    {
+        HttpOutcome<HttpResponse> outcome;
+        duty_->run([&] {
+            TunnelOpener opener(port);
+            HttpClient client(opener);
+            HttpCallLimits limits;
+            limits.deadline = currentTime() + 5s;
+            outcome = client.call(endpoint(), {"GET", "/", {}, {}}, limits);
+        });
+        return outcome;
+    }
+
+    // The outcome of a call through a server that answers it in part and then ends the connection regularly. The later
+    // connections get `confirmation`.
+    absl::Status statusThrough(const std::string& opened, const std::string& confirmation,
+        const std::string& head = std::string(undelimitedHead))
+    {
+        duty_->run([&] {
+            serveNext(relay_, confirmation.empty() ? 1 : 2, [opened, confirmation, head](tcp::socket& socket) {
+                if (!readHeadOf(socket).starts_with("CONNECT"))
+                    return write(socket, confirmation);
+                write(socket, opened);
+                readHeadOf(socket);
+                write(socket, head);
+                write(socket, "half of ");
+            });
+        });
+        return call(relay_.local_endpoint().port()).status;
+    }
+
     // Lets the server accept one connection and runs `body` with both ends of a tunnel to it.
     void withTunnel(const std::function<void(tcp::socket& near, tcp::socket& far)>& body)
     {
@@ -29,7 +174,7 @@
             auto near = openTunnel({"127.0.0.1", server_->port()}, endpoint(), 500ms);
             ASSERT_TRUE(near.ok()) << near.status();
             accepted.wait();
-            body(*near, far);
+            body(near->socket, far);
         });
     }
 
@@ -64,7 +209,10 @@
 
     std::shared_ptr<RuntimeClock> clock_ = RuntimeClock::createRunning();
     std::unique_ptr<Duty> duty_ = Duty::start("tunnels", clock_).value();
+    // Of the target.
     tcp::acceptor acceptor_ = openAcceptor(duty_->io(), "127.0.0.1", 0).value();
+    // Of what stands between this side and the tunnel server, or in its place.
+    tcp::acceptor relay_ = openAcceptor(duty_->io(), "127.0.0.1", 0).value();
     std::atomic<bool> mayOpen_{true};
     std::unique_ptr<TunnelServer> server_ = [this] {
         TunnelServerOptions options;
@@ -159,5 +307,130 @@
     });
 }
 
+// Guards against an answer that was cut by the end of the tunnel server and looks complete.
+TEST_F(TunnelTest, AnAnswerIsNotCompleteWhenItsServerDies)
+{
+    const absl::Status status = statusThrough("HTTP/1.1 200 OK\r\nTunnel-Id: a-1\r\n\r\n", "");
+    EXPECT_EQ(errorOf<TransportError>(status), TransportError::ConnectionClosed) << status;
+}
+
+// Guards against an answer that was cut and looks complete because the server has been started again meanwhile.
+TEST_F(TunnelTest, AnAnswerIsNotCompleteWhenItsServerDoesNotKnowTheTunnel)
+{
+    const absl::Status status = statusThrough(
+        "HTTP/1.1 200 OK\r\nTunnel-Id: a-1\r\n\r\n", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(errorOf<TransportError>(status), TransportError::ConnectionClosed) << status;
+}
+
+// Guards against an answer that was cut by the end of a server of an older build and looks complete.
+TEST_F(TunnelTest, AnAnswerIsNotCompleteWhenItsServerNamesNoTunnel)
+{
+    const absl::Status status = statusThrough("HTTP/1.1 200 OK\r\n\r\n", "");
+    EXPECT_EQ(errorOf<TransportError>(status), TransportError::ConnectionClosed) << status;
+}
+
+// Guards against an answer with a length that needs a server which still runs at its end.
+TEST_F(TunnelTest, AnAnswerWithALengthNeedsNoConfirmation)
+{
+    const absl::Status status
+        = statusThrough("HTTP/1.1 200 OK\r\n\r\n", "", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+    EXPECT_TRUE(status.ok()) << status;
+}
+
+// Guards against an answer that lost its last bytes on the way from the server and looks complete.
+TEST_F(TunnelTest, AnAnswerIsNotCompleteWithoutAllItsBytes)
+{
+    const std::string body(200000, 'x');
+    duty_->run([&] { answerUndelimited(body); });
+    std::uint16_t port = 0;
+    duty_->run([&] { port = startRelay(body.size()); });
+    const auto outcome = call(port);
+    EXPECT_EQ(errorOf<TransportError>(outcome.status), TransportError::ConnectionClosed) << outcome.status;
+}
+
+// Guards against an answer that its target cut by a reset and that looks complete because the reset became a regular
+// end on the way.
+TEST_F(TunnelTest, AnAnswerIsNotCompleteWhenItsTargetResetsIt)
+{
+    duty_->run([&] { answerUndelimited("half of ", true); });
+    std::uint16_t port = 0;
+    duty_->run([&] { port = startRelay(); });
+    const auto outcome = call(port);
+    EXPECT_EQ(errorOf<TransportError>(outcome.status), TransportError::ConnectionClosed) << outcome.status;
+}
+
+// Guards against whole answers that are taken for cut ones.
+TEST_F(TunnelTest, AWholeAnswerWithoutLengthIsComplete)
+{
+    for (const bool throughRelay : {false, true}) {
+        const std::string body(200000, 'x');
+        std::uint16_t port = server_->port();
+        duty_->run([&] {
+            acceptor_ = openAcceptor(duty_->io(), "127.0.0.1", 0).value();
+            answerUndelimited(body);
+            if (throughRelay)
+                port = startRelay();
+        });
+        const auto outcome = call(port);
+        EXPECT_TRUE(outcome.status.ok()) << outcome.status;
+        EXPECT_EQ(outcome.answer.body, body);
+    }
+}
+
+// Guards against an end of the server's process that looks like a regular one to near sides of older builds.
+TEST_F(TunnelTest, AServerThatIsKilledResetsItsTunnels)
+{
+    std::array<int, 2> ports{};
+    ASSERT_EQ(pipe(ports.data()), 0);
+    const pid_t child = fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+        const auto duty = Duty::start("killed", RuntimeClock::createRunning()).value();
+        const auto server = TunnelServer::listen(*duty, {"127.0.0.1", 0}, {}).value();
+        const std::uint16_t port = server->port();
+        if (::write(ports[1], &port, sizeof port) != sizeof port)
+            _exit(1);
+        while (true)
+            pause();
+    }
+    std::uint16_t port = 0;
+    ASSERT_EQ(::read(ports[0], &port, sizeof port), static_cast<ssize_t>(sizeof port));
+    duty_->run([&] {
+        serveNext(acceptor_, 1, [](tcp::socket& socket) {
+            error_code ended;
+            read(socket, 1, ended);
+        });
+        auto near = openTunnel({"127.0.0.1", port}, endpoint(), 500ms);
+        ASSERT_TRUE(near.ok()) << near.status();
+        kill(child, SIGKILL);
+        error_code error;
+        read(near->socket, 1, error);
+        EXPECT_EQ(error, boost::asio::error::connection_reset);
+    });
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    close(ports[0]);
+    close(ports[1]);
+}
+
+// Guards against bytes that are lost when both sides have ended and the near one has not read all yet.
+TEST_F(TunnelTest, ANearSideThatReadsLateLosesNoBytes)
+{
+    const std::string large(1000000, 'x');
+    withTunnel([&](tcp::socket& near, tcp::socket& far) {
+        near.shutdown(tcp::socket::shutdown_send);
+        duty_->spawn([&] {
+            write(far, large);
+            far.close();
+        });
+        sleepFor(300ms);
+        error_code error;
+        EXPECT_EQ(read(near, large.size(), error), large);
+        EXPECT_FALSE(error) << error.message();
+        read(near, 1, error);
+        EXPECT_EQ(error, boost::asio::error::eof);
+    });
+}
+
 } // namespace
 } // namespace lychee
