Know from the store whether the lists outlived a restoration

Cause: only an instance that has lived through a restoration knew that the lists of software versions may lack some. One that starts after it took the restored list for complete. To count each start as a restoration was tried and taken back, as it refused take-ups for 3 s after each start.

Change: a row in a table of its own, store_eras/settled, has the era of the store in which the lists are complete. An instance goes by a list only in an era that it knows as settled: from the row, or after 3 s in that era in which all versions that are present have been listed again; then it writes the row. The copy and writes from before the restoration hold an earlier era, so a start right after a restoration waits and a start long after it does not. The first instances at a store without lists write the row before the first list.

Test: StreamVersionsTest, 3 of 5 tests fail without the change:

SoftwareVersionProcessTest and GatewayProcessTest pass.

--- a/src/gateway/StreamVersions.h
+++ b/src/gateway/StreamVersions.h
@@ -3,6 +3,10 @@
 // streams; VersionListing.h says why. While a list has several versions, the version of each stream is recorded in a
 // second table. The record is written after the first event was passed on, so that it delays none: a stream of which
 // nothing is known is not resumed. Used on the control duty.
+//
+// After the store was restored from a copy, the lists may lack versions that began streams before. A third table has
+// the era of the store in which the lists were last complete, for instances that start later: the copy has an earlier
+// era there, which holds until the instances have had the time to add what was lost.
 #pragma once
 
 #include "coordination/CoordinationError.h"
@@ -153,11 +157,20 @@
     // when nothing is known of the stream.
     absl::StatusOr<SoftwareVersion> find(const ServiceId& service, const RequestId& attempt, TimePoint deadline)
     {
+        settleEra();
+        // Read before the list, which may have been completed in between.
+        if (!era_ || settledEra_ != era_) {
+            const absl::StatusOr<RowVersion> row = readEra(deadline);
+            if (!row.ok())
+                return row.status();
+        }
         const absl::StatusOr<RowPage> list = store_.find(listTable, service.value(), deadline);
         if (!list.ok())
             return list.status();
+        noteEra(eraOf(list->version));
         const auto known = services_.find(service);
-        const bool mayLackVersions = (restoredAt_ && currentTime() - *restoredAt_ < relistTime)
+        const bool mayLackVersions = settledEra_ != eraOf(list->version)
+            || (restoredAt_ && currentTime() - *restoredAt_ < relistTime)
             || (known != services_.end() && known->second.listing.row() != RowVersion()
                 && eraOf(list->version) != eraOf(known->second.listing.row()));
         if (mayLackVersions || list->rows.empty())
@@ -216,6 +229,8 @@
 
     static constexpr const char* listTable = "software_versions";
     static constexpr const char* recordTable = "stream_versions";
+    static constexpr const char* eraTable = "store_eras";
+    static constexpr const char* eraKey = "settled";
     static constexpr Duration reviewInterval = std::chrono::milliseconds(100);
     static constexpr Duration recordInterval = std::chrono::milliseconds(50);
     static constexpr Duration idleInterval = std::chrono::seconds(5);
@@ -266,6 +281,7 @@
         }
         if (isDue)
             updateLists();
+        reviewEra();
     }
 
     // Whether this instance changes the list of a service now.
@@ -282,6 +298,13 @@
             mustRead_ = true;
             return sleepFor(retryInterval);
         }
+        noteEra(eraOf(page->version));
+        // Before the first list is written, so that instances that start beside this one see the record, too.
+        if (!std::exchange(listsWereRead_, true) && page->rows.empty() && settledEra_ != era_ && !recordFirstEra()) {
+            listsWereRead_ = false;
+            mustRead_ = true;
+            return sleepFor(retryInterval);
+        }
         std::vector<ServiceId> ids;
         for (const auto& [service, state] : services_) {
             if (state.isResumable)
@@ -296,6 +319,94 @@
         }
     }
 
+    // Takes the era of an answer of the store.
+    void noteEra(StoreEra era)
+    {
+        if (era_ && era <= *era_)
+            return;
+        era_ = era;
+        eraSeenAt_ = currentTime();
+        // A store in its first era has never been restored.
+        if (era == StoreEra())
+            settledEra_ = recordedEra_ = era;
+    }
+
+    // Counts the lists as complete once the instances have had the time to write again what a restoration has lost.
+    void settleEra()
+    {
+        if (!era_ || settledEra_ == era_ || currentTime() - eraSeenAt_ < relistTime)
+            return;
+        const bool lackVersions = std::any_of(services_.begin(), services_.end(),
+            [](const auto& entry) { return entry.second.isResumable && entry.second.listing.lacksPresent(); });
+        if (!lackVersions)
+            settledEra_ = era_;
+    }
+
+    // Reads the era in which the lists were last complete. Returns the version of its row, zero when there is none.
+    absl::StatusOr<RowVersion> readEra(TimePoint deadline)
+    {
+        const absl::StatusOr<RowPage> page = store_.find(eraTable, eraKey, deadline);
+        if (!page.ok())
+            return page.status();
+        const StoreEra era = eraOf(page->version);
+        noteEra(era);
+        if (page->rows.empty())
+            return RowVersion();
+        const StoredRow& row = page->rows.front();
+        if (era_ == era && row.value == std::to_string(era.value()))
+            settledEra_ = recordedEra_ = era;
+        return row.version;
+    }
+
+    // At a store without lists, no stream has begun yet, so there is nothing that a restoration may have lost. A record
+    // of an earlier era shows that there have been lists. Returns false when the store has to be read again.
+    bool recordFirstEra()
+    {
+        const absl::StatusOr<RowVersion> row = readEra(currentTime() + answerTimeout);
+        if (!row.ok())
+            return false;
+        if (*row != RowVersion() || settledEra_ == era_)
+            return true;
+        settledEra_ = era_;
+        return writeEra(*settledEra_, *row);
+    }
+
+    // Returns false when the store has to be read again.
+    bool recordEra()
+    {
+        const StoreEra era = *settledEra_;
+        const absl::StatusOr<RowVersion> row = readEra(currentTime() + answerTimeout);
+        if (!row.ok())
+            return false;
+        // Another instance has written it, or the store was restored since.
+        if (recordedEra_ == era || era_ != era)
+            return true;
+        return writeEra(era, *row);
+    }
+
+    bool writeEra(StoreEra era, RowVersion row)
+    {
+        const RowWrite write
+            = store_.write(eraTable, eraKey, row, std::to_string(era.value()), currentTime() + answerTimeout);
+        const bool isWritten = write.outcome == RowWrite::Outcome::Written;
+        versionLog.info("store_era={} written={} lists are complete", era, isWritten);
+        if (isWritten)
+            recordedEra_ = era;
+        return isWritten;
+    }
+
+    // Has the era recorded for instances that start later. Others than the lister leave it to that one for a time.
+    void reviewEra()
+    {
+        settleEra();
+        if (!settledEra_ || settledEra_ != era_ || recordedEra_ == settledEra_)
+            return;
+        const bool mayRecord
+            = handlers_.isLister() || currentTime() - eraSeenAt_ >= relistTime + listerTime + listDelay_;
+        if (mayRecord && !recordEra())
+            sleepFor(retryInterval);
+    }
+
     void changeList(const ServiceId& service, RowVersion row)
     {
         ServiceState& state = services_[service];
@@ -405,7 +516,14 @@
     std::map<ServiceId, ServiceState> services_;
     std::map<TargetId, std::pair<ServiceId, SoftwareVersion>> targets_;
     bool mustRead_ = true;
+    bool listsWereRead_ = false;
     std::optional<TimePoint> restoredAt_;
+    // The highest era of the store that was seen, and when it was first seen.
+    std::optional<StoreEra> era_;
+    TimePoint eraSeenAt_;
+    // The era in which the lists are known to be complete, and the one that the store has as such.
+    std::optional<StoreEra> settledEra_;
+    std::optional<StoreEra> recordedEra_;
     std::deque<fleet::StreamOrigin> unrecorded_;
     FiberEvent reviewDue_;
     FiberEvent recordDue_;
