Count an undelimited answer of a target as lost

In the project's own interface a caller got the beginning of an answer as a whole one, with its status and a length, when the target sent neither a length nor chunks and its connection ended early. For a call that runs at most once the beginning was also stored with its claim, and each repetition of the call got it again with `Lychee-Run: yes`. The request counted as completed, which clears a body of the suspicion that it crashes targets.

Cause: TargetGateway took each regular end of a connection for the end of the answer. The connection of a killed target ends regularly, too. Streams are not concerned: their end marker is required.

Fix: an answer without length or chunks ends as one whose connection was lost, whatever its status. Idempotent calls and completions are tried again, a call that runs at most once gets 502 with `Lychee-Run: unknown`, and the claim keeps no answer. `Lychee-Run: no` in the header still proves that the call did not run, now also when the body is cut; otherwise refusals without a length would turn into unknown outcomes.

This works because nothing but a length, a last chunk or an end marker is taken as an end any more. The price: services that speak only HTTP/1.0 without a length cannot be used, and a probe of an engine whose report has neither a length nor chunks shows nothing.

The stand-ins can end a cut answer regularly (`regular_end`).

--- a/src/daemon/ServiceCall.cpp
+++ b/src/daemon/ServiceCall.cpp
@@ -45,6 +45,7 @@
     return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
+// Decided by the header alone, so it holds for an answer that was cut, too.
 bool provesNotRun(const HttpResponse& response)
 {
     return response.headers.find(header::run) == runOutcomeText(RunOutcome::No);
@@ -217,7 +218,7 @@
         // After a failed attempt, pooled idle connections may be dead as well.
         limits.freshConnection = attempts_ > 0;
         HttpOutcome<HttpResponse> outcome = callTarget(*choice, limits);
-        mayHaveRun = mayHaveRun || (outcome.sent && !(outcome.status.ok() && provesNotRun(outcome.answer)));
+        mayHaveRun = mayHaveRun || (outcome.sent && !provesNotRun(outcome.answer));
         if (!outcome.status.ok())
             continue;
         if (outcome.answer.status >= 500) {
@@ -286,9 +287,11 @@
         // From here on, the connection may be established and the call sent at any moment.
         *sent = true;
         HttpOutcome<HttpResponse> outcome = callTarget(*choice, limits);
-        if (outcome.status.ok() && !provesNotRun(outcome.answer))
+        if (provesNotRun(outcome.answer))
+            continue;
+        if (outcome.status.ok())
             return TargetAnswered{std::move(outcome.answer)};
-        if (!outcome.status.ok() && outcome.sent)
+        if (outcome.sent)
             return TargetOutcomeUnknown{};
     }
     return TargetNotRun{};
--- a/src/daemon/TargetGateway.cpp
+++ b/src/daemon/TargetGateway.cpp
@@ -13,6 +13,16 @@
 
 bool deliver(EventRing& events, AttemptEvent event) { return events.pushBefore(event, TimePoint::max()).ok(); }
 
+// The connection of a target that is killed ends as regularly as that of one that has finished, also when a proxy is in
+// between, so without a length or chunks the end does not show that the body is whole.
+AttemptEvent endOf(const HttpStream& stream)
+{
+    if (stream.isDelimited())
+        return AttemptEnd{};
+    return AttemptFailure{
+        makeError(TransportError::ConnectionClosed, "the answer has neither a length nor chunks and may be cut"), true};
+}
+
 void runAttempt(HttpClient& client, const Endpoint& endpoint, const HttpRequest& request, const HttpCallLimits& limits,
     EventRing& events)
 {
@@ -31,7 +41,7 @@
             return;
         }
         if (!chunk->has_value()) {
-            deliver(events, AttemptEnd{});
+            deliver(events, endOf(stream));
             return;
         }
         if (!deliver(events, AttemptBodyChunk{**std::move(chunk)}))
--- a/src/daemon/TargetGateway.h
+++ b/src/daemon/TargetGateway.h
@@ -19,7 +19,7 @@
     std::string bytes;
 };
 
-// The body is complete.
+// The body is complete, as its length or its last chunk shows.
 struct AttemptEnd { };
 
 // The attempt ended before its answer was complete.
@@ -66,7 +66,8 @@
     absl::StatusOr<std::unique_ptr<Attempt>> start(
         const Endpoint& endpoint, HttpRequest request, const HttpCallLimits& limits);
 
-    // Sends a request and returns the complete answer.
+    // Sends a request and returns the complete answer. When it fails after the header of the answer, the outcome has
+    // the header.
     HttpOutcome<HttpResponse> call(const Endpoint& endpoint, HttpRequest request, const HttpCallLimits& limits);
 
     // Opens a connection and closes it without sending anything. Fails with TransportError::ConnectFailed when the
--- a/tests/standins/common/FaultTable.cpp
+++ b/tests/standins/common/FaultTable.cpp
@@ -57,6 +57,7 @@
         fault.afterEvents = json.value("after_events", 0);
         fault.retryAfterSeconds = json.value("retry_after", 0);
         fault.insideEvent = json.value("inside_event", false);
+        fault.regularEnd = json.value("regular_end", false);
         fault.openConnections = scope == "open_connections";
         if (fault.kind == FaultKind::CrashOnBody && fault.body.empty())
             return std::nullopt;
--- a/tests/standins/common/FaultTable.h
+++ b/tests/standins/common/FaultTable.h
@@ -40,6 +40,8 @@
     int afterEvents = 0;
     // `DropAnswer` sends half of the next event of a stream first.
     bool insideEvent = false;
+    // `DropAnswer` ends the connection of an answer without length regularly instead of resetting it.
+    bool regularEnd = false;
     // `NotRun` asks for so many seconds without requests, when positive.
     int retryAfterSeconds = 0;
     // `Silence` applies to the connections that are open now instead of to requests.
--- a/tests/standins/common/Http.cpp
+++ b/tests/standins/common/Http.cpp
@@ -201,7 +201,7 @@
         }
     }
 
-    // Writes half of the body of an answer without length, and resets the connection after the peer could read it.
+    // Writes half of the body of an answer without length, and drops the connection after the peer could read it.
     bool writeBeginning(const Response& response)
     {
         http::response<http::string_body> message{static_cast<http::status>(response.status), http11};
@@ -214,10 +214,10 @@
         return false;
     }
 
-    // Without an orderly end when that would make the answer complete.
+    // Without an orderly end when that would make the answer complete, unless the fault asks for it.
     void drop()
     {
-        if (!fault_.noLength)
+        if (!fault_.noLength || fault_.regularEnd)
             return close();
         error_code ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/tests/standins/common/Http.h
+++ b/tests/standins/common/Http.h
@@ -60,6 +60,8 @@
     bool noLength = false;
     // Pause in the middle of a plain answer that has no length.
     std::chrono::milliseconds pauseInside{0};
+    // `drop` ends the connection of an answer without length as the system does when a process is killed.
+    bool regularEnd = false;
     // Headers that are added to the answer.
     std::vector<HeaderField> headers;
 };
--- a/tests/standins/common/Standin.cpp
+++ b/tests/standins/common/Standin.cpp
@@ -102,6 +102,7 @@
                 answerFault.drop = true;
                 answerFault.afterEvents = fault.afterEvents;
                 answerFault.insideEvent = fault.insideEvent;
+                answerFault.regularEnd = fault.regularEnd;
                 break;
             case FaultKind::NoLength:
                 answerFault.noLength = true;
