Let lycheectl refuse an answer that may be cut

Cause: the library takes the end of the connection for the end of such an answer.

Evidence: CtlTest.AnswerWithoutLengthMayBeCut before the change: the output is {"version": although the exit code has to be that of an unreachable instance.

Fix: such an answer is reported as a lost connection, with exit code 3. Instances always state a length, so no answer of theirs is refused.

--- a/src/ctl/OperatorClient.cpp
+++ b/src/ctl/OperatorClient.cpp
@@ -106,6 +106,9 @@
     parser.body_limit(maxResponseBytes);
     if (const error_code error = connection.read(parser))
         return makeCallError(TransportError::ConnectionClosed, instance_, error);
+    // Instances state a length. Without one, an answer that was cut looks like a whole one.
+    if (parser.need_eof())
+        return makeCallError(TransportError::ConnectionClosed, instance_, http::error::partial_message);
     HttpResponse response;
     response.status = static_cast<int>(parser.get().result_int());
     response.body = std::move(parser.get().body());
--- a/tests/process/CtlTest.cpp
+++ b/tests/process/CtlTest.cpp
@@ -49,11 +49,16 @@
     return outcome;
 }
 
+// Without a length, an answer ends with its connection.
+enum class AnswerLength { Stated, Missing };
+
 // An HTTP server that answers consecutive requests with prepared responses, and records the requests.
 class StubInstance {
 public:
-    explicit StubInstance(std::vector<std::pair<unsigned, std::string>> answers)
+    explicit StubInstance(
+        std::vector<std::pair<unsigned, std::string>> answers, AnswerLength length = AnswerLength::Stated)
         : answers_(std::move(answers))
+        , length_(length)
         , acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
         , thread_([this] { serve(); })
     {
@@ -101,12 +106,14 @@
             requests_.push_back(fmt::format("{} {} {}", std::string(request.method_string()),
                 std::string(request.target()), std::string(request[http::field::authorization])));
             http::response<http::string_body> response(static_cast<http::status>(status), 11, body);
-            response.prepare_payload();
+            if (length_ == AnswerLength::Stated)
+                response.prepare_payload();
             http::write(socket, response);
         }
     }
 
     std::vector<std::pair<unsigned, std::string>> answers_;
+    AnswerLength length_;
     asio::io_context context_;
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::string> requests_;
@@ -144,6 +151,15 @@
     EXPECT_EQ(instance.requests(), (std::vector<std::string>{"GET /operator/v1/status Bearer operator-token"}));
 }
 
+// Guards against a cut answer that is printed as a whole one with the exit code of success.
+TEST_F(CtlTest, AnswerWithoutLengthMayBeCut)
+{
+    StubInstance instance({{200, R"({"version":)"}}, AnswerLength::Missing);
+    const Outcome outcome = run("status --json" + instance.arguments());
+    EXPECT_EQ(outcome.code, 3) << outcome.text;
+    EXPECT_EQ(outcome.text.find("version"), std::string::npos) << outcome.text;
+}
+
 // Guards against errors in answers that are printed without file, line and key.
 TEST_F(CtlTest, InvalidAnswersAreListed)
 {
