Reserve the ports of unreachable targets in LostLinksTest

LostLinksTest.RequestsAreServedThroughAPeer failed in 1 of 40 runs: requests got the answer of another target.

Cause: unusedPort() gave the port back at once, and a target that was started afterwards could get it. The relay then reached that target directly on the endpoint of the lost one.

Change: the port stays bound, without listening, until the end of the test. Connections to it are refused as before, and a test that lets its target come back may still listen on it.

--- a/tests/gateway/LostLinksTest.cpp
+++ b/tests/gateway/LostLinksTest.cpp
@@ -18,6 +18,7 @@
     {
         callers_.reset();
         tunnels_.reset();
+        targetDuty_->run([&] { reserved_.clear(); });
     }
 
     // Adds a target whose listed endpoint refuses connections of this instance; the peer reaches it.
@@ -87,16 +88,23 @@
         return next;
     }
 
-    // A port on which nothing listens.
+    // A port on which nothing listens. It is not given to anything else that takes a free port.
     std::uint16_t unusedPort()
     {
         std::uint16_t port = 0;
         // On the duty, whose fibers may be opening sockets meanwhile.
-        targetDuty_->run(
-            [&] { port = openAcceptor(targetDuty_->io(), "127.0.0.1", 0).value().local_endpoint().port(); });
+        targetDuty_->run([&] {
+            boost::asio::ip::tcp::socket socket(targetDuty_->io(), boost::asio::ip::tcp::v4());
+            // Another socket may listen on the port if it asks for it.
+            socket.set_option(boost::asio::socket_base::reuse_address(true));
+            socket.bind({boost::asio::ip::address_v4::loopback(), 0});
+            port = socket.local_endpoint().port();
+            reserved_.push_back(std::move(socket));
+        });
         return port;
     }
 
+    std::vector<boost::asio::ip::tcp::socket> reserved_;
     std::map<Endpoint, Endpoint> reached_;
     std::atomic<int> asked_{0};
     int sent_ = 0;
