Guard a direct answer that ends with the way to its target

LostLinksTest needs no way of its own to ask targets any more, as the relay asks through the dialer.

--- a/tests/gateway/LostLinksTest.cpp
+++ b/tests/gateway/LostLinksTest.cpp
@@ -6,14 +6,6 @@
 
 class LostLinksTest : public RelayFixture {
 protected:
-    LostLinksTest()
-    {
-        // As in Gateway: a target that a peer reaches has not crashed.
-        context_.crashes.setConnect([this](const Endpoint& target) {
-            return context_.dialer.open(target, 150ms, currentTime() + 150ms).status();
-        });
-    }
-
     ~LostLinksTest() override
     {
         callers_.reset();
@@ -225,6 +217,35 @@
     EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
 }
 
+// Guards against answers that were cut with the direct way to their target, and reach the caller as complete because a
+// peer still reaches the target.
+TEST_F(LostLinksTest, AnAnswerThatEndsWithTheDirectWayIsCut)
+{
+    const auto addLinks = [this](const ServiceId& service, const std::string& cut) {
+        callers_.reset();
+        relayDuty_->run([this] { context_.registry = {}; });
+        addTarget(service, answerWhole);
+        const Endpoint target = recordOf(targets_.size() - 1).endpoint;
+        relayDuty_->run([this] { context_.registry = {}; });
+        const std::size_t index = rawTargets_.size();
+        addRawTarget(service, [this, cut, index](RawTargetConnection& connection, const HttpRequest&) {
+            connection.write(undelimitedHead_ + cut);
+            sleepFor(20ms);
+            rawTargets_[index]->close();
+        });
+        reached_[{"127.0.0.1", rawTargets_.back()->port()}] = target;
+        startPeer();
+        start();
+    };
+    addLinks(engineService, expectedEvents(3));
+    const auto stream = client().open(request("/once/x"));
+    ASSERT_TRUE(stream.ok()) << stream.status();
+    EXPECT_FALSE((*stream)->readBody().ok());
+    addLinks(plainService, "a part");
+    EXPECT_EQ(client().send(request("/unsafe/x"))->status, 502);
+    EXPECT_GT(asked_.load(), 0);
+}
+
 // Guards against a whole answer without a length that is taken for a cut one because it came through a peer.
 TEST_F(LostLinksTest, AWholeAnswerWithoutLengthThroughAPeerIsComplete)
 {
