Count a refusal only if a peer that was asked refuses too

An instance whose links to targets are refused, while no peer can help (they have ended, decline, or do not answer in time), took live targets for crashed ones and told its peers: a refusal of its own was enough when no peer had given a verdict. Sound requests that were lost there were then evidence against their content on all instances.

Test: PartedInstanceProcessTest.

--- a/src/gateway/TargetDialer.cpp
+++ b/src/gateway/TargetDialer.cpp
@@ -117,7 +117,8 @@
     else
         paths_.peersSilent(target, currentTime());
     review();
-    const bool isRefused = verdict.refused > 0 && verdict.timedOut == 0;
+    // A refusal of this instance alone may be that of its own link.
+    const bool isRefused = verdicts > 0 && verdict.refused > 0 && verdict.timedOut == 0;
     return makeError(isRefused ? TransportError::ConnectFailed : TransportError::TimedOut,
         fmt::format("{}: neither this instance nor a peer reached it", target.toString()));
 }
