Wake the requests that wait for a probe that fails by an exception

Requests that were lost on the same target wait without a limit for one probe of it. An exception in the probe left them waiting, and all later ones too. Found by reading; no run showed it.

--- a/src/daemon/CrashingRequestGuard.cpp
+++ b/src/daemon/CrashingRequestGuard.cpp
@@ -3,6 +3,8 @@
 #include "coordination/CrashNoticeCodec.h"
 #include "transport/Log.h"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace lychee {
 
 namespace {
@@ -135,8 +137,8 @@
     ProbeResult result = ProbeResult::NoCrash;
     if (end == AttemptOutcome::ConnectionLost) {
         probed_.push_back(attempt);
+        const absl::Cleanup probed = [&] { std::erase(probed_, attempt); };
         result = probe(*attempt);
-        std::erase(probed_, attempt);
     }
     const CrashId crash{run.target, attempt->incarnation};
     if (result != ProbeResult::NoCrash && isUnhandled(crash, attempt->startedAt)) {
--- a/src/gateway/CrashWatch.cpp
+++ b/src/gateway/CrashWatch.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/Log.h"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace lychee::gateway {
 
 namespace {
@@ -36,14 +38,18 @@
         return;
     }
     probes_[suspect.crash].suspects.push_back(suspect);
-    const TargetLife life = probe();
-    const Probe finished = std::move(probes_.extract(suspect.crash).mapped());
-    logChannel.info("target={} born={} lost_requests={} life={}", suspect.crash.target, suspect.crash.incarnation,
-        finished.suspects.size(), nameOf(life));
-    if (life == TargetLife::Ended)
-        recordOwn(finished.suspects);
-    for (FiberEvent* waiter : finished.waiters)
-        waiter->notify();
+    TargetLife life = TargetLife::Unknown;
+    // Also after an exception, because the other requests wait without a limit.
+    const absl::Cleanup finish = [&] {
+        const Probe finished = std::move(probes_.extract(suspect.crash).mapped());
+        logChannel.info("target={} born={} lost_requests={} life={}", suspect.crash.target, suspect.crash.incarnation,
+            finished.suspects.size(), nameOf(life));
+        if (life == TargetLife::Ended)
+            recordOwn(finished.suspects);
+        for (FiberEvent* waiter : finished.waiters)
+            waiter->notify();
+    };
+    life = probe();
 }
 
 void CrashWatch::targetCrashed(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run)
