Ask a target for a sign of its own, and until it can answer

What answers at the address of a target that has crashed may be a proxy: any answer but 502 and 504 counted as the target's. Now only its name, its report, or its statement that it has not run the request shows that it is alive. A target that resets connections beyond its limit is asked again after growing pauses, so that its whole answer is not doubted. The probe of the crash watch, whose result several requests share, does not end with the deadline of the first of them. A target of which another start is listed meanwhile has ended, and one that is known to have crashed is asked too, because a peer may have been wrong.

Tests: two more forms in UndelimitedAnswerTest.AnAnswerOfATargetThatDoesNotAnswerAnyMoreIsCut, and AnAnswerOfATargetThatIsAtItsLimitOfConnectionsIsComplete.

--- a/src/fleet/TargetRegistry.cpp
+++ b/src/fleet/TargetRegistry.cpp
@@ -281,6 +281,12 @@
     return found->second->record.incarnation == incarnation && !found->second->isInService();
 }
 
+bool TargetRegistry::wasReplaced(const TargetId& id, TargetIncarnation incarnation) const
+{
+    const auto found = targets_.find(id);
+    return found != targets_.end() && found->second->record.incarnation != incarnation;
+}
+
 void TargetRegistry::recordDeclined(
     const TargetId& id, TargetIncarnation incarnation, TimePoint until, std::optional<EpochTime> heardAt)
 {
--- a/src/fleet/TargetRegistry.h
+++ b/src/fleet/TargetRegistry.h
@@ -170,6 +170,9 @@
     // Whether this incarnation of a target is about to leave or no longer listed, so that its end is no crash.
     bool isLeaving(const TargetId& id, TargetIncarnation incarnation) const;
 
+    // Whether a target is listed under another start than this one.
+    bool wasReplaced(const TargetId& id, TargetIncarnation incarnation) const;
+
     // Records that a target has declined a request and wants no further one for a time. `heardAt` as above.
     void recordDeclined(
         const TargetId& id, TargetIncarnation incarnation, TimePoint until, std::optional<EpochTime> heardAt);
--- a/src/gateway/CrashWatch.h
+++ b/src/gateway/CrashWatch.h
@@ -59,11 +59,6 @@
     // Records that a target has crashed while it was working on a request.
     void targetCrashed(const RequestId& attempt, const fleet::ChosenTarget& target, const LostRun& run);
 
-    bool hasCrashed(const fleet::ChosenTarget& target) const
-    {
-        return attribution_.knows({target.target, target.incarnation});
-    }
-
     // Records that a target answered the request from its beginning to its end.
     void answerCompleted(const fleet::RequestTraits& request);
 
--- a/src/gateway/RelayDialect.h
+++ b/src/gateway/RelayDialect.h
@@ -48,7 +48,7 @@
 
 // What the answer to a request for the identity of a target says about who gave it.
 struct TargetIdentity {
-    // The answer is that of a target, not of something before it.
+    // The answer has a sign that only the addressed target gives.
     bool isStated = false;
     // The process is not the target that was addressed.
     bool misdirected = false;
--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -41,9 +41,10 @@
     // Shortest time to wait for the answer of a target when the request may still be sent to another one. Also the
     // Retry-After of refusals after a failed send or a timeout.
     static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(300);
-    // Time for a target to state who it is after its connection ended and before its answer counts as cut: longer than
-    // the pauses of sound targets. And where the request is sent again meanwhile, which must not wait for long.
+    // Time for a target to state who it is after its connection ended, before its answer counts as cut; longer than the
+    // pauses of sound targets.
     static constexpr Duration identityTimeout = std::chrono::seconds(2);
+    // The same where a request waits for it before it is sent again.
     static constexpr Duration crashProbeTimeout = std::chrono::milliseconds(150);
     static constexpr std::size_t maxIdentityBytes = 262144;
     // The rest of a refusal is read only to reuse its connection.
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -215,8 +215,7 @@
 
     TargetProbe probeOf(const Attempt& attempt, Duration timeout) const
     {
-        return {Dialect::identityRequest(*service_, attempt.target.target), attempt.target,
-            std::min(deadline_, currentTime() + timeout)};
+        return {Dialect::identityRequest(*service_, attempt.target.target), attempt.target, currentTime() + timeout};
     }
 
     // Finds out whether a target has crashed after its connection was lost, and records it. Suspends the fiber.
@@ -230,21 +229,22 @@
     }
 
     // Whether an answer without a length or chunks, which is complete when its connection ends, may have been cut by
-    // the end of its target or of the way to it. It is complete only if the same process still answers on the same way.
-    // Suspends the fiber.
+    // the end of its target or of the direct way to it. It is complete only if the same process answers afterwards, on
+    // the direct way if the answer came on it. Suspends the fiber.
     bool mayBeCut(const Attempt& attempt)
     {
         if (attempt.stream->isDelimited())
             return false;
         const TimePoint endedAt = currentTime();
         const bool isDirect = attempt.stream->isDirect();
-        TargetLife life = TargetLife::Ended;
-        if (!context_.crashes.hasCrashed(attempt.target)) {
-            TargetProbe probe = probeOf(attempt, RelayLimits::identityTimeout);
-            probe.directOnly = isDirect;
-            probe.cancellation = cancellation_;
-            life = probeTarget<Dialect>(context_.http, std::move(probe));
-        }
+        TargetProbe probe = probeOf(attempt, RelayLimits::identityTimeout);
+        probe.deadline = std::min(probe.deadline, deadline_);
+        probe.directOnly = isDirect;
+        probe.cancellation = cancellation_;
+        TargetLife life = probeTarget<Dialect>(context_.http, std::move(probe));
+        // Not every target states its start when it is asked.
+        if (context_.registry.wasReplaced(attempt.target.target, attempt.target.incarnation))
+            life = TargetLife::Ended;
         relayLog.info("request={} target={} born={} direct={} answer ended with its connection, life={} probe_ms={}",
             caller_.attempt, attempt.target.target, attempt.target.incarnation, isDirect, nameOf(life),
             std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - endedAt).count());
--- a/src/gateway/TargetProbe.cpp
+++ b/src/gateway/TargetProbe.cpp
@@ -17,15 +17,12 @@
 
 TargetLife lifeOf(const TargetIdentity& identity, const fleet::ChosenTarget& target)
 {
-    if (!identity.isStated)
-        return TargetLife::Unknown;
-    if (identity.misdirected)
-        return TargetLife::Ended;
     // A target whose entry states no start is known by its name only.
     const bool knowsStart = target.incarnation != fleet::TargetIncarnation();
-    const bool isOther = (identity.target && *identity.target != target.target)
-        || (knowsStart && identity.incarnation && *identity.incarnation != target.incarnation);
-    return isOther ? TargetLife::Ended : TargetLife::Alive;
+    if (identity.misdirected || (identity.target && *identity.target != target.target)
+        || (knowsStart && identity.incarnation && *identity.incarnation != target.incarnation))
+        return TargetLife::Ended;
+    return identity.isStated ? TargetLife::Alive : TargetLife::Unknown;
 }
 
 } // namespace lychee::gateway
--- a/src/gateway/TargetProbe.h
+++ b/src/gateway/TargetProbe.h
@@ -14,7 +14,7 @@
     Alive,
     // Nothing listens at its address, or another process answers there.
     Ended,
-    // Neither is shown. That something accepts connections at the address proves nothing.
+    // Neither is shown. That something accepts connections or answers at the address proves nothing.
     Unknown,
 };
 
@@ -38,9 +38,10 @@
 // Asks the process at the target's endpoint who it is. Suspends the fiber.
 template <RelayDialect Dialect> TargetLife probeTarget(HttpClient& http, TargetProbe probe)
 {
-    // A process that ends closes its sockets one after another, so it may still accept a connection for a moment.
-    constexpr int maxCalls = 2;
-    constexpr Duration interval = std::chrono::milliseconds(20);
+    // A process that ends closes its sockets one after another, so it may still accept a connection for a moment. A
+    // sound target resets connections beyond the number that it takes. Both are asked again, after growing pauses.
+    constexpr int maxCalls = 6;
+    Duration pause = std::chrono::milliseconds(20);
     HttpCallLimits limits;
     limits.connectTimeout = RelayLimits::connectTimeout;
     limits.deadline = probe.deadline;
@@ -49,8 +50,10 @@
     // On a used connection, a late second answer to an earlier request would be taken for the identity.
     limits.freshConnection = true;
     for (int calls = 0; calls < maxCalls; ++calls) {
-        if (calls > 0)
-            sleepFor(interval);
+        if (calls > 0) {
+            sleepFor(std::min<Duration>(pause, probe.deadline - currentTime()));
+            pause *= 2;
+        }
         const HttpOutcome<HttpResponse> outcome = http.call(probe.target.endpoint, probe.request, limits);
         if (outcome.status.ok()) {
             if (probe.directOnly && !outcome.isDirect)
--- a/tests/gateway/RelayFixture.h
+++ b/tests/gateway/RelayFixture.h
@@ -196,7 +196,8 @@
         target.server
             = HttpServer::listen(*targetDuty_, {"127.0.0.1", 0}, options, [&target, script](HttpExchange& exchange) {
                   if (isIdentityRequest(exchange.request())) {
-                      exchange.respond({200, {}, {}}).IgnoreError();
+                      const auto id = exchange.request().headers.find("X-Target-Instance").value_or("");
+                      exchange.respond({200, {{"X-Instance-Id", std::string(id)}}, {}}).IgnoreError();
                       return;
                   }
                   target.requests.push_back(exchange.request());
--- a/tests/gateway/UndelimitedAnswerTest.cpp
+++ b/tests/gateway/UndelimitedAnswerTest.cpp
@@ -173,7 +173,9 @@
         {"declines", respond(rawAnswer("421 Misdirected\r\n", ""))},
         {"has another name", respond(rawAnswer("200 OK\r\nX-Instance-Id: other\r\n", ""))},
         {"has started later", respond(rawAnswer("200 OK\r\n", R"({"models":[],"sequence":0,"born":2})"))},
-        {"is a proxy", respond(rawAnswer("502 Bad Gateway\r\n", ""))},
+        {"is a proxy that fails", respond(rawAnswer("502 Bad Gateway\r\n", ""))},
+        {"is a proxy that declines", respond(rawAnswer("503 Service Unavailable\r\n", "no server"))},
+        {"is a proxy with a page", respond(rawAnswer("200 OK\r\n", "<html></html>"))},
     };
     for (const auto& [what, successor] : successors) {
         const auto addTargets = [&, successor = successor](const ServiceId& service, const std::string& cut) {
@@ -204,6 +206,21 @@
     }
 }
 
+// Guards against a whole answer that is taken for a cut one because its target takes no further connection for a
+// moment.
+TEST_F(UndelimitedAnswerTest, AnAnswerOfATargetThatIsAtItsLimitOfConnectionsIsComplete)
+{
+    addRawTarget(engineService, stream(expectedEvents(4), End::Close));
+    rawTargets_.back()->setIdentify([asked = 0](RawTargetConnection& connection, const HttpRequest&) mutable {
+        if (++asked <= 3)
+            return connection.reset();
+        connection.write(rawAnswer("503 Service Unavailable\r\nX-Not-Executed: 1\r\n", ""));
+    });
+    start();
+    EXPECT_EQ(bodyOf("/once/x").value(), expectedEvents(4));
+    EXPECT_EQ(requests_, 1);
+}
+
 // Guards against a whole answer that is taken for a cut one because its target is silent for a moment when it is asked
 // who it is.
 TEST_F(UndelimitedAnswerTest, AnAnswerOfATargetThatAnswersLateIsComplete)
