Part instances from targets and start targets again in the soak

Each instance has a proxy of its own for each worker.

It prints what these troubles did and, for each form of an answer, the whole ones that were doubted.

--- a/tests/gateway/UndelimitedAnswerFixture.h
+++ b/tests/gateway/UndelimitedAnswerFixture.h
@@ -138,6 +138,13 @@
                 answers.whole, answers.cutAsComplete, answers.broken, answers.refused, answers.runAgain);
     }
 
+    // Leaves the answers so far out of what is expected from now on.
+    void forgetAnswers()
+    {
+        answers_.clear();
+        printed_ = false;
+    }
+
     // Guards of all tests: no cut answer is complete, and what may run once has run once.
     void expectNoneCutAsComplete()
     {
--- a/tests/soak/Schedule.cpp
+++ b/tests/soak/Schedule.cpp
@@ -65,6 +65,7 @@
     case TroubleKind::InstanceFrozen:
     case TroubleKind::InstanceReloaded:
     case TroubleKind::StoreLink:
+    case TroubleKind::InstanceParted:
         return Subject::Instance;
     case TroubleKind::WorkerKilled:
     case TroubleKind::WorkerFrozen:
@@ -76,6 +77,7 @@
     case TroubleKind::AnswersWithoutLengthBroken:
     case TroubleKind::WorkerLeaving:
     case TroubleKind::WorkerRefuses:
+    case TroubleKind::WorkerStartedAgain:
     case TroubleKind::WorkerLink:
         return Subject::Worker;
     case TroubleKind::StoreFrozen:
@@ -92,6 +94,8 @@
 
 bool isLink(TroubleKind kind) { return kind == TroubleKind::StoreLink || kind == TroubleKind::WorkerLink; }
 
+bool isParting(TroubleKind kind) { return kind == TroubleKind::InstanceParted; }
+
 // Whether a trouble has no length.
 bool isMomentary(TroubleKind kind) { return changesConfiguration(kind) || kind == TroubleKind::InstanceReloaded; }
 
@@ -139,6 +143,10 @@
         return "worker leaving";
     case TroubleKind::WorkerRefuses:
         return "worker refuses";
+    case TroubleKind::WorkerStartedAgain:
+        return "worker started again at once";
+    case TroubleKind::InstanceParted:
+        return "instance parted from all workers";
     case TroubleKind::StoreFrozen:
         return "store frozen";
     case TroubleKind::StoreSlow:
@@ -164,7 +172,8 @@
 bool actOnSame(const Trouble& one, const Trouble& other)
 {
     return !isMomentary(one.kind) && !isMomentary(other.kind) && subjectOf(one.kind) == subjectOf(other.kind)
-        && one.subject == other.subject && isLink(one.kind) == isLink(other.kind);
+        && one.subject == other.subject && isLink(one.kind) == isLink(other.kind)
+        && isParting(one.kind) == isParting(other.kind);
 }
 
 bool isHarmless(TroubleKind kind)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tests/soak/Callers.h"
+#include "tests/soak/LinkTroubles.h"
 #include "tests/soak/Promises.h"
 
 #include <set>
@@ -43,6 +44,8 @@
     void replaceKey(const Trouble& trouble, int version, const std::vector<std::string>& prefixes);
     void apply(const Trouble& trouble);
     void lift(const Trouble& trouble);
+    void part(const Trouble& trouble);
+    void endParting(Trouble& trouble);
     void launchInstance(std::size_t index);
     void terminateInstance(std::size_t index);
     void stopInstance(std::size_t index);
@@ -54,10 +57,13 @@
     void awaitRecovery();
     bool servesEverything(std::size_t instance);
     void readWorkers();
+    // How often an instance has found itself detached from the workers.
+    std::size_t detachmentsOf(std::size_t instance);
     Standin& workerOf(const Trouble& trouble) { return deployment_.worker(workers_[trouble.subject]); }
 
     SoakOptions options_;
     RunFeatures features_;
+    LinkFeatures links_;
     KeyRing keys_;
     GatewayDeployment deployment_;
     std::vector<std::string> workers_;
@@ -74,6 +80,8 @@
     std::pair<int, std::vector<std::string>> written_{1, {"/stream/", "/safe/", "/unsafe/"}};
     std::unique_ptr<Callers> callers_;
     int recoveryCalls_ = 0;
+    // Detachments of each parted instance before its parting.
+    std::map<std::size_t, std::size_t> detachmentsBefore_;
 };
 
 } // namespace lychee::test
