--- a/tests/gateway/UndelimitedAnswerFixture.h
+++ b/tests/gateway/UndelimitedAnswerFixture.h
@@ -184,6 +184,8 @@
     {
         HttpRequest request = GatewayDeployment::request(path, attempt);
         request.headers.set("X-Deadline-Ms", "10000");
+        // Lost connections must not make several requests look like one that crashes its targets.
+        request.body = "body of " + attempt;
         return request;
     }
 
