Bound the time for which a lost request waits for a probe

The probe of the crash watch now waits for an answer, and the health path of a plain target waits for a slot, so a request that lost its connection to a busy target waited for up to 150 ms before it was sent again, and the time-out closed the idle connections to the target.

--- a/src/gateway/RelayLimits.h
+++ b/src/gateway/RelayLimits.h
@@ -44,8 +44,11 @@
     // Time for a target to state who it is after its connection ended, before its answer counts as cut; longer than the
     // pauses of sound targets.
     static constexpr Duration identityTimeout = std::chrono::seconds(2);
-    // The same where a request waits for it before it is sent again.
+    // The same where a request waits for it before it is sent again, with the part of it for the answer: a target that
+    // accepts connections has probably not crashed, and may have to finish other work before it answers.
     static constexpr Duration crashProbeTimeout = std::chrono::milliseconds(150);
+    static constexpr Duration crashAnswerTimeout = std::chrono::milliseconds(50);
+    static constexpr int maxCrashProbes = 2;
     static constexpr std::size_t maxIdentityBytes = 262144;
     // The rest of a refusal is read only to reuse its connection.
     static constexpr std::size_t maxRefusalBytes = 65536;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -224,8 +224,12 @@
         // The end of a target that leaves is no evidence against a request.
         if (isLeaving(attempt))
             return;
-        context_.crashes.connectionLost(caller_.attempt, attempt.target, lostRun(attempt),
-            [&] { return probeTarget<Dialect>(context_.http, probeOf(attempt, RelayLimits::crashProbeTimeout)); });
+        context_.crashes.connectionLost(caller_.attempt, attempt.target, lostRun(attempt), [&] {
+            TargetProbe probe = probeOf(attempt, RelayLimits::crashProbeTimeout);
+            probe.answerTimeout = RelayLimits::crashAnswerTimeout;
+            probe.maxCalls = RelayLimits::maxCrashProbes;
+            return probeTarget<Dialect>(context_.dialer, std::move(probe));
+        });
     }
 
     // Whether an answer without a length or chunks, which is complete when its connection ends, may have been cut by
@@ -241,7 +245,7 @@
         probe.deadline = std::min(probe.deadline, deadline_);
         probe.directOnly = isDirect;
         probe.cancellation = cancellation_;
-        TargetLife life = probeTarget<Dialect>(context_.http, std::move(probe));
+        TargetLife life = probeTarget<Dialect>(context_.dialer, std::move(probe));
         // Not every target states its start when it is asked.
         if (context_.registry.wasReplaced(attempt.target.target, attempt.target.incarnation))
             life = TargetLife::Ended;
--- a/src/gateway/TargetProbe.h
+++ b/src/gateway/TargetProbe.h
@@ -27,8 +27,11 @@
     // A request of the dialect for the identity of the target.
     HttpRequest request;
     fleet::ChosenTarget target;
-    // When the probe is given up.
+    // When the probe is given up, and when a call of it that is not answered.
     TimePoint deadline = TimePoint::max();
+    Duration answerTimeout = std::chrono::hours(24);
+    // Calls, each of which follows one whose connection was closed without an answer.
+    int maxCalls = 6;
     // An answer that comes through a peer shows nothing of the direct way to the target.
     bool directOnly = false;
     // Ends the probe early; may be null.
@@ -36,20 +39,22 @@
 };
 
 // Asks the process at the target's endpoint who it is. Suspends the fiber.
-template <RelayDialect Dialect> TargetLife probeTarget(HttpClient& http, TargetProbe probe)
+template <RelayDialect Dialect> TargetLife probeTarget(ConnectionOpener& opener, TargetProbe probe)
 {
-    // A process that ends closes its sockets one after another, so it may still accept a connection for a moment. A
-    // sound target resets connections beyond the number that it takes. Both are asked again, after growing pauses.
-    constexpr int maxCalls = 6;
-    Duration pause = std::chrono::milliseconds(20);
+    // A call that is given up says nothing of the connections that carry requests, so it shares none with them.
+    HttpClient http(opener);
     HttpCallLimits limits;
+    limits.headerTimeout = probe.answerTimeout;
     limits.connectTimeout = RelayLimits::connectTimeout;
     limits.deadline = probe.deadline;
     limits.maxBodyBytes = RelayLimits::maxIdentityBytes;
     limits.cancellation = probe.cancellation;
     // On a used connection, a late second answer to an earlier request would be taken for the identity.
     limits.freshConnection = true;
-    for (int calls = 0; calls < maxCalls; ++calls) {
+    // A process that ends closes its sockets one after another, so it may still accept a connection for a moment. A
+    // sound target resets connections beyond the number that it takes. Both are asked again, after growing pauses.
+    Duration pause = std::chrono::milliseconds(20);
+    for (int calls = 0; calls < probe.maxCalls; ++calls) {
         if (calls > 0) {
             sleepFor(std::min<Duration>(pause, probe.deadline - currentTime()));
             pause *= 2;
