Count a connection before its answer in a test of long fields

HttpTest.ALongFieldBehindTheLastChunkOfAnAnswerFailsItsCallOnly failed in 1 of 28 runs beside load: the number of connections was raised on another thread after the answer that the test waits for. What is expected is unchanged.

--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -206,10 +206,10 @@
             tcp::socket socket(serverDuty_->io());
             acceptor.async_accept(socket, FiberToken{error});
             socket.async_read_some(boost::asio::buffer(bytes), FiberToken{error});
+            // Counted before the answer, after which the test looks at the number.
             const std::string answer
-                = connections == 0 ? wrong : std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny");
+                = connections++ == 0 ? wrong : std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny");
             boost::asio::async_write(socket, boost::asio::buffer(answer), FiberToken{error});
-            ++connections;
         }
     });
     onClient([&](HttpClient& client) {
