--- a/tests/process/StandinsTest.cpp
+++ b/tests/process/StandinsTest.cpp
@@ -467,6 +467,7 @@
     Standin& store = standins_.startFleetStore();
     std::array<std::size_t, 4> seen{};
     std::vector<std::jthread> readers;
+    readers.reserve(seen.size());
     for (std::size_t& count : seen) {
         readers.emplace_back([&store, &count] {
             TestHttpClient client = store.client();
