--- a/src/daemon/CrashingRequestGuard.cpp
+++ b/src/daemon/CrashingRequestGuard.cpp
@@ -3,8 +3,6 @@
 #include "coordination/CrashNoticeCodec.h"
 #include "transport/Log.h"
 
-#include <absl/cleanup/cleanup.h>
-
 namespace lychee {
 
 namespace {
@@ -29,21 +27,6 @@
 // Limit of the remembered crashes, by which attempts that began before a crash are told from later ones.
 constexpr std::size_t maxKnownCrashes = 1024;
 
-std::string_view evidence(ProbeResult result)
-{
-    switch (result) {
-    case ProbeResult::Refused:
-        return "refuses connections";
-    case ProbeResult::Restarted:
-        return "was restarted";
-    case ProbeResult::Reported:
-        return "was reported to have crashed";
-    case ProbeResult::NoCrash:
-        break;
-    }
-    return "runs";
-}
-
 std::vector<PeerMessage> toMessages(const std::vector<CrashNotice>& notices)
 {
     std::vector<PeerMessage> messages;
@@ -134,16 +117,11 @@
     // The attempt is over, so it can no longer be cancelled. The probe decides whether its body gets a strike.
     std::erase(attempts_, attempt);
     const BodyRun& run = attempt->run;
-    ProbeResult result = ProbeResult::NoCrash;
-    if (end == AttemptOutcome::ConnectionLost) {
-        probed_.push_back(attempt);
-        const absl::Cleanup probed = [&] { std::erase(probed_, attempt); };
-        result = probe(*attempt);
-    }
+    const ProbeResult result = end == AttemptOutcome::ConnectionLost ? probe(*attempt) : ProbeResult::NoCrash;
     const CrashId crash{run.target, attempt->incarnation};
     if (result != ProbeResult::NoCrash && isUnhandled(crash, attempt->startedAt)) {
-        logChannel.warning(
-            "Target {} crashed: it {} after a connection ended without an answer.", run.target, evidence(result));
+        logChannel.warning("Target {} crashed: it {} after a connection ended without an answer.", run.target,
+            result == ProbeResult::Refused ? "refuses connections" : "was restarted");
         recordCrash(crash, true);
         dispatcher_.targetCrashed(crash.target, crash.incarnation);
         applyReaction(suspicion_.targetCrashed(crash, currentTime()));
@@ -195,10 +173,6 @@
             [](const auto& left, const auto& right) { return left.second.since < right.second.since; }));
     }
     knownCrashes_[crash] = {currentTime(), handled};
-    for (const std::shared_ptr<TrackedAttempt>& attempt : probed_) {
-        if (attempt->run.target == crash.target && attempt->incarnation == crash.incarnation)
-            attempt->crashReported.notify();
-    }
 }
 
 // Whether the crash still has to be reported for an attempt that began at `startedAt`. An attempt that began after the
@@ -215,14 +189,13 @@
     return before && !known->second.handled;
 }
 
-ProbeResult CrashingRequestGuard::probe(TrackedAttempt& attempt)
+ProbeResult CrashingRequestGuard::probe(const TrackedAttempt& attempt)
 {
     return attempt.incarnation.empty() ? probeService(attempt) : probeEngine(attempt);
 }
 
-ProbeResult CrashingRequestGuard::probeEngine(TrackedAttempt& attempt)
+ProbeResult CrashingRequestGuard::probeEngine(const TrackedAttempt& attempt)
 {
-    const CrashId crash{attempt.run.target, attempt.incarnation};
     const TimePoint limit = currentTime() + probeLimit;
     while (currentTime() < limit) {
         HttpCallLimits limits;
@@ -237,10 +210,7 @@
             const bool same = !report.ok() || report->incarnation == attempt.incarnation;
             return same ? ProbeResult::NoCrash : ProbeResult::Restarted;
         }
-        if (!knownCrashes_.contains(crash))
-            attempt.crashReported.waitUntil(Duty::current()->timers(), currentTime() + probeInterval);
-        if (knownCrashes_.contains(crash))
-            return ProbeResult::Reported;
+        sleepFor(probeInterval);
     }
     return ProbeResult::NoCrash;
 }
--- a/src/daemon/CrashingRequestGuard.h
+++ b/src/daemon/CrashingRequestGuard.h
@@ -40,8 +40,6 @@
     TimePoint startedAt;
     // Cancels the attempt. Empty when that would not stop it on the target.
     std::function<void()> cancel;
-    // Set when the crash of this start of the engine becomes known while the engine is probed.
-    FiberEvent crashReported;
 };
 
 // What a probe showed about a target after a lost connection.
@@ -50,8 +48,6 @@
     Refused,
     // The target reports another incarnation than before.
     Restarted,
-    // The probes were inconclusive, and the crash of this incarnation is known from elsewhere.
-    Reported,
     // The target reports the same incarnation, or does not answer.
     NoCrash,
 };
@@ -104,8 +100,8 @@
     void handlePeerStrike(const CrashStrike& strike);
     void recordCrash(const CrashId& crash, bool handled);
     bool isUnhandled(const CrashId& crash, TimePoint startedAt) const;
-    ProbeResult probe(TrackedAttempt& attempt);
-    ProbeResult probeEngine(TrackedAttempt& attempt);
+    ProbeResult probe(const TrackedAttempt& attempt);
+    ProbeResult probeEngine(const TrackedAttempt& attempt);
     ProbeResult probeService(const TrackedAttempt& attempt);
 
     Dispatcher& dispatcher_;
@@ -114,8 +110,6 @@
     CrashingRequestTracker suspicion_;
     std::map<TrialId, std::shared_ptr<Waiter>> waiters_;
     std::vector<std::shared_ptr<TrackedAttempt>> attempts_;
-    // Attempts on engines whose connection was lost and whose engine is being probed.
-    std::vector<std::shared_ptr<TrackedAttempt>> probed_;
     std::map<CrashId, KnownCrash> knownCrashes_;
 };
 
